--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+GO    ?= go
+TOOL   = $(GO) tool -modfile=tools/go.mod
+PKGS   = ./...
+FUZZ_TIME ?= 5m
+
+.PHONY: build check race lint fmt bench bench-cpu fuzz generate
+
+build:
+	$(GO) build -o bin/dogwoodmill .
+
+# The tests, with the seeds and numbers of checks that CI uses.
+check:
+	$(GO) test $(PKGS)
+
+race:
+	$(GO) test -race $(PKGS)
+
+lint:
+	@out=$$($(TOOL) gofumpt -l -extra main.go internal); test -z "$$out" || { echo "gofumpt: $$out"; exit 1; }
+	@out=$$($(TOOL) goimports -l -local github.com/dogwoodmill/dogwoodmill main.go internal); test -z "$$out" || { echo "goimports: $$out"; exit 1; }
+	$(GO) vet $(PKGS)
+	$(TOOL) staticcheck -checks all,-ST1000 $(PKGS)
+	$(TOOL) errcheck -exclude tools/errcheck.txt $(PKGS)
+	$(TOOL) revive -config tools/revive.toml -set_exit_status -exclude ./internal/peer/wire/... $(PKGS)
+
+fmt:
+	$(TOOL) gofumpt -w -extra main.go internal
+	$(TOOL) goimports -w -local github.com/dogwoodmill/dogwoodmill main.go internal
+
+# Figures in virtual time with fixed seeds: two runs print the same.
+bench:
+	@$(GO) test -run '^TestBench' -count=1 -v $(PKGS) -bench.print 2>/dev/null | grep -E '^(policy|control|config|orders|streams|limits) ' || true
+
+# Timed figures of this machine: nanoseconds, bytes and allocations.
+bench-cpu:
+	$(GO) test -run '^$$' -bench . -benchmem $(PKGS)
+
+# Random seeds, printed, for FUZZ_TIME in all.
+fuzz:
+	FUZZ_TIME=$(FUZZ_TIME) ./tools/fuzz
--- /dev/null
+++ b/internal/base/rest/errors.go
@@ -0,0 +1,61 @@
+package rest
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/zeebo/errs"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+const (
+	// KindRequest is the kind of a call that could not be encoded.
+	KindRequest Kind = "bad request"
+	// KindUnreachable is the kind of a call of which nothing was sent.
+	KindUnreachable Kind = "unreachable"
+	// KindNoAnswer is the kind of a call that may have taken effect.
+	KindNoAnswer Kind = "no answer"
+	// KindStatus is the kind of a call answered with a status of 400 or more.
+	KindStatus Kind = "status"
+	// KindDecode is the kind of an answer that could not be decoded.
+	KindDecode Kind = "bad answer"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+var class = errs.Class("rest")
+
+func fail(op string, kind Kind, err error) error { return fault.New(&class, op, kind, err) }
+
+// StatusError is the cause of an error of KindStatus.
+type StatusError struct {
+	status     int
+	retryAfter string
+	body       []byte
+}
+
+// Status returns the HTTP status.
+func (e *StatusError) Status() int { return e.status }
+
+// RetryAfter returns the Retry-After header, or "".
+func (e *StatusError) RetryAfter() string { return e.retryAfter }
+
+// Body returns the answer's body.
+func (e *StatusError) Body() []byte { return e.body }
+
+// Error returns the status and the body.
+func (e *StatusError) Error() string { return fmt.Sprintf("%d: %s", e.status, e.body) }
+
+// Status returns the HTTP status that err carries, or 0.
+func Status(err error) int {
+	var e *StatusError
+	if errors.As(err, &e) {
+		return e.status
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/command/cli/entry.go
@@ -0,0 +1,69 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/entry/server"
+)
+
+// Run runs an entry until a signal.
+func (o *EntryOptions) Run(env *environment) error {
+	s, err := server.New(server.Config{
+		VM:             o.VM,
+		FailureDomain:  o.FailureDomain,
+		Listen:         o.Listen,
+		LogURL:         o.LogURL,
+		VMListURL:      o.VMListURL,
+		WeightStoreURL: o.WeightStoreURL,
+		OperatorToken:  o.OperatorToken,
+		MaxBodyBytes:   o.MaxBodyBytes,
+		Drain:          o.Drain,
+	}, env.log)
+	if fault.Is(err, server.KindSetting) {
+		return &codedError{code: exitUsage, err: err}
+	}
+	if err != nil {
+		return err
+	}
+	return serveUntilSignal(s)
+}
+
+// serveUntilSignal drains at the first signal and stops at the second.
+func serveUntilSignal(servers ...*server.Server) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() { failed <- s.Serve() }()
+	}
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serving ended: %w", err)
+	case <-signals:
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	ended := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() { ended <- s.Shutdown(ctx) }()
+	}
+	var errList []error
+	for range servers {
+		errList = append(errList, <-ended)
+	}
+	return errors.Join(errList...)
+}
--- /dev/null
+++ b/internal/command/cli/options.go
@@ -0,0 +1,255 @@
+// Package cli is the command line: its options, checked in one place, and the
+// commands.
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/charmbracelet/log"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/command/load"
+)
+
+const (
+	envPrefix   = "DOGWOODMILL"
+	description = "Serves language-model prompts of very unlike lengths: every admitted request is answered in full and on time, or refused honestly."
+
+	// DefaultPort is the port of the first entry.
+	DefaultPort = 8080
+	maxDevPort  = 65534
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1 // the command failed
+	exitUsage    = 2 // the command line or a file is wrong; nothing was done
+	exitConflict = 3 // another version is current
+	exitUnknown  = 4 // the change may yet take effect
+)
+
+// Options is the whole command line. Each flag can be set by an environment
+// variable too: --log-level by DOGWOODMILL_LOG_LEVEL.
+type Options struct {
+	LogLevel  string `help:"Least level that is logged: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
+	LogFormat string `help:"Format of the log: text or json." default:"text" enum:"text,json"`
+
+	Entry  EntryOptions  `cmd:"" help:"Run the daemon of an entry VM."`
+	Dev    DevOptions    `cmd:"" help:"Run everything in one process: two entries, engines, services and the platform."`
+	Apply  ApplyOptions  `cmd:"" help:"Create or change the objects of a YAML or JSON file."`
+	Get    GetOptions    `cmd:"" help:"Show objects."`
+	Delete DeleteOptions `cmd:"" help:"Delete an object."`
+	Watch  WatchOptions  `cmd:"" help:"Print changes of a kind as they take effect."`
+	Dump   DumpOptions   `cmd:"" help:"Print the state of an entry as JSON."`
+	Load   LoadOptions   `cmd:"" help:"Send prompts of mixed lengths and report the time to first token."`
+}
+
+// EntryOptions are the settings of an entry.
+type EntryOptions struct {
+	VM             string        `help:"Name of this VM." required:"true"`
+	FailureDomain  string        `help:"Failure domain of this VM." required:"true"`
+	Listen         string        `help:"Address for callers and operators, host:port." default:"127.0.0.1:8080"`
+	LogURL         string        `help:"Platform's log service, http://host:port." required:"true"`
+	VMListURL      string        `help:"Platform's VM list, http://host:port." required:"true"`
+	WeightStoreURL string        `help:"Platform's weight store, http://host:port." required:"true"`
+	OperatorToken  string        `help:"Token that operators send; at least 8 characters." required:"true"`
+	MaxBodyBytes   int           `help:"Longest request body, in bytes." default:"33554432"`
+	Drain          time.Duration `help:"Longest time that a leaving entry waits for requests in progress." default:"2m"`
+}
+
+// DevOptions are the settings of dev.
+type DevOptions struct {
+	Port int `help:"Port of the first entry; the second has the next one." default:"8080"`
+}
+
+// Validate checks the port.
+func (o *DevOptions) Validate() error {
+	if o.Port < 1 || o.Port > maxDevPort {
+		return fmt.Errorf("--port: \"%d\" is not allowed; allowed: 1 to %d", o.Port, maxDevPort)
+	}
+	return nil
+}
+
+// ClientOptions say which entry to call and how to print.
+type ClientOptions struct {
+	Server        string `help:"URL of an entry." default:"http://127.0.0.1:8080"`
+	OperatorToken string `help:"Operator token." required:"true"`
+	Output        string `short:"o" help:"Format: table, json or yaml." default:"table" enum:"table,json,yaml"`
+}
+
+// Validate checks the URL.
+func (o *ClientOptions) Validate() error { return checkURL("--server", o.Server) }
+
+func checkURL(flag, value string) error {
+	if u, err := url.Parse(value); err != nil || u.Scheme != "http" || u.Host == "" {
+		return fmt.Errorf("%s: %q is not allowed; allowed: http://host:port", flag, value)
+	}
+	return nil
+}
+
+// ApplyOptions are the settings of apply.
+type ApplyOptions struct {
+	ClientOptions
+	File string `short:"f" help:"File with one or more documents; - reads standard input." required:"true"`
+}
+
+// GetOptions are the settings of get.
+type GetOptions struct {
+	ClientOptions
+	Kind string `arg:"" help:"workspaces, deployments, versions, rules, services or upstreams."`
+	Name string `arg:"" optional:"" help:"Name of one object."`
+}
+
+// DeleteOptions are the settings of delete.
+type DeleteOptions struct {
+	ClientOptions
+	Kind string `arg:"" help:"Kind of the object."`
+	Name string `arg:"" help:"Name of the object."`
+}
+
+// WatchOptions are the settings of watch.
+type WatchOptions struct {
+	ClientOptions
+	Kind string `arg:"" help:"Kind to watch."`
+	From uint64 `help:"Offset after which changes are printed; 0 starts now."`
+}
+
+// DumpOptions are the settings of dump.
+type DumpOptions struct {
+	Server        string `help:"URL of an entry." default:"http://127.0.0.1:8080"`
+	OperatorToken string `help:"Operator token." required:"true"`
+}
+
+// Validate checks the URL.
+func (o *DumpOptions) Validate() error { return checkURL("--server", o.Server) }
+
+// LoadOptions are the settings of load.
+type LoadOptions struct {
+	Target   []string      `help:"URL of an entry; repeat it or separate by commas to spread the load." default:"http://127.0.0.1:8080"`
+	Key      string        `help:"Bearer key of the workspace." default:"guild-dev-key"`
+	Model    string        `help:"Deployment to ask." default:"assistant"`
+	Rate     float64       `help:"Requests a second, sent whether or not earlier ones were answered." default:"5"`
+	Duration time.Duration `help:"Time during which requests are sent." default:"10s"`
+	Mix      string        `help:"Prompt lengths in tokens and their weights." default:"1k=80,8k=15,50k=4,200k=1"`
+	Patience time.Duration `help:"Time limit of a request." default:"30s"`
+	Abandon  float64       `help:"Share of requests whose caller leaves after a random part of the time limit." default:"0"`
+	MaxToken int           `name:"max-tokens" help:"max_tokens of a request." default:"64"`
+	Seed     uint64        `help:"Seed of arrivals, lengths and texts." default:"1"`
+	Output   string        `short:"o" help:"Format of the report: table or json." default:"table" enum:"table,json"`
+}
+
+// config checks the options and returns the settings of the load.
+func (o *LoadOptions) config() (load.Config, error) {
+	mix, err := load.ParseMix(o.Mix)
+	if err != nil {
+		return load.Config{}, fmt.Errorf("--mix: %q is not allowed: %w; allowed: lengths and weights such as 1k=80,200k=1", o.Mix, err)
+	}
+	for _, t := range o.Target {
+		if err := checkURL("--target", t); err != nil {
+			return load.Config{}, err
+		}
+	}
+	cfg := load.Config{
+		Targets: o.Target, Key: o.Key, Model: o.Model, Rate: o.Rate, Duration: o.Duration, Mix: mix,
+		Patience: o.Patience, Abandon: o.Abandon, MaxTokens: o.MaxToken, Seed: o.Seed,
+	}
+	return cfg, cfg.Check()
+}
+
+// Validate checks the options.
+func (o *LoadOptions) Validate() error {
+	_, err := o.config()
+	return err
+}
+
+// environment is what commands write to.
+type environment struct {
+	stdout, stderr io.Writer
+	log            *log.Logger
+}
+
+type exitStatus int
+
+// Main runs the command line and returns the process's exit code.
+func Main(args []string, stdout, stderr io.Writer) (code int) {
+	var opts Options
+	defer func() {
+		switch r := recover().(type) {
+		case nil:
+		case exitStatus:
+			code = int(r) // kong asks for an exit by a panic
+		default:
+			panic(r)
+		}
+	}()
+	parser, err := kong.New(&opts,
+		kong.Name("dogwoodmill"),
+		kong.Description(description),
+		kong.DefaultEnvars(envPrefix),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(code int) { panic(exitStatus(code)) }), // kong ends after --help
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+	)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "dogwoodmill:", err)
+		return exitFailed
+	}
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "dogwoodmill:", err)
+		return exitUsage
+	}
+	env := &environment{stdout: stdout, stderr: stderr, log: newLogger(&opts, stderr)}
+	if err := ctx.Run(env); err != nil {
+		_, _ = fmt.Fprintln(stderr, "dogwoodmill:", err)
+		return exitCode(err)
+	}
+	return exitOK
+}
+
+// codedError carries the exit code of a failed command.
+type codedError struct {
+	code int
+	err  error
+}
+
+func (e *codedError) Error() string { return e.err.Error() }
+
+func (e *codedError) Unwrap() error { return e.err }
+
+func exitCode(err error) int {
+	var e *codedError
+	if errors.As(err, &e) {
+		return e.code
+	}
+	return exitFailed
+}
+
+func newLogger(opts *Options, w io.Writer) *log.Logger {
+	level, err := log.ParseLevel(opts.LogLevel)
+	if err != nil {
+		level = log.InfoLevel
+	}
+	format := log.TextFormatter
+	if strings.EqualFold(opts.LogFormat, "json") {
+		format = log.JSONFormatter
+	}
+	return log.NewWithOptions(w, log.Options{Level: level, Formatter: format, ReportTimestamp: true, TimeFormat: time.RFC3339Nano})
+}
+
+// isTerminal reports whether w is a terminal.
+func isTerminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
--- /dev/null
+++ b/internal/entry/server/config.go
@@ -0,0 +1,62 @@
+package server
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"time"
+)
+
+// Limits of the settings.
+const (
+	MaxBody    = 64 << 20 // bytes
+	MaxDrain   = time.Hour
+	minSecrets = 8 // characters
+)
+
+// Config holds the settings of an entry.
+type Config struct {
+	VM             string
+	FailureDomain  string
+	Listen         string // host:port
+	LogURL         string
+	VMListURL      string
+	WeightStoreURL string
+	OperatorToken  string
+	MaxBodyBytes   int
+	Drain          time.Duration
+}
+
+// Check reports the first setting that is not allowed. The error names its flag,
+// its value and what is allowed.
+func (c *Config) Check() error {
+	for _, f := range []struct{ flag, value string }{{"--vm", c.VM}, {"--failure-domain", c.FailureDomain}} {
+		if f.value == "" {
+			return setting(f.flag, f.value, "a name")
+		}
+	}
+	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
+		return setting("--listen", c.Listen, "host:port")
+	}
+	for _, f := range []struct{ flag, value string }{
+		{"--log-url", c.LogURL}, {"--vm-list-url", c.VMListURL}, {"--weight-store-url", c.WeightStoreURL},
+	} {
+		if u, err := url.Parse(f.value); err != nil || u.Scheme != "http" || u.Host == "" {
+			return setting(f.flag, f.value, "http://host:port")
+		}
+	}
+	if len(c.OperatorToken) < minSecrets {
+		return setting("--operator-token", "(hidden)", fmt.Sprintf("at least %d characters", minSecrets))
+	}
+	if c.MaxBodyBytes < 1 || c.MaxBodyBytes > MaxBody {
+		return setting("--max-body-bytes", c.MaxBodyBytes, fmt.Sprintf("1 to %d", MaxBody))
+	}
+	if c.Drain <= 0 || c.Drain > MaxDrain {
+		return setting("--drain", c.Drain, fmt.Sprintf("above 0 and up to %s", MaxDrain))
+	}
+	return nil
+}
+
+func setting(flag string, value any, allowed string) error {
+	return fail("check settings", KindSetting, fmt.Errorf("%s: %q is not allowed; allowed: %s", flag, fmt.Sprint(value), allowed))
+}
--- /dev/null
+++ b/internal/entry/server/process.go
@@ -0,0 +1,80 @@
+package server
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/caller/openai"
+	"github.com/dogwoodmill/dogwoodmill/internal/caller/reply"
+	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
+)
+
+// State is the state dump of an entry.
+type State struct {
+	VM            string               `json:"vm"`
+	FailureDomain string               `json:"failureDomain"`
+	Incarnation   uint64               `json:"incarnation"`
+	UptimeMS      int64                `json:"uptimeMs"`
+	Leaving       bool                 `json:"leaving"`
+	Busy          int64                `json:"busy"` // requests in progress
+	Config        config.State         `json:"config"`
+	Placement     placement.State      `json:"placement"`
+	Engines       []fleet.EngineState  `json:"engines"`
+	Streams       []openai.StreamState `json:"streams"`
+}
+
+// State returns the entry's state.
+func (s *Server) State() State {
+	return State{
+		VM:            s.cfg.VM,
+		FailureDomain: s.cfg.FailureDomain,
+		Incarnation:   s.incarnation,
+		UptimeMS:      time.Since(s.started).Milliseconds(),
+		Leaving:       s.leaving.Load(),
+		Busy:          s.busy.Load(),
+		Config:        s.store.State(),
+		Placement:     s.placer.State(),
+		Engines:       s.fleet.State(),
+		Streams:       s.openai.State(),
+	}
+}
+
+// process returns the handler of a page about the process, or nil.
+func (s *Server) process(path string) fasthttp.RequestHandler {
+	switch path {
+	case "/healthz":
+		return func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") }
+	case "/readyz":
+		return s.serveReady
+	case "/metrics":
+		return s.metrics.page
+	case "/debug/state":
+		return s.serveState
+	default:
+		return nil
+	}
+}
+
+func (s *Server) serveReady(ctx *fasthttp.RequestCtx) {
+	switch {
+	case s.leaving.Load():
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString("leaving\n")
+	case !s.store.Ready():
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString("no configuration read yet\n")
+	default:
+		ctx.SetBodyString("ready\n")
+	}
+}
+
+func (s *Server) serveState(ctx *fasthttp.RequestCtx) {
+	if !s.authorized(reply.Bearer(ctx)) {
+		reply.Unauthorized().Write(ctx)
+		return
+	}
+	reply.JSON(ctx, fasthttp.StatusOK, s.State())
+}
--- /dev/null
+++ b/internal/entry/server/server.go
@@ -0,0 +1,225 @@
+// Package server is the daemon on an entry VM: it puts the parts together and
+// serves callers and operators.
+package server
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/caller/openai"
+	"github.com/dogwoodmill/dogwoodmill/internal/caller/reply"
+	"github.com/dogwoodmill/dogwoodmill/internal/caller/service"
+	"github.com/dogwoodmill/dogwoodmill/internal/operator/api"
+	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
+	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
+	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
+)
+
+const (
+	idleTimeout  = 2 * time.Minute
+	writeTimeout = 30 * time.Second
+	// acceptWhileLeaving is how long a leaving entry takes new work, until callers know.
+	acceptWhileLeaving = 2 * time.Second
+	drainPoll          = 50 * time.Millisecond
+)
+
+// Server is an entry.
+type Server struct {
+	cfg         Config
+	log         *log.Logger
+	incarnation uint64
+	started     time.Time
+	metrics     *metrics
+	store       *config.Store
+	fleet       *fleet.Fleet
+	placer      *placement.Placer
+	openai      *openai.Handler
+	service     *service.Handler
+	api         *api.Handler
+	http        *fasthttp.Server
+	ln          net.Listener
+	leaving     atomic.Bool
+	refusing    atomic.Bool
+	busy        atomic.Int64 // requests in progress
+}
+
+// New checks the settings, listens and starts the parts. Serve runs the entry.
+func New(cfg Config, logger *log.Logger) (*Server, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, fail("start", KindListen, fmt.Errorf("--listen %s: %w", cfg.Listen, err))
+	}
+	s := &Server{
+		cfg:         cfg,
+		log:         logger.WithPrefix("entry"),
+		incarnation: uint64(time.Now().UnixNano()),
+		started:     time.Now(),
+		metrics:     newMetrics(cfg.VM),
+		ln:          ln,
+	}
+	s.startParts(logger)
+	s.http = &fasthttp.Server{
+		Handler:               s.route,
+		Name:                  "dogwoodmill",
+		MaxRequestBodySize:    cfg.MaxBodyBytes,
+		IdleTimeout:           idleTimeout,
+		WriteTimeout:          writeTimeout,
+		NoDefaultServerHeader: true,
+		ErrorHandler:          badRequest,
+		Logger:                quiet{},
+		CloseOnShutdown:       true,
+		ReduceMemoryUsage:     true,
+	}
+	return s, nil
+}
+
+func (s *Server) startParts(logger *log.Logger) {
+	owner := engine.Owner{VM: s.cfg.VM, Incarnation: s.incarnation}
+	s.store = config.NewStore(config.LogSeams(logservice.NewClient(s.cfg.LogURL)), logger)
+	s.fleet = fleet.New(s.store.View, logger)
+	s.placer = placement.New(owner, s.cfg.FailureDomain, s.fleet, logger)
+	s.openai = openai.NewHandler(openai.Seams{View: s.store.View, Place: s.placer.Place, Hold: s.hold}, s.metrics.scope, logger)
+	s.service = service.NewHandler(s.store.View, s.metrics.scope, logger)
+	s.api = api.NewHandler(s.store, api.Seams{Authorized: s.authorized, InForce: s.inForce}, logger)
+}
+
+// Addr returns the address that the entry listens on.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// Serve serves until Shutdown.
+func (s *Server) Serve() error {
+	s.log.Info("Serving.", "vm", s.cfg.VM, "address", s.Addr(), "domain", s.cfg.FailureDomain)
+	return s.http.Serve(s.ln)
+}
+
+// Shutdown leaves: it takes new work for a little longer, then refuses it,
+// finishes what runs within the drain limit, and stops. It returns an error of
+// KindDrain where requests were still in progress.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.leaving.Store(true)
+	s.log.Info("Leaving.", "in_progress", s.busy.Load())
+	wait(ctx, acceptWhileLeaving)
+	s.refusing.Store(true)
+	drain, cancel := context.WithTimeout(ctx, s.cfg.Drain)
+	defer cancel()
+	for s.busy.Load() > 0 && drain.Err() == nil {
+		wait(drain, drainPoll)
+	}
+	left := s.busy.Load()
+	s.stop()
+	if left > 0 {
+		s.log.Warn("Stopped with requests in progress.", "left", left)
+		return fail("shutdown", KindDrain, fmt.Errorf("%d requests in progress", left))
+	}
+	s.log.Info("Stopped with nothing in progress.")
+	return nil
+}
+
+func (s *Server) stop() {
+	s.api.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := s.http.ShutdownWithContext(ctx); err != nil {
+		s.log.Warn("Connections were open at the end.", "err", err)
+	}
+	s.openai.Close()
+	s.fleet.Close()
+	s.store.Close()
+	if err := s.metrics.closer.Close(); err != nil {
+		s.log.Warn("Metrics could not be closed.", "err", err)
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+func (s *Server) authorized(token string) bool {
+	return subtle.ConstantTimeCompare([]byte(token), []byte(s.cfg.OperatorToken)) == 1
+}
+
+// inForce counts the entries that have an offset in force.
+func (s *Server) inForce(offset uint64) resource.InForce {
+	f := resource.InForce{Of: 1}
+	if s.store.View().Offset() >= offset {
+		f.Seen = 1
+	}
+	return f
+}
+
+// route finds the handler of a request.
+func (s *Server) route(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	if h := s.process(path); h != nil {
+		h(ctx)
+		return
+	}
+	if s.refusing.Load() {
+		ctx.SetConnectionClose()
+		reply.Overloaded("leaving", "This entry is leaving; another one serves.", time.Second).Write(ctx)
+		return
+	}
+	release := s.hold()
+	defer release()
+	switch {
+	case path == "/v1/chat/completions" && ctx.IsPost():
+		s.openai.Chat(ctx)
+	case path == "/v1/completions" && ctx.IsPost():
+		s.openai.Completions(ctx)
+	case path == "/v1/models" && ctx.IsGet():
+		s.openai.Models(ctx)
+	case strings.HasPrefix(path, service.Prefix):
+		s.service.Serve(ctx)
+	case strings.HasPrefix(path, api.Prefix):
+		s.api.Serve(ctx)
+	default:
+		reply.NotFound("unknown_url", "There is nothing at "+string(ctx.Method())+" "+path+".").Write(ctx)
+	}
+}
+
+// hold counts a request, or the streamed body of one, as in progress until the
+// function that it returns is called.
+func (s *Server) hold() func() {
+	s.busy.Add(1)
+	return func() { s.busy.Add(-1) }
+}
+
+// badRequest answers a request that could not be read.
+func badRequest(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		(&reply.Error{
+			Status: fasthttp.StatusRequestEntityTooLarge, Type: "invalid_request_error", Code: "body_too_large",
+			Message: "The request's body is longer than this entry takes.", Ran: reply.RanNo,
+		}).Write(ctx)
+	case errors.As(err, &small):
+		reply.InvalidRequest("", "The request's headers are too long.").Write(ctx)
+	default:
+		reply.InvalidRequest("", "The request is not valid HTTP.").Write(ctx)
+	}
+}
+
+// quiet drops fasthttp's own log lines, which name callers.
+type quiet struct{}
+
+// Printf drops the line.
+func (quiet) Printf(string, ...any) {}
--- /dev/null
+++ b/internal/operator/api/handler.go
@@ -0,0 +1,311 @@
+// Package api serves the resource API to operators.
+package api
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/caller/reply"
+	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
+	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
+)
+
+const (
+	// Prefix is the path before the kind.
+	Prefix = "/apis/dogwoodmill/v1/"
+
+	watchHeartbeat = 5 * time.Second
+)
+
+// Error is the body of an answer with a status of 400 or more.
+type Error struct {
+	Code     string `json:"code"`
+	Message  string `json:"message"`
+	Field    string `json:"field,omitempty"`
+	Value    string `json:"value,omitempty"`
+	Allowed  string `json:"allowed,omitempty"`
+	Current  uint64 `json:"current,omitempty"`  // version
+	ChangeID string `json:"changeId,omitempty"` // of a change whose fate is not known
+}
+
+// ErrorBody wraps an Error.
+type ErrorBody struct {
+	Error Error `json:"error"`
+}
+
+// List answers a GET of a kind.
+type List struct {
+	Kind   resource.Type     `json:"kind"`
+	Offset uint64            `json:"offset"`
+	Items  []resource.Object `json:"items"`
+}
+
+// Event is a line of a watch. Type is "put", "delete" or "alive", which only
+// tells that the connection works and how far the entry has read.
+type Event struct {
+	Type   string           `json:"type"`
+	Offset uint64           `json:"offset"`
+	Object *resource.Object `json:"object,omitempty"`
+}
+
+// Seams are what the handler asks of the rest of the entry.
+type Seams struct {
+	Authorized func(token string) bool
+	InForce    func(offset uint64) resource.InForce
+}
+
+// Handler serves the API. Its methods may be called from any goroutine.
+type Handler struct {
+	store *config.Store
+	seams Seams
+	log   *log.Logger
+	done  chan struct{}
+}
+
+// NewHandler returns a handler over the store. Close ends its watches.
+func NewHandler(store *config.Store, seams Seams, logger *log.Logger) *Handler {
+	return &Handler{store: store, seams: seams, log: logger.WithPrefix("api"), done: make(chan struct{})}
+}
+
+// Close ends the watches.
+func (h *Handler) Close() { close(h.done) }
+
+// Serve serves /apis/dogwoodmill/v1/{kind}[/{name}].
+func (h *Handler) Serve(ctx *fasthttp.RequestCtx) {
+	if !h.seams.Authorized(reply.Bearer(ctx)) {
+		write(ctx, fasthttp.StatusUnauthorized, Error{Code: "unauthorized", Message: "The operator token is missing or not valid."})
+		return
+	}
+	kindName, name, _ := strings.Cut(strings.TrimPrefix(string(ctx.Path()), Prefix), "/")
+	kind, err := resource.ParseType(kindName)
+	if err != nil || string(kind) != kindName {
+		write(ctx, fasthttp.StatusNotFound, Error{Code: "unknown_kind", Message: fmt.Sprintf("There is no kind %q.", kindName)})
+		return
+	}
+	switch method := string(ctx.Method()); {
+	case method == fasthttp.MethodGet && ctx.QueryArgs().GetBool("watch"):
+		h.watch(ctx, kind, name)
+	case method == fasthttp.MethodGet && name == "":
+		h.list(ctx, kind)
+	case method == fasthttp.MethodGet:
+		h.get(ctx, kind, name)
+	case method == fasthttp.MethodPut && name != "":
+		h.put(ctx, kind, name)
+	case method == fasthttp.MethodDelete && name != "":
+		h.delete(ctx, kind, name)
+	default:
+		write(ctx, fasthttp.StatusMethodNotAllowed, Error{Code: "method_not_allowed", Message: method + " is not served here."})
+	}
+}
+
+func write(ctx *fasthttp.RequestCtx, status int, e Error) { reply.JSON(ctx, status, ErrorBody{e}) }
+
+// withStatus returns the object with its status.
+func (h *Handler) withStatus(o resource.Object) resource.Object {
+	f := h.seams.InForce(o.Metadata.Version)
+	ready := "false"
+	if f.Seen == f.Of {
+		ready = "true"
+	}
+	o.Status = &resource.Status{Conditions: []resource.Condition{{Type: "InForce", Status: ready}}, InForce: f}
+	return o
+}
+
+func (h *Handler) list(ctx *fasthttp.RequestCtx, kind resource.Type) {
+	view := h.store.View()
+	out := List{Kind: kind, Offset: view.Offset(), Items: []resource.Object{}}
+	for _, o := range view.Objects(kind) {
+		out.Items = append(out.Items, h.withStatus(o))
+	}
+	reply.JSON(ctx, fasthttp.StatusOK, out)
+}
+
+func (h *Handler) get(ctx *fasthttp.RequestCtx, kind resource.Type, name string) {
+	o, ok := h.store.View().Object(kind, name)
+	if !ok {
+		notFound(ctx, kind, name)
+		return
+	}
+	reply.JSON(ctx, fasthttp.StatusOK, h.withStatus(o))
+}
+
+func notFound(ctx *fasthttp.RequestCtx, kind resource.Type, name string) {
+	write(ctx, fasthttp.StatusNotFound, Error{Code: "not_found", Message: fmt.Sprintf("There is no %s/%s.", kind, name)})
+}
+
+func (h *Handler) put(ctx *fasthttp.RequestCtx, kind resource.Type, name string) {
+	var o resource.Object
+	err := resource.DecodeStrict(ctx.PostBody(), &o, "")
+	if err == nil {
+		err = identify(&o, kind, name)
+	}
+	if err == nil {
+		err = o.Check()
+	}
+	if err != nil {
+		writeError(ctx, "", resource.Outcome{}, err)
+		return
+	}
+	cur, exists := h.store.View().Object(kind, name)
+	if exists && resource.SameSpec(cur.Spec, o.Spec) && (o.Metadata.Version == 0 || o.Metadata.Version == cur.Metadata.Version) {
+		reply.JSON(ctx, fasthttp.StatusOK, h.withStatus(cur))
+		return
+	}
+	status := fasthttp.StatusOK
+	if o.Metadata.Version == 0 {
+		status = fasthttp.StatusCreated
+	}
+	c := resource.Change{
+		ID: o.Metadata.ChangeID, Op: resource.OpPut, Kind: kind, Name: name,
+		Replaces: o.Metadata.Version, Spec: o.Spec,
+	}
+	out, err := h.submit(ctx, &c)
+	if err != nil {
+		writeError(ctx, c.ID, out, err)
+		return
+	}
+	o.Metadata = resource.Metadata{Name: name, Version: out.Offset(), ChangeID: c.ID}
+	reply.JSON(ctx, status, h.withStatus(o))
+}
+
+// identify fills in the kind and the name of an object from its path.
+func identify(o *resource.Object, kind resource.Type, name string) error {
+	if o.Kind == "" {
+		o.Kind = kind
+	}
+	if o.Metadata.Name == "" {
+		o.Metadata.Name = name
+	}
+	given, err := resource.ParseType(string(o.Kind))
+	if err != nil {
+		return err
+	}
+	o.Kind = given
+	if o.Kind != kind || o.Metadata.Name != name {
+		return resource.Invalid("metadata.name", fmt.Sprintf("%s/%s", o.Kind, o.Metadata.Name), fmt.Sprintf("%s/%s, as in the path", kind, name))
+	}
+	return nil
+}
+
+func (h *Handler) delete(ctx *fasthttp.RequestCtx, kind resource.Type, name string) {
+	o, ok := h.store.View().Object(kind, name)
+	if !ok {
+		notFound(ctx, kind, name)
+		return
+	}
+	version := o.Metadata.Version
+	if ctx.QueryArgs().Has("version") {
+		v, err := ctx.QueryArgs().GetUint("version")
+		if err != nil {
+			writeError(ctx, "", resource.Outcome{}, resource.Invalid("version", string(ctx.QueryArgs().Peek("version")), "a version"))
+			return
+		}
+		version = uint64(v)
+	}
+	c := resource.Change{Op: resource.OpDelete, Kind: kind, Name: name, Replaces: version}
+	out, err := h.submit(ctx, &c)
+	if err != nil {
+		writeError(ctx, c.ID, out, err)
+		return
+	}
+	o.Metadata.ChangeID = c.ID
+	o.Metadata.Version = out.Offset()
+	reply.JSON(ctx, fasthttp.StatusOK, o)
+}
+
+// submit gives the change an id where it has none and waits for its outcome.
+func (h *Handler) submit(ctx *fasthttp.RequestCtx, c *resource.Change) (resource.Outcome, error) {
+	if c.ID == "" {
+		c.ID = uuid.NewString()
+	}
+	out, err := h.store.Submit(ctx, *c)
+	if err != nil {
+		h.log.Info("A change was not accepted.", "change", c.ID, "op", c.Op, "kind", c.Kind, "name", c.Name, "err", err)
+		return out, err
+	}
+	h.log.Info("A change is in force here.", "change", c.ID, "op", c.Op, "kind", c.Kind, "name", c.Name, "offset", out.Offset())
+	return out, nil
+}
+
+func writeError(ctx *fasthttp.RequestCtx, changeID string, out resource.Outcome, err error) {
+	var v *resource.Violation
+	switch {
+	case errors.As(err, &v):
+		write(ctx, fasthttp.StatusUnprocessableEntity, Error{Code: "invalid", Message: v.Error(), Field: v.Field, Value: v.Value, Allowed: v.Allowed})
+	case fault.Is(err, resource.KindConflict):
+		write(ctx, fasthttp.StatusConflict, Error{
+			Code: "conflict", Current: out.Current(),
+			Message: fmt.Sprintf("Another version is current: %d.", out.Current()),
+		})
+	case fault.Is(err, resource.KindInUse):
+		write(ctx, fasthttp.StatusConflict, Error{Code: "in_use", Message: err.Error(), Current: out.Current()})
+	case fault.Is(err, config.KindUnknown):
+		write(ctx, fasthttp.StatusGatewayTimeout, Error{
+			Code: "unknown", ChangeID: changeID,
+			Message: "The log gave no answer; the change may yet take effect.",
+		})
+	default:
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, "2")
+		write(ctx, fasthttp.StatusServiceUnavailable, Error{Code: "log_unavailable", Message: "The log can't be reached; nothing was changed."})
+	}
+}
+
+// watch streams the accepted changes after an offset, a JSON object a line.
+func (h *Handler) watch(ctx *fasthttp.RequestCtx, kind resource.Type, name string) {
+	from := h.store.View().Offset()
+	if ctx.QueryArgs().Has("from") {
+		n, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("from")), 10, 64)
+		if err != nil {
+			writeError(ctx, "", resource.Outcome{}, resource.Invalid("from", string(ctx.QueryArgs().Peek("from")), "an offset"))
+			return
+		}
+		from = n
+	}
+	ctx.SetContentType("application/x-ndjson")
+	ctx.Response.ImmediateHeaderFlush = true
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) { h.writeEvents(w, kind, name, from) })
+}
+
+func (h *Handler) writeEvents(w *bufio.Writer, kind resource.Type, name string, from uint64) {
+	enc := json.NewEncoder(w)
+	for {
+		outs, grown := h.store.Since(from)
+		for _, out := range outs {
+			from = out.Offset()
+			if ev, ok := event(out, kind, name); ok && enc.Encode(ev) != nil {
+				return
+			}
+		}
+		if len(outs) == 0 {
+			_ = enc.Encode(Event{Type: "alive", Offset: from}) // Flush returns the error
+		}
+		if w.Flush() != nil {
+			return
+		}
+		select {
+		case <-grown:
+		case <-time.After(watchHeartbeat):
+		case <-h.done:
+			return
+		}
+	}
+}
+
+func event(out resource.Outcome, kind resource.Type, name string) (Event, bool) {
+	c := out.Change()
+	if out.Err() != nil || c.Kind != kind || name != "" && c.Name != name {
+		return Event{}, false
+	}
+	o := &resource.Object{Kind: kind, Metadata: resource.Metadata{Name: c.Name, Version: out.Offset(), ChangeID: c.ID}, Spec: c.Spec}
+	return Event{Type: string(c.Op), Offset: out.Offset(), Object: o}, true
+}
--- /dev/null
+++ b/internal/operator/config/store_test.go
@@ -0,0 +1,114 @@
+package config_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/zeebo/errs"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
+	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
+	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
+	standin "github.com/dogwoodmill/dogwoodmill/internal/standin/logservice"
+)
+
+var logClass = errs.Class("log service")
+
+// seams connects a store to a stand-in without sockets.
+func seams(l *standin.Log) config.Seams {
+	return config.Seams{
+		Read: func(ctx context.Context, from uint64, wait time.Duration) ([]logservice.Record, logservice.Bounds, error) {
+			recs, b, err := l.Read(ctx, resource.Stream, from, 100, wait)
+			out := make([]logservice.Record, 0, len(recs))
+			for _, r := range recs {
+				out = append(out, logservice.Record(r))
+			}
+			return out, logservice.Bounds(b), err
+		},
+		Append: func(ctx context.Context, rec []byte) (uint64, error) {
+			first, _, err := l.Append(ctx, resource.Stream, [][]byte{rec})
+			if fault.Is(err, standin.KindAnswerLost) {
+				err = fault.New(&logClass, "append", logservice.KindUnknown, err)
+			}
+			return first, err
+		},
+	}
+}
+
+func change(id string, replaces uint64) resource.Change {
+	return resource.Change{
+		ID: id, Op: resource.OpPut, Kind: resource.TypeDeployment, Name: "d", Replaces: replaces,
+		Spec: json.RawMessage(`{"model":"m","contextTokens":10}`),
+	}
+}
+
+func bubble(t *testing.T, f func(is *is.I, l *standin.Log, open func() *config.Store)) {
+	synctest.Test(t, func(t *testing.T) {
+		l := standin.NewLog()
+		f(is.New(t), l, func() *config.Store {
+			s := config.NewStore(seams(l), log.New(io.Discard))
+			t.Cleanup(s.Close)
+			return s
+		})
+	})
+}
+
+func TestChangeIsInForceAtEveryEntry(t *testing.T) {
+	bubble(t, func(is *is.I, _ *standin.Log, open func() *config.Store) {
+		a, b := open(), open()
+		out, err := a.Submit(context.Background(), change("1", 0))
+		is.NoErr(err)
+		is.Equal(out.Current(), uint64(1))
+		synctest.Wait()
+		is.True(b.View().Deployment("d") != nil)
+
+		out, err = b.Submit(context.Background(), change("2", 0))
+		is.True(fault.Is(err, config.KindRejected))
+		is.Equal(out.Current(), uint64(1))
+	})
+}
+
+func TestLostAnswerIsReadBack(t *testing.T) {
+	bubble(t, func(is *is.I, l *standin.Log, open func() *config.Store) {
+		a := open()
+		l.LoseAnswers(1)
+		_, err := a.Submit(context.Background(), change("1", 0))
+		is.NoErr(err)
+	})
+}
+
+func TestOutageKeepsTheView(t *testing.T) {
+	bubble(t, func(is *is.I, l *standin.Log, open func() *config.Store) {
+		a := open()
+		_, err := a.Submit(context.Background(), change("1", 0))
+		is.NoErr(err)
+		l.SetOutage(true)
+		time.Sleep(time.Minute)
+		is.True(a.View().Deployment("d") != nil)
+		is.True(!a.State().Healthy)
+		_, err = a.Submit(context.Background(), change("2", 1))
+		is.True(fault.Is(err, config.KindUnavailable))
+		l.SetOutage(false)
+		time.Sleep(10 * time.Second)
+		is.True(a.State().Healthy)
+	})
+}
+
+func TestAnotherEpochIsNotFollowed(t *testing.T) {
+	bubble(t, func(is *is.I, l *standin.Log, open func() *config.Store) {
+		a := open()
+		_, err := a.Submit(context.Background(), change("1", 0))
+		is.NoErr(err)
+		l.Reset("2")
+		time.Sleep(time.Minute)
+		is.True(a.View().Deployment("d") != nil)
+		is.True(!a.State().Healthy)
+	})
+}
--- /dev/null
+++ b/internal/operator/resource/spec.go
@@ -0,0 +1,209 @@
+package resource
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Limits of the values in a spec.
+const (
+	MaxPatience       = time.Hour
+	MaxWeight         = 1000
+	MaxContextTokens  = 10_000_000
+	MaxPriority       = 10
+	MaxServiceTimeout = 10 * time.Minute
+)
+
+// WorkspaceSpec describes a workspace.
+type WorkspaceSpec struct {
+	Weight      float64  `json:"weight"`                // share of capacity under contention; 1 where absent
+	Patience    Seconds  `json:"patience"`              // default time limit of a request
+	Keys        []string `json:"keys"`                  // SHA-256 of each bearer key, in hexadecimal
+	Limits      Limits   `json:"limits"`                // over all entries
+	Deployments []string `json:"deployments,omitempty"` // allowed ones; all where empty
+}
+
+// Limits bounds what a workspace may ask for. Zero sets no bound.
+type Limits struct {
+	RequestsPerSecond float64 `json:"requestsPerSecond,omitempty"`
+	TokensPerSecond   float64 `json:"tokensPerSecond,omitempty"`
+	ConcurrentTokens  int64   `json:"concurrentTokens,omitempty"`
+}
+
+var keyPattern = regexp.MustCompile(`^(sha256:)?[0-9a-f]{64}$`)
+
+func (s *WorkspaceSpec) check() error {
+	if s.Weight < 0 || s.Weight > MaxWeight {
+		return Invalid("spec.weight", s.Weight, fmt.Sprintf("0 to %d", MaxWeight))
+	}
+	if p := s.Patience.Duration(); p < 0 || p > MaxPatience {
+		return Invalid("spec.patience", p, fmt.Sprintf("0 to %g seconds", MaxPatience.Seconds()))
+	}
+	for i, k := range s.Keys {
+		if !keyPattern.MatchString(k) {
+			return Invalid(fmt.Sprintf("spec.keys[%d]", i), "the given text", "64 hexadecimal digits, the SHA-256 of the key")
+		}
+	}
+	l := s.Limits
+	if l.RequestsPerSecond < 0 || l.TokensPerSecond < 0 || l.ConcurrentTokens < 0 {
+		return Invalid("spec.limits", "a negative number", "0 (no bound) or more")
+	}
+	return checkNames("spec.deployments", s.Deployments)
+}
+
+// DeploymentSpec describes a model that callers name in "model".
+type DeploymentSpec struct {
+	Model           string `json:"model"`                     // name of the model at the engines
+	Version         string `json:"version,omitempty"`         // wanted version
+	ContextTokens   int    `json:"contextTokens"`             // longest prompt and answer
+	MaxOutputTokens int    `json:"maxOutputTokens,omitempty"` // default and largest max_tokens
+	Sampled         bool   `json:"sampled,omitempty"`         // answers differ between runs: no replay
+}
+
+func (s *DeploymentSpec) check() error {
+	if s.Model == "" {
+		return Invalid("spec.model", `""`, "the name of a model")
+	}
+	if s.ContextTokens < 1 || s.ContextTokens > MaxContextTokens {
+		return Invalid("spec.contextTokens", s.ContextTokens, fmt.Sprintf("1 to %d", MaxContextTokens))
+	}
+	if s.MaxOutputTokens < 0 || s.MaxOutputTokens > s.ContextTokens {
+		return Invalid("spec.maxOutputTokens", s.MaxOutputTokens, "0 to spec.contextTokens")
+	}
+	return nil
+}
+
+// VersionSpec describes a version of a deployment's model.
+type VersionSpec struct {
+	Deployment string   `json:"deployment"`
+	Weights    string   `json:"weights"`            // name in the weight store
+	Bytes      int64    `json:"bytes"`              // size of the weights
+	Adapters   []string `json:"adapters,omitempty"` // adapters to load with it
+}
+
+func (s *VersionSpec) check() error {
+	if !namePattern.MatchString(s.Deployment) {
+		return Invalid("spec.deployment", s.Deployment, nameAllowed)
+	}
+	if s.Bytes < 0 {
+		return Invalid("spec.bytes", s.Bytes, "0 or more")
+	}
+	return nil
+}
+
+// RuleSpec admits and ranks requests. A rule applies to the requests that match
+// all of its set conditions.
+type RuleSpec struct {
+	Workspace       string  `json:"workspace,omitempty"`
+	Deployment      string  `json:"deployment,omitempty"`
+	MinPromptTokens int     `json:"minPromptTokens,omitempty"`
+	MaxPromptTokens int     `json:"maxPromptTokens,omitempty"`
+	Priority        int     `json:"priority,omitempty"`      // added to the rank
+	Refuse          bool    `json:"refuse,omitempty"`        // refuses what matches
+	MaxConcurrent   int     `json:"maxConcurrent,omitempty"` // running at once over all entries
+	MinCapacity     float64 `json:"minCapacity,omitempty"`   // share of a deployment's engines that a rollout leaves serving
+}
+
+func (s *RuleSpec) check() error {
+	switch {
+	case s.MinPromptTokens < 0:
+		return Invalid("spec.minPromptTokens", s.MinPromptTokens, "0 or more")
+	case s.MaxPromptTokens < 0 || s.MaxPromptTokens > 0 && s.MaxPromptTokens < s.MinPromptTokens:
+		return Invalid("spec.maxPromptTokens", s.MaxPromptTokens, "0 (no bound) or at least spec.minPromptTokens")
+	case s.Priority < -MaxPriority || s.Priority > MaxPriority:
+		return Invalid("spec.priority", s.Priority, fmt.Sprintf("%d to %d", -MaxPriority, MaxPriority))
+	case s.MaxConcurrent < 0:
+		return Invalid("spec.maxConcurrent", s.MaxConcurrent, "0 (no bound) or more")
+	case s.MinCapacity < 0 || s.MinCapacity > 1:
+		return Invalid("spec.minCapacity", s.MinCapacity, "0 to 1")
+	}
+	return nil
+}
+
+// ServiceSpec describes a plain service.
+type ServiceSpec struct {
+	Timeout Seconds `json:"timeout,omitempty"` // time limit of a call; 30 seconds where absent
+	Routes  []Route `json:"routes,omitempty"`  // the first match decides
+}
+
+// Route says whether calls that match may be repeated. Without a match GET, HEAD
+// and OPTIONS may and other methods may not.
+type Route struct {
+	Method     string `json:"method,omitempty"` // any where absent
+	Path       string `json:"path"`             // prefix
+	Repeatable bool   `json:"repeatable"`
+}
+
+var methods = []string{
+	"", http.MethodGet, http.MethodHead, http.MethodOptions,
+	http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
+}
+
+func (s *ServiceSpec) check() error {
+	if d := s.Timeout.Duration(); d < 0 || d > MaxServiceTimeout {
+		return Invalid("spec.timeout", d, fmt.Sprintf("0 to %g seconds", MaxServiceTimeout.Seconds()))
+	}
+	for i, r := range s.Routes {
+		if !strings.HasPrefix(r.Path, "/") {
+			return Invalid(fmt.Sprintf("spec.routes[%d].path", i), r.Path, "a path that starts with /")
+		}
+		if !slices.Contains(methods, r.Method) {
+			return Invalid(fmt.Sprintf("spec.routes[%d].method", i), r.Method, strings.Join(methods[1:], ", "))
+		}
+	}
+	return nil
+}
+
+// Repeatable reports whether a call of the service may be repeated.
+func (s *ServiceSpec) Repeatable(method, path string) bool {
+	for _, r := range s.Routes {
+		if (r.Method == "" || r.Method == method) && strings.HasPrefix(path, r.Path) {
+			return r.Repeatable
+		}
+	}
+	return slices.Contains([]string{http.MethodGet, http.MethodHead, http.MethodOptions}, method)
+}
+
+// UpstreamSpec describes a model engine or a server of a plain service.
+type UpstreamSpec struct {
+	Address       string   `json:"address"` // host:port
+	FailureDomain string   `json:"failureDomain"`
+	Deployments   []string `json:"deployments,omitempty"`   // of a model engine
+	Service       string   `json:"service,omitempty"`       // of a plain service
+	ChecksFencing bool     `json:"checksFencing,omitempty"` // refuses orders with an old fencing number
+	MemoryTokens  int      `json:"memoryTokens,omitempty"`  // KV memory of a model engine
+	PrefillRate   int      `json:"prefillRate,omitempty"`   // tokens a second of a model engine
+}
+
+func (s *UpstreamSpec) check() error {
+	if _, _, err := net.SplitHostPort(s.Address); err != nil {
+		return Invalid("spec.address", s.Address, "host:port")
+	}
+	if !namePattern.MatchString(s.FailureDomain) {
+		return Invalid("spec.failureDomain", s.FailureDomain, nameAllowed)
+	}
+	if (s.Service == "") == (len(s.Deployments) == 0) {
+		return Invalid("spec.service", s.Service, "either spec.service or spec.deployments")
+	}
+	if s.MemoryTokens < 0 || s.PrefillRate < 0 {
+		return Invalid("spec.memoryTokens", s.MemoryTokens, "0 (not known) or more, like spec.prefillRate")
+	}
+	return checkNames("spec.deployments", s.Deployments)
+}
+
+func checkNames(field string, names []string) error {
+	for i, n := range names {
+		if !namePattern.MatchString(n) {
+			return Invalid(fmt.Sprintf("%s[%d]", field, i), n, nameAllowed)
+		}
+	}
+	return nil
+}
+
+func asError[T error](err error, target *T) bool { return errors.As(err, target) }
--- /dev/null
+++ b/internal/standin/engine/stream.go
@@ -0,0 +1,255 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/zeebo/xxh3"
+)
+
+const (
+	minAnswerTokens    = 16
+	answerTokensSpread = 112
+)
+
+// Owner names the entry that opened a stream or a hold.
+type Owner struct {
+	VM          string `json:"vm"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// StreamRequest opens a stream. The answer starts at token From: an engine that
+// is given the tokens before it as context goes on exactly where another stopped.
+type StreamRequest struct {
+	Stream    string `json:"stream"`
+	Owner     Owner  `json:"owner"`
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Priority  int    `json:"priority"`
+	Seed      uint64 `json:"seed"`
+	From      int    `json:"from,omitempty"`
+	Hold      string `json:"hold,omitempty"`  // a hold of this engine that the stream uses up
+	Group     int    `json:"group,omitempty"` // engines that share the prompt, this one among them
+}
+
+// Usage counts the tokens of a stream.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	CachedTokens     int `json:"cached_tokens"`
+}
+
+// Piece is one token of a stream, or its end where Finish is set.
+// Finish is "stop", "length" or "cancelled".
+type Piece struct {
+	Stream      string `json:"stream"`
+	Incarnation uint64 `json:"incarnation"`
+	Pos         int    `json:"pos"`
+	Text        string `json:"text,omitempty"`
+	Finish      string `json:"finish,omitempty"`
+	Usage       *Usage `json:"usage,omitempty"`
+}
+
+// StreamInfo describes a stream that an engine keeps.
+type StreamInfo struct {
+	Stream   string `json:"stream"`
+	Owner    Owner  `json:"owner"`
+	Reserved int    `json:"reserved"` // tokens of memory
+	Produced int    `json:"produced"`
+	Finish   string `json:"finish,omitempty"`
+}
+
+type stream struct {
+	req        StreamRequest
+	arrival    uint64
+	blocks     []uint64
+	promptLen  int
+	reserve    int
+	cached     int
+	todo       int // prompt tokens still to be prefilled
+	length     int
+	produced   int
+	admitted   bool
+	finish     string
+	finishedAt time.Time
+}
+
+// Tokens returns the number of tokens of a text.
+func Tokens(text string) int {
+	return (utf8.RuneCountInString(text) + RunesPerToken - 1) / RunesPerToken
+}
+
+// AnswerLength returns the number of tokens that the answer to a prompt has
+// where max tokens allow it.
+func AnswerLength(prompt string, seed uint64) int {
+	return minAnswerTokens + int(xxh3.HashStringSeed(prompt, seed)%answerTokensSpread)
+}
+
+// Token returns the text of the token at the position of an answer.
+func Token(prompt string, seed uint64, pos int) string {
+	h := xxh3.HashStringSeed(prompt, seed) + uint64(pos)*0x9e3779b97f4a7c15
+	h ^= h >> 29
+	return words[h%uint64(len(words))] + " "
+}
+
+// Answer returns the whole answer to a prompt, as every engine gives it.
+func Answer(prompt string, seed uint64, maxTokens int) string {
+	var b strings.Builder
+	for i := range min(AnswerLength(prompt, seed), maxTokens) {
+		b.WriteString(Token(prompt, seed, i))
+	}
+	return b.String()
+}
+
+var words = strings.Fields(`seal wire crest basket field lion chevron weave band oak argent gules
+	rim spoke twist frame motto shield base fold azure bend coil loop die press mark guild`)
+
+func newStream(req StreamRequest) *stream {
+	n := Tokens(req.Prompt)
+	s := &stream{
+		req:       req,
+		blocks:    blockHashes(req.Prompt),
+		promptLen: n,
+		length:    min(AnswerLength(req.Prompt, req.Seed), req.MaxTokens),
+		produced:  req.From,
+		todo:      n + req.From,
+	}
+	group := max(req.Group, 1)
+	s.reserve = (n + req.MaxTokens + group - 1) / group
+	return s
+}
+
+func (s *stream) reason() string {
+	if s.length == s.req.MaxTokens {
+		return "length"
+	}
+	return "stop"
+}
+
+func (s *stream) piece(pos int, incarnation uint64) Piece {
+	p := Piece{Stream: s.req.Stream, Incarnation: incarnation, Pos: pos}
+	if pos < s.produced {
+		p.Text = Token(s.req.Prompt, s.req.Seed, pos)
+		return p
+	}
+	p.Finish = s.finish
+	p.Usage = &Usage{PromptTokens: s.promptLen, CompletionTokens: s.produced, CachedTokens: s.cached}
+	return p
+}
+
+// Open takes a stream into the queue.
+func (e *Engine) Open(req StreamRequest) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.check(req); err != nil {
+		return err
+	}
+	s := newStream(req)
+	if s.reserve > e.cfg.Memory {
+		return fail("open", KindInvalid, fmt.Errorf("%d tokens exceed the memory of %d", s.reserve, e.cfg.Memory))
+	}
+	if req.Hold != "" && !e.release(req.Hold) {
+		return fail("open", KindNotFound, fmt.Errorf("hold %q", req.Hold))
+	}
+	e.arrivals++
+	s.arrival = e.arrivals
+	e.streams[req.Stream] = s
+	e.queue = append(e.queue, s)
+	if req.Hold != "" && e.used+s.reserve <= e.cfg.Memory {
+		s.admitted = true
+		e.used += s.reserve
+	}
+	e.kick()
+	return nil
+}
+
+func (e *Engine) check(req StreamRequest) error {
+	switch {
+	case e.dead:
+		return fail("open", KindDead, nil)
+	case e.leaving:
+		return fail("open", KindFull, fmt.Errorf("engine is leaving"))
+	case !e.orders.serves(req.Model):
+		return fail("open", KindNotFound, fmt.Errorf("model %q", req.Model))
+	case req.Stream == "" || req.MaxTokens < 1 || req.From < 0:
+		return fail("open", KindInvalid, fmt.Errorf("stream, max_tokens and from are needed"))
+	case e.streams[req.Stream] != nil:
+		return fail("open", KindConflict, fmt.Errorf("stream %q", req.Stream))
+	case len(e.queue) >= MaxQueue:
+		return fail("open", KindFull, fmt.Errorf("queue has %d streams", len(e.queue)))
+	}
+	return nil
+}
+
+// Read returns the piece at the position, and waits until there is one.
+func (e *Engine) Read(ctx context.Context, id string, pos int) (Piece, error) {
+	for {
+		p, changed, err := e.tryRead(id, pos)
+		if err != nil || changed == nil {
+			return p, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return Piece{}, ctx.Err()
+		}
+	}
+}
+
+// tryRead returns a channel to wait for where the piece is not there yet.
+func (e *Engine) tryRead(id string, pos int) (Piece, <-chan struct{}, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return Piece{}, nil, fail("read", KindDead, nil)
+	}
+	s := e.streams[id]
+	if s == nil {
+		return Piece{}, nil, fail("read", KindNotFound, fmt.Errorf("stream %q", id))
+	}
+	if pos < s.produced || s.finish != "" {
+		return s.piece(pos, e.incarnation), nil, nil
+	}
+	return Piece{}, e.changed, nil
+}
+
+// Cancel ends a stream and frees its memory. An unknown stream is no error:
+// there is nothing left to free.
+func (e *Engine) Cancel(id string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return fail("cancel", KindDead, nil)
+	}
+	if s := e.streams[id]; s != nil {
+		e.end(s, "cancelled", time.Now())
+		e.queue = slices.DeleteFunc(e.queue, func(q *stream) bool { return q == s })
+		e.broadcast()
+		e.kick()
+	}
+	return e.loseAnswer("cancel")
+}
+
+// Streams lists the streams that the engine keeps, by id.
+func (e *Engine) Streams() ([]StreamInfo, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return nil, fail("streams", KindDead, nil)
+	}
+	out := make([]StreamInfo, 0, len(e.streams))
+	for id, s := range e.streams {
+		info := StreamInfo{Stream: id, Owner: s.req.Owner, Produced: s.produced, Finish: s.finish}
+		if s.admitted && s.finish == "" {
+			info.Reserved = s.reserve
+		}
+		out = append(out, info)
+	}
+	slices.SortFunc(out, func(a, b StreamInfo) int { return strings.Compare(a.Stream, b.Stream) })
+	return out, nil
+}
--- /dev/null
+++ b/internal/standin/engine/switches.go
@@ -0,0 +1,67 @@
+package engine
+
+import "time"
+
+// Die drops all streams, holds and cached blocks, and fails every call.
+func (e *Engine) Die() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dead = true
+	e.broadcast()
+}
+
+// Restart brings the engine back with empty memory and a new incarnation.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reset()
+	e.dead, e.paused, e.leaving = false, false, false
+	e.broadcast()
+	e.kick()
+}
+
+// Pause stops all streams until it is called with false.
+func (e *Engine) Pause(paused bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.paused = paused
+	e.kick()
+}
+
+// SetSlow makes every step take the given multiple of its time.
+func (e *Engine) SetSlow(factor float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.slow = factor
+}
+
+// SetLeaving makes the engine report that it is leaving and refuse new streams.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// Silence makes every connection that is open now silent for good. New ones work.
+func (e *Engine) Silence() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.silencedAt = time.Now()
+	e.broadcast()
+}
+
+// LoseAnswers makes the next n cancels, holds, releases and orders take effect
+// without an answer.
+func (e *Engine) LoseAnswers(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loseNext = n
+}
+
+func (e *Engine) loseAnswer(op string) error {
+	if e.loseNext == 0 {
+		return nil
+	}
+	e.loseNext--
+	return fail(op, KindAnswerLost, nil)
+}
--- /dev/null
+++ b/internal/standin/weightstore/store.go
@@ -0,0 +1,76 @@
+// Package weightstore is a stand-in for the platform's store of model weights,
+// which admits a limited number of bytes a second.
+package weightstore
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Grant answers a request to read weights: start after Wait.
+type Grant struct {
+	Wait time.Duration `json:"wait_ns"`
+}
+
+// Store paces reads. Its methods may be called from any goroutine.
+type Store struct {
+	mu        sync.Mutex
+	rate      float64 // bytes a second
+	busyUntil time.Time
+	maxWait   time.Duration
+	refused   uint64
+}
+
+// New returns a store with the rate in bytes a second that refuses a read
+// which would wait longer than maxWait.
+func New(rate float64, maxWait time.Duration) *Store {
+	return &Store{rate: rate, maxWait: maxWait}
+}
+
+// Refused returns the number of reads refused.
+func (s *Store) Refused() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused
+}
+
+// Take books a read of n bytes. It reports false where the wait is too long.
+func (s *Store) Take(n int64) (Grant, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if s.busyUntil.Before(now) {
+		s.busyUntil = now
+	}
+	wait := s.busyUntil.Sub(now)
+	if wait > s.maxWait {
+		s.refused++
+		return Grant{}, false
+	}
+	s.busyUntil = s.busyUntil.Add(time.Duration(float64(n) / s.rate * float64(time.Second)))
+	return Grant{Wait: wait}, true
+}
+
+// Handler returns the HTTP interface: POST /v1/reads?bytes=N.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/reads", func(w http.ResponseWriter, r *http.Request) {
+		n, err := strconv.ParseInt(r.URL.Query().Get("bytes"), 10, 64)
+		if err != nil || n < 0 {
+			http.Error(w, "bytes: want a number of bytes", http.StatusBadRequest)
+			return
+		}
+		g, ok := s.Take(n)
+		if !ok {
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, "over the rate", http.StatusTooManyRequests)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(g) // a reader that left has nobody to tell
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/standin/world/world.go
@@ -0,0 +1,119 @@
+// Package world runs stand-ins of everything around the entries on loopback:
+// engines, an order desk, a registry and the platform.
+package world
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/engine"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/logservice"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/orderdesk"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/registry"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/vmlist"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/weightstore"
+)
+
+const (
+	host       = "127.0.0.1"
+	weightRate = 1e9 // bytes a second
+	weightWait = time.Minute
+)
+
+// World is the stand-ins and their addresses.
+type World struct {
+	Engines  []*engine.Engine
+	Desk     *orderdesk.Desk
+	Registry *registry.Registry
+	Log      *logservice.Log
+	VMs      *vmlist.List
+	Weights  *weightstore.Store
+
+	servers  []*http.Server
+	engines  []string // addresses
+	desk     string
+	registry string
+	log      string
+	vms      string
+	weights  string
+}
+
+// Start starts an engine for each configuration and the rest.
+func Start(engines []engine.Config, listLag time.Duration) (*World, error) {
+	w := &World{
+		Desk:     orderdesk.NewDesk(),
+		Registry: registry.New(),
+		Log:      logservice.NewLog(),
+		VMs:      vmlist.New(listLag),
+		Weights:  weightstore.New(weightRate, weightWait),
+	}
+	var errList []error
+	serve := func(srv *http.Server) string {
+		addr, err := w.serve(srv)
+		errList = append(errList, err)
+		return addr
+	}
+	for _, cfg := range engines {
+		e := engine.New(cfg)
+		w.Engines = append(w.Engines, e)
+		w.engines = append(w.engines, serve(e.Server()))
+	}
+	w.desk = serve(plain(w.Desk.Handler()))
+	w.registry = serve(plain(w.Registry.Handler()))
+	w.log = serve(plain(w.Log.Handler()))
+	w.vms = serve(plain(w.VMs.Handler()))
+	w.weights = serve(plain(w.Weights.Handler()))
+	if err := errors.Join(errList...); err != nil {
+		w.Close()
+		return nil, err
+	}
+	return w, nil
+}
+
+// LogURL returns the URL of the log service.
+func (w *World) LogURL() string { return "http://" + w.log }
+
+// VMListURL returns the URL of the VM list.
+func (w *World) VMListURL() string { return "http://" + w.vms }
+
+// WeightStoreURL returns the URL of the weight store.
+func (w *World) WeightStoreURL() string { return "http://" + w.weights }
+
+// EngineAddr returns host:port of an engine.
+func (w *World) EngineAddr(i int) string { return w.engines[i] }
+
+// Vars returns the addresses by the names ENGINE_1 …, DESK and REGISTRY.
+func (w *World) Vars() map[string]string {
+	vars := map[string]string{"DESK": w.desk, "REGISTRY": w.registry}
+	for i, addr := range w.engines {
+		vars[fmt.Sprintf("ENGINE_%d", i+1)] = addr
+	}
+	return vars
+}
+
+// Close ends everything.
+func (w *World) Close() {
+	for _, srv := range w.servers {
+		_ = srv.Close() // nothing is kept
+	}
+	for _, e := range w.Engines {
+		e.Close()
+	}
+}
+
+func plain(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+}
+
+func (w *World) serve(srv *http.Server) (string, error) {
+	ln, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return "", err
+	}
+	w.servers = append(w.servers, srv)
+	go func() { _ = srv.Serve(ln) }() // ends when the server is closed
+	return ln.Addr().String(), nil
+}
--- /dev/null
+++ b/internal/upstream/httpconn/conn.go
@@ -0,0 +1,111 @@
+// Package httpconn sends one HTTP request on one new connection and streams the
+// answer, with a time limit on each read. It never repeats a request, and no
+// connection outlives its answer: bytes of one answer cannot reach another.
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	dialTimeout = time.Second
+	readBuffer  = 4 << 10  // bytes
+	maxBuffered = 64 << 20 // bytes of an answer that is not streamed
+)
+
+// Limits are the time limits of an exchange.
+type Limits struct {
+	First time.Duration // to write the request and read the head of the answer
+	Read  time.Duration // on each read of the body
+}
+
+// Exchange is a request and its answer.
+type Exchange struct {
+	conn   net.Conn
+	resp   *fasthttp.Response
+	body   io.Reader
+	limits Limits
+	stop   func() bool
+}
+
+// Do connects to the address and sends the request. The exchange that it
+// returns must be closed. It ends when ctx does.
+func Do(ctx context.Context, addr string, req *fasthttp.Request, limits Limits) (*Exchange, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, fail("dial", KindUnsent, err)
+	}
+	x := &Exchange{conn: conn, limits: limits, resp: fasthttp.AcquireResponse()}
+	x.stop = context.AfterFunc(ctx, func() { _ = conn.Close() }) // unblocks reads and writes
+	if err := x.exchange(req); err != nil {
+		x.Close()
+		if ctx.Err() != nil {
+			err = errors.Join(err, ctx.Err())
+		}
+		return nil, fail("exchange", KindNoAnswer, err)
+	}
+	return x, nil
+}
+
+func (x *Exchange) exchange(req *fasthttp.Request) error {
+	if err := x.conn.SetDeadline(time.Now().Add(x.limits.First)); err != nil {
+		return err
+	}
+	bw := bufio.NewWriter(x.conn)
+	if err := req.Write(bw); err != nil {
+		return err
+	}
+	if err := bw.Flush(); err != nil {
+		return err
+	}
+	x.resp.StreamBody = true
+	br := bufio.NewReaderSize(x.conn, readBuffer)
+	if err := x.resp.ReadLimitBody(br, maxBuffered); err != nil {
+		return err
+	}
+	if x.body = x.resp.BodyStream(); x.body == nil {
+		x.body = &emptyBody{}
+	}
+	return nil
+}
+
+// Status returns the HTTP status of the answer.
+func (x *Exchange) Status() int { return x.resp.StatusCode() }
+
+// Header returns the head of the answer.
+func (x *Exchange) Header() *fasthttp.ResponseHeader { return &x.resp.Header }
+
+// Read reads the body. A read that takes longer than its limit fails with KindSilent.
+func (x *Exchange) Read(p []byte) (int, error) {
+	if err := x.conn.SetReadDeadline(time.Now().Add(x.limits.Read)); err != nil {
+		return 0, fail("read", KindNoAnswer, err)
+	}
+	n, err := x.body.Read(p)
+	switch {
+	case err == nil || errors.Is(err, io.EOF):
+		return n, err
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return n, fail("read", KindSilent, err)
+	default:
+		return n, fail("read", KindNoAnswer, err)
+	}
+}
+
+// Close closes the connection.
+func (x *Exchange) Close() {
+	x.stop()
+	_ = x.conn.Close() // nothing more is read from it
+}
+
+type emptyBody struct{}
+
+func (*emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
