--- a/internal/caller/openai/request.go
+++ b/internal/caller/openai/request.go
@@ -178,7 +178,8 @@
 func badJSON(err error) *reply.Error {
 	var typeErr *json.UnmarshalTypeError
 	if errors.As(err, &typeErr) && typeErr.Field != "" {
-		return reply.InvalidRequest(typeErr.Field, fmt.Sprintf("%s: want a %s, not a %s.", typeErr.Field, typeErr.Type, typeErr.Value))
+		field := strings.TrimPrefix(typeErr.Field, "common.") // an embedded struct is no part of the API
+		return reply.InvalidRequest(field, fmt.Sprintf("%s: want %s, not %s.", field, typeErr.Type, typeErr.Value))
 	}
 	return reply.InvalidRequest("", "The body is not valid JSON for this API: "+err.Error()+".")
 }
