Sign the calls between entries and let grants report their outcome

Cause: every part that entries share (membership, limits, relays) needs one authenticated way to call a peer, and placement needs to know when a prefill is over.

--- a/Makefile
+++ b/Makefile
@@ -20,8 +20,8 @@
 	@out=$$($(TOOL) goimports -l -local github.com/dogwoodmill/dogwoodmill main.go internal); test -z "$$out" || { echo "goimports: $$out"; exit 1; }
 	$(GO) vet $(PKGS)
 	$(TOOL) staticcheck -checks all,-ST1000 $(PKGS)
-	$(TOOL) errcheck -exclude tools/errcheck.txt $(PKGS)
-	$(TOOL) revive -config tools/revive.toml -set_exit_status -exclude ./internal/peer/wire/... $(PKGS)
+	$(TOOL) errcheck -ignoregenerated -exclude tools/errcheck.txt $(PKGS)
+	$(TOOL) revive -config tools/revive.toml -set_exit_status $(PKGS)
 
 fmt:
 	$(TOOL) gofumpt -w -extra main.go internal
@@ -38,3 +38,8 @@
 # Random seeds, printed, for FUZZ_TIME in all.
 fuzz:
 	FUZZ_TIME=$(FUZZ_TIME) ./tools/fuzz
+
+# Needs protoc, protoc-gen-go and protoc-gen-twirp; what it writes is committed.
+generate:
+	find internal -name '*.proto' -exec protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative {} \;
+	$(MAKE) fmt
--- a/internal/caller/openai/handler.go
+++ b/internal/caller/openai/handler.go
@@ -237,6 +237,7 @@
 		h.abandon(c, stream, err)
 		return err
 	}
+	grant.FirstToken()
 	h.streams.add(c)
 	return nil
 }
@@ -249,17 +250,17 @@
 		c.stream = nil
 	}
 	if fault.Is(err, engine.KindRefused) || fault.Is(err, engine.KindUnsent) {
-		grant.Done()
+		grant.Done(placement.Outcome{Err: err})
 		return
 	}
-	h.cancelAtEngine(grant, stream)
+	h.cancelAtEngine(grant, stream, err)
 }
 
 // cancelAtEngine repeats the cancel until the engine confirms it or the time
 // limit ends.
-func (h *Handler) cancelAtEngine(grant *placement.Grant, stream string) {
+func (h *Handler) cancelAtEngine(grant *placement.Grant, stream string, cause error) {
 	_ = h.cancels.Go(func() { // the pool takes everything until it is closed
-		defer grant.Done()
+		defer grant.Done(placement.Outcome{Err: cause})
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
 		for ctx.Err() == nil {
@@ -275,16 +276,17 @@
 	})
 }
 
-// finish ends a call whose first piece came.
-func (h *Handler) finish(c *call, whole bool) {
+// finish ends a call whose first piece came, with its last piece or the error
+// that cut it.
+func (h *Handler) finish(c *call, last engine.Piece, err error) {
 	h.streams.remove(c)
 	c.cancel()
 	c.stream.Close()
-	if whole {
-		c.grant.Done()
+	if err == nil {
+		c.grant.Done(placement.Outcome{Usage: last.Usage})
 		return
 	}
-	h.cancelAtEngine(c.grant, c.stream.ID())
+	h.cancelAtEngine(c.grant, c.stream.ID(), err)
 }
 
 // next returns the piece after p.
@@ -310,7 +312,7 @@
 		text.WriteString(p.Text)
 		p, err = c.next(p)
 	}
-	h.finish(c, err == nil)
+	h.finish(c, p, err)
 	if err != nil {
 		h.refuse(ctx, c.cut())
 		return
@@ -325,23 +327,23 @@
 	release := h.seams.Hold()
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer release()
-		whole := false
-		defer func() { h.finish(c, whole) }()
-		whole = relay(w, c)
+		last, err := relay(w, c)
+		h.finish(c, last, err)
 	})
 }
 
-// relay writes the pieces and reports whether the answer was whole at the engine.
-func relay(w *bufio.Writer, c *call) bool {
+// relay writes the pieces. It returns the last one, or an error where the answer
+// did not come to its end at the engine.
+func relay(w *bufio.Writer, c *call) (engine.Piece, error) {
 	a := newAnswer(c.shape, c.id, c.model)
 	p, err := c.first, error(nil)
 	for {
 		if err != nil {
 			_ = writeRaw(w, p.Pos, c.cut().JSON()) // the caller may be gone
-			return false
+			return p, err
 		}
 		if err := writeEvent(w, p.Pos, a.chunk(p)); err != nil {
-			return false
+			return p, err
 		}
 		if p.Finish != "" {
 			break
@@ -350,11 +352,11 @@
 	}
 	if c.includeUsage {
 		if err := writeEvent(w, p.Pos, a.usageChunk(p.Usage)); err != nil {
-			return true
+			return p, nil // the engine was done
 		}
 	}
 	_ = writeRaw(w, p.Pos, []byte("[DONE]")) // the caller may be gone
-	return true
+	return p, nil
 }
 
 // State returns the handler's part of the state dump.
--- a/internal/command/cli/cli_test.go
+++ b/internal/command/cli/cli_test.go
@@ -297,6 +297,7 @@
 	entry := []string{
 		"entry", "--vm=e1", "--failure-domain=a", "--log-url=http://127.0.0.1:1", "--vm-list-url=http://127.0.0.1:1",
 		"--weight-store-url=http://127.0.0.1:1", "--operator-token=operator-token",
+		"--peer-key=peer-key-1",
 	}
 	for _, tt := range []struct {
 		args []string
@@ -305,6 +306,8 @@
 		{append(entry, "--listen=nowhere"), `--listen: "nowhere" is not allowed; allowed: host:port`},
 		{append(entry, "--log-url=ftp://x"), `--log-url: "ftp://x" is not allowed; allowed: http://host:port`},
 		{append(entry, "--operator-token=x"), `--operator-token: "(hidden)" is not allowed; allowed: at least 8 characters`},
+		{append(entry, "--peer-key=x"), `--peer-key: "(hidden)" is not allowed; allowed: at least 8 characters`},
+		{append(entry, "--seeds=nowhere"), `--seeds: "nowhere" is not allowed; allowed: host:port`},
 		{append(entry, "--drain=-1s"), `--drain: "-1s" is not allowed; allowed: above 0 and up to 1h0m0s`},
 		{append(entry, "--max-body-bytes=0"), `--max-body-bytes: "0" is not allowed; allowed: 1 to 67108864`},
 		{[]string{"dev", "--port=0"}, `--port: "0" is not allowed; allowed: 1 to 65534`},
--- a/internal/command/cli/dev.go
+++ b/internal/command/cli/dev.go
@@ -23,6 +23,7 @@
 	devEntries     = 2
 	devEngines     = 3
 	devModel       = "assistant-1"
+	devPeerKey     = "peer-dev-key"
 	devToken       = "operator-dev-token"
 	devGuildKey    = "guild-dev-key"
 	devLoomwireKey = "loomwire-dev-key"
@@ -76,10 +77,17 @@
 }
 
 func (w *devWorld) startEntry(i, port int, logger *log.Logger) error {
+	var seeds []string
+	for _, e := range w.entries {
+		seeds = append(seeds, e.PeerAddr())
+	}
 	s, err := server.New(server.Config{
 		VM:             fmt.Sprintf("entry-%d", i+1),
 		FailureDomain:  "a",
 		Listen:         fmt.Sprintf("%s:%d", devHost, port),
+		PeerListen:     devHost + ":0",
+		PeerKey:        devPeerKey,
+		Seeds:          seeds,
 		LogURL:         w.LogURL(),
 		VMListURL:      w.VMListURL(),
 		WeightStoreURL: w.WeightStoreURL(),
--- a/internal/command/cli/options.go
+++ b/internal/command/cli/options.go
@@ -56,6 +56,9 @@
 	VM             string        `help:"Name of this VM." required:"true"`
 	FailureDomain  string        `help:"Failure domain of this VM." required:"true"`
 	Listen         string        `help:"Address for callers and operators, host:port." default:"127.0.0.1:8080"`
+	PeerListen     string        `help:"Address for other entries, host:port." default:"127.0.0.1:8090"`
+	PeerKey        string        `help:"Key that all entries share; at least 8 characters." required:"true"`
+	Seeds          []string      `help:"Peer addresses of some entries, host:port; none starts alone."`
 	LogURL         string        `help:"Platform's log service, http://host:port." required:"true"`
 	VMListURL      string        `help:"Platform's VM list, http://host:port." required:"true"`
 	WeightStoreURL string        `help:"Platform's weight store, http://host:port." required:"true"`
--- a/internal/entry/server/config.go
+++ b/internal/entry/server/config.go
@@ -18,7 +18,10 @@
 type Config struct {
 	VM             string
 	FailureDomain  string
-	Listen         string // host:port
+	Listen         string   // host:port, for callers and operators
+	PeerListen     string   // host:port, for other entries
+	PeerKey        string   // shared by all entries
+	Seeds          []string // host:port of the peer addresses of some entries
 	LogURL         string
 	VMListURL      string
 	WeightStoreURL string
@@ -38,6 +41,14 @@
 	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
 		return setting("--listen", c.Listen, "host:port")
 	}
+	if _, _, err := net.SplitHostPort(c.PeerListen); err != nil {
+		return setting("--peer-listen", c.PeerListen, "host:port")
+	}
+	for _, seed := range c.Seeds {
+		if _, _, err := net.SplitHostPort(seed); err != nil {
+			return setting("--seeds", seed, "host:port")
+		}
+	}
 	for _, f := range []struct{ flag, value string }{
 		{"--log-url", c.LogURL}, {"--vm-list-url", c.VMListURL}, {"--weight-store-url", c.WeightStoreURL},
 	} {
@@ -45,8 +56,10 @@
 			return setting(f.flag, f.value, "http://host:port")
 		}
 	}
-	if len(c.OperatorToken) < minSecrets {
-		return setting("--operator-token", "(hidden)", fmt.Sprintf("at least %d characters", minSecrets))
+	for _, f := range []struct{ flag, value string }{{"--operator-token", c.OperatorToken}, {"--peer-key", c.PeerKey}} {
+		if len(f.value) < minSecrets {
+			return setting(f.flag, "(hidden)", fmt.Sprintf("at least %d characters", minSecrets))
+		}
 	}
 	if c.MaxBodyBytes < 1 || c.MaxBodyBytes > MaxBody {
 		return setting("--max-body-bytes", c.MaxBodyBytes, fmt.Sprintf("1 to %d", MaxBody))
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/api"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/link"
 	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
@@ -50,6 +52,9 @@
 	api         *api.Handler
 	http        *fasthttp.Server
 	ln          net.Listener
+	link        *link.Link
+	peerHTTP    *http.Server
+	peerLn      net.Listener
 	leaving     atomic.Bool
 	refusing    atomic.Bool
 	busy        atomic.Int64 // requests in progress
@@ -64,8 +69,15 @@
 	if err != nil {
 		return nil, fail("start", KindListen, fmt.Errorf("--listen %s: %w", cfg.Listen, err))
 	}
+	peerLn, err := net.Listen("tcp", cfg.PeerListen)
+	if err != nil {
+		_ = ln.Close() // nothing was served on it
+		return nil, fail("start", KindListen, fmt.Errorf("--peer-listen %s: %w", cfg.PeerListen, err))
+	}
 	s := &Server{
 		cfg:         cfg,
+		link:        link.New(cfg.VM, cfg.PeerKey),
+		peerLn:      peerLn,
 		log:         logger.WithPrefix("entry"),
 		incarnation: uint64(time.Now().UnixNano()),
 		started:     time.Now(),
@@ -73,6 +85,8 @@
 		ln:          ln,
 	}
 	s.startParts(logger)
+	s.peerHTTP = s.link.Server()
+	go func() { _ = s.peerHTTP.Serve(s.peerLn) }() // ends when the server is closed
 	s.http = &fasthttp.Server{
 		Handler:               s.route,
 		Name:                  "dogwoodmill",
@@ -101,6 +115,9 @@
 // Addr returns the address that the entry listens on.
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
+// PeerAddr returns the address for other entries.
+func (s *Server) PeerAddr() string { return s.peerLn.Addr().String() }
+
 // Serve serves until Shutdown.
 func (s *Server) Serve() error {
 	s.log.Info("Serving.", "vm", s.cfg.VM, "address", s.Addr(), "domain", s.cfg.FailureDomain)
@@ -137,6 +154,9 @@
 	if err := s.http.ShutdownWithContext(ctx); err != nil {
 		s.log.Warn("Connections were open at the end.", "err", err)
 	}
+	if err := s.peerHTTP.Close(); err != nil {
+		s.log.Warn("Peer connections were open at the end.", "err", err)
+	}
 	s.openai.Close()
 	s.fleet.Close()
 	s.store.Close()
--- a/internal/prompt/placement/placement.go
+++ b/internal/prompt/placement/placement.go
@@ -129,8 +129,22 @@
 	return r
 }
 
+// Outcome tells what became of a grant.
+type Outcome struct {
+	Err   error         // nil where the answer was whole
+	Usage *engine.Usage // where the engine told it
+}
+
+// FirstToken notes that the first token came: the engine's prefill is over.
+func (g *Grant) FirstToken() {
+	g.placer.mu.Lock()
+	defer g.placer.mu.Unlock()
+	g.placer.outstanding[g.engine.Client().Name()] -= g.prompt.Tokens
+	g.cost -= g.prompt.Tokens
+}
+
 // Done ends the grant and releases what it holds.
-func (g *Grant) Done() {
+func (g *Grant) Done(Outcome) {
 	if g.group != nil {
 		g.group.close()
 	}
