--- a/internal/caller/openai/answer.go
+++ b/internal/caller/openai/answer.go
@@ -1,9 +1,6 @@
 package openai
 
 import (
-	"bufio"
-	"encoding/json"
-	"strconv"
 	"time"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
@@ -63,8 +60,8 @@
 	created int64
 }
 
-func newAnswer(sh shape, id, model string) *answer {
-	return &answer{shape: sh, id: id, model: model, created: time.Now().Unix()}
+func newAnswer(sh shape, id, model string, created time.Time) *answer {
+	return &answer{shape: sh, id: id, model: model, created: created.Unix()}
 }
 
 func (a *answer) body(object string, choices []choice, u *usage) answerBody {
@@ -105,22 +102,3 @@
 	}
 	return a.body(object, []choice{}, newUsage(u))
 }
-
-// writeEvent writes a server-sent event whose id is the token's position.
-func writeEvent(w *bufio.Writer, pos int, v any) error {
-	b, err := json.Marshal(v)
-	if err != nil {
-		return err
-	}
-	return writeRaw(w, pos, b)
-}
-
-func writeRaw(w *bufio.Writer, pos int, data []byte) error {
-	var num [20]byte
-	_, _ = w.WriteString("id: ") // the writer keeps the first error for Flush
-	_, _ = w.Write(strconv.AppendInt(num[:0], int64(pos), 10))
-	_, _ = w.WriteString("\ndata: ")
-	_, _ = w.Write(data)
-	_, _ = w.WriteString("\n\n")
-	return w.Flush()
-}
--- a/internal/caller/openai/errors.go
+++ b/internal/caller/openai/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -11,11 +12,16 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
 )
 
+// leavingRetryAfter is when a caller may come again after its entry has left.
+const leavingRetryAfter = time.Second
+
 // errorFor returns what the caller gets for a request that failed before its
-// first token.
-func errorFor(err error) *reply.Error {
+// first token. Sent tells whether an engine may have run it.
+func errorFor(sent bool, err error) *reply.Error {
 	var p *placement.Error
 	switch {
+	case sent:
+		return lost(reply.RanUnknown)
 	case fault.Is(err, placement.KindTooLarge):
 		return reply.Overloaded("prompt_too_large_now", "No group of engines can hold the prompt at present.", placement.RetryAfter(err))
 	case errors.As(err, &p):
@@ -40,3 +46,38 @@
 		Message: "The request's time limit ended before the answer was whole.", Ran: ran,
 	}
 }
+
+func cancelled(ran reply.Ran) *reply.Error {
+	return &reply.Error{
+		Status: fasthttp.StatusConflict, Type: "invalid_request_error", Code: "cancelled",
+		Message: "The request was cancelled before the answer was whole.", Ran: ran,
+	}
+}
+
+// gone is the error of a caller that does not read it.
+func gone(ran reply.Ran) *reply.Error {
+	return &reply.Error{
+		Status: statusGone, Type: "invalid_request_error", Code: "caller_gone",
+		Message: "The caller closed its connection.", Ran: ran,
+	}
+}
+
+// taken is the error on the old connection of an answer that its caller has resumed.
+func taken() *reply.Error {
+	return &reply.Error{
+		Status: fasthttp.StatusConflict, Type: "invalid_request_error", Code: "resumed_elsewhere",
+		Message: "The answer goes on where its caller has resumed it.", Ran: reply.RanPartial,
+	}
+}
+
+// leaving tells a caller to go on at another entry.
+func leaving(id string, ran reply.Ran) *reply.Error {
+	if ran == reply.RanNo {
+		return reply.Overloaded("leaving", "This entry is leaving; another one serves.", leavingRetryAfter)
+	}
+	return &reply.Error{
+		Status: fasthttp.StatusServiceUnavailable, Type: "server_error", Code: "entry_leaving",
+		Message: "This entry is leaving. The answer goes on: GET " + ResponsesPrefix + id + " with Last-Event-ID.",
+		Ran:     ran, RetryAfter: leavingRetryAfter,
+	}
+}
--- a/internal/caller/openai/handler.go
+++ b/internal/caller/openai/handler.go
@@ -2,17 +2,16 @@
 package openai
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"io"
+	"math"
+	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 
-	"github.com/alitto/pond/v2"
 	"github.com/charmbracelet/log"
-	"github.com/google/uuid"
 	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 
@@ -26,21 +25,24 @@
 const (
 	// defaultPatience is the time limit of a request where nobody set one.
 	defaultPatience = 60 * time.Second
-	maxAttempts     = 3
-	// gapLimit bounds the wait for the next token once the first came.
-	gapLimit       = 10 * time.Second
-	cancelTimeout  = 10 * time.Second
-	cancelRetry    = 200 * time.Millisecond
-	cancelWorkers  = 32
-	runesPerToken  = 4
-	maxTokensFloor = 1
+	runesPerToken   = 4
+	maxTokensFloor  = 1
+	// MaxPromptBytes bounds the prompts that an entry holds at once.
+	MaxPromptBytes   = 256 << 20
+	promptRetryAfter = 2 * time.Second
+	// statusGone is what logs of others show for a caller that left before an answer.
+	statusGone = 499
 )
 
 // Seams are what the handler asks of the rest of the entry.
 type Seams struct {
-	View  func() *resource.View
-	Place func(ctx context.Context, p placement.Prompt, tried map[string]bool) (*placement.Grant, error)
-	Hold  func() (release func()) // counts an answer that is being streamed
+	View   func() *resource.View
+	Place  func(ctx context.Context, p placement.Prompt, tried map[string]bool) (*placement.Grant, error)
+	Hold   func() (release func())          // counts an answer that is being streamed
+	Engine func(name string) *engine.Client // nil where no such engine is configured
+	Owner  engine.Owner                     // this entry
+	IDKey  string                           // shared by all entries
+	now    func() time.Time
 }
 
 // Handler serves the APIs. Its methods may be called from any goroutine.
@@ -48,23 +50,32 @@
 	seams   Seams
 	log     *log.Logger
 	metrics tally.Scope
-	cancels pond.Pool
+	cancels *canceller
 	streams *registry
+	ids     *idSigner
+	prompts *budget
+	pending atomic.Int64 // bytes that wait for slow callers
 }
 
 // NewHandler returns a handler. Close waits for its cancels.
 func NewHandler(seams Seams, metrics tally.Scope, logger *log.Logger) *Handler {
+	if seams.now == nil {
+		seams.now = time.Now
+	}
+	scope, prefixed := metrics.SubScope("openai"), logger.WithPrefix("openai")
 	return &Handler{
 		seams:   seams,
-		log:     logger.WithPrefix("openai"),
-		metrics: metrics.SubScope("openai"),
-		cancels: pond.NewPool(cancelWorkers),
+		log:     prefixed,
+		metrics: scope,
+		cancels: newCanceller(scope, prefixed),
 		streams: newRegistry(),
+		ids:     newIDSigner(seams.IDKey),
+		prompts: newBudget(MaxPromptBytes),
 	}
 }
 
-// Close waits for the cancels under way.
-func (h *Handler) Close() { h.cancels.StopAndWait() }
+// Close waits a bounded time for the cancels under way.
+func (h *Handler) Close() { h.cancels.close() }
 
 // Chat serves POST /v1/chat/completions.
 func (h *Handler) Chat(ctx *fasthttp.RequestCtx) { h.serve(ctx, shapeChat) }
@@ -101,40 +112,38 @@
 	reply.JSON(ctx, fasthttp.StatusOK, out)
 }
 
-// call is one request in progress.
-type call struct {
-	*request
-	id     string
-	shape  shape
-	ws     *resource.Workspace
-	dep    *resource.Deployment
-	start  time.Time
-	ctx    context.Context
-	cancel context.CancelFunc
-	grant  *placement.Grant
-	stream *engine.Stream
-	first  engine.Piece
-}
-
 func (h *Handler) serve(ctx *fasthttp.RequestCtx, sh shape) {
 	c, apiErr := h.accept(ctx, sh)
-	if apiErr == nil {
-		ctx.Response.Header.Set(reply.HeaderRequestID, c.id)
-		apiErr = h.open(c)
-	}
 	if apiErr != nil {
 		h.refuse(ctx, apiErr)
 		return
 	}
-	if c.request.stream {
+	ctx.Request.ResetBody() // the call has a copy of the prompt
+	h.run(ctx, c)
+}
+
+// run answers a call that was accepted.
+func (h *Handler) run(ctx *fasthttp.RequestCtx, c *call) {
+	c.watcher = watch(ctx.Conn(), func() { c.cancel(errGone) })
+	h.streams.add(c)
+	apiErr := h.first(c)
+	ctx.Response.Header.Set(reply.HeaderRequestID, c.id())
+	switch {
+	case apiErr != nil:
+		h.end(c, nil, c.blame(errors.New(apiErr.Code)))
+		h.refuse(ctx, apiErr)
+	case c.request.stream:
 		h.writeStream(ctx, c)
-		return
+	default:
+		h.writeWhole(ctx, c)
 	}
-	h.writeWhole(ctx, c)
 }
 
 func (h *Handler) refuse(ctx *fasthttp.RequestCtx, e *reply.Error) {
 	h.metrics.Tagged(map[string]string{"code": e.Code}).Counter("refused").Inc(1)
+	if e.Status == statusGone {
+		ctx.SetConnectionClose()
+	}
 	e.Write(ctx)
 }
 
@@ -160,12 +169,18 @@
 	if apiErr := bound(r, dep.Spec()); apiErr != nil {
 		return nil, apiErr
 	}
-	id, err := uuid.NewV7()
+	rid, err := newResponseID()
 	if err != nil {
 		return nil, reply.Overloaded("internal", "No request id could be made.", time.Second)
 	}
-	c := &call{request: r, id: id.String(), shape: sh, ws: ws, dep: dep, start: time.Now()}
-	c.ctx, c.cancel = context.WithTimeout(context.Background(), patience)
+	if !h.prompts.take(int64(len(r.prompt))) {
+		return nil, reply.Overloaded("prompt_memory", "This entry holds as many prompts as it can.", promptRetryAfter)
+	}
+	rid.shape, rid.usage, rid.deployment = sh, r.includeUsage, r.model
+	rid.patience = time.Duration(math.Ceil(patience.Seconds())) * time.Second
+	c := newCall(h, r, rid, ws, patience)
+	c.held = int64(len(r.prompt))
+	c.src = newSource(sourceSeams{place: h.placer(c, dep), cancel: c.cancelRun, opened: c.setRun}, !dep.Spec().Sampled, prefillTime(dep, estimate(r.prompt)))
 	return c, nil
 }
 
@@ -185,182 +200,135 @@
 	return nil
 }
 
-// open places the request and reads its first piece. Engines that ran nothing
-// are passed over.
-func (h *Handler) open(c *call) *reply.Error {
+// placer returns the function that places the call's prompt and prepares a run.
+func (h *Handler) placer(c *call, dep *resource.Deployment) func(context.Context, map[string]bool) (*run, error) {
 	deadline, _ := c.ctx.Deadline()
 	p := placement.Prompt{
-		ID: c.id, Workspace: c.ws.Name(), Deployment: c.dep, Text: c.prompt,
+		ID: c.rid.request.String(), Workspace: c.ws.Name(), Deployment: dep, Text: c.prompt,
 		Tokens: estimate(c.prompt), MaxTokens: c.maxTokens, Seed: c.seed, Deadline: deadline,
 	}
-	tried := map[string]bool{}
-	var err error
-	for range maxAttempts {
-		if err = h.try(c, p, tried); err == nil {
-			h.metrics.Timer("first_token").Record(time.Since(c.start))
-			return nil
-		}
-		if !fault.Is(err, engine.KindRefused) && !fault.Is(err, engine.KindUnsent) {
-			break
+	attempts := 0
+	return func(ctx context.Context, tried map[string]bool) (*run, error) {
+		grant, err := h.seams.Place(ctx, p, tried)
+		if err != nil {
+			return nil, err
 		}
+		attempts++
+		rid := c.rid
+		rid.attempt, rid.engine = attempts, grant.Engine().Name()
+		return grantRun(grant, rid), nil
 	}
-	timeout := c.ctx.Err() != nil
-	c.cancel()
-	if timeout {
-		return timedOut(ranBefore(err))
-	}
-	return errorFor(err)
 }
 
-// ranBefore tells what ran of a request that failed before its first token.
-func ranBefore(err error) reply.Ran {
-	var p *placement.Error
-	if errors.As(err, &p) || fault.Is(err, engine.KindRefused) || fault.Is(err, engine.KindUnsent) {
-		return reply.RanNo
+func grantRun(grant *placement.Grant, rid responseID) *run {
+	client, stream := grant.Engine(), rid.stream()
+	r := clientRun(client, rid.attempt, stream)
+	r.open = func(ctx context.Context, from int) (*engine.Stream, error) {
+		req := grant.Request(stream)
+		req.From = from
+		return client.Open(ctx, req)
 	}
-	return reply.RanUnknown
+	r.first, r.done = grant.FirstToken, grant.Done
+	return r
 }
 
-func (h *Handler) try(c *call, p placement.Prompt, tried map[string]bool) error {
-	grant, err := h.seams.Place(c.ctx, p, tried)
-	if err != nil {
-		return err
+// clientRun returns a run of a stream that is opened already.
+func clientRun(client *engine.Client, attempt int, stream string) *run {
+	return &run{
+		engine: client.Name(), attempt: attempt, stream: stream,
+		resume: func(ctx context.Context, at engine.Position) (*engine.Stream, error) {
+			return client.Resume(ctx, stream, at)
+		},
+		cancel: func(ctx context.Context) error { return client.Cancel(ctx, stream) },
+		holds:  client.Holds,
+		drop:   client.Drop,
+		first:  func() {},
+		done:   func(placement.Outcome) {},
 	}
-	tried[grant.Engine().Name()] = true
-	c.grant = grant
-	stream := fmt.Sprintf("%s-%d", c.id, len(tried))
-	remaining := time.Until(p.Deadline)
-	if c.stream, err = grant.Engine().Open(c.ctx, grant.Request(stream), remaining); err == nil {
-		c.first, err = c.stream.Next()
-	}
-	if err != nil {
-		h.abandon(c, stream, err)
-		return err
-	}
-	grant.FirstToken()
-	h.streams.add(c)
-	return nil
 }
 
-// abandon gives back what a try took.
-func (h *Handler) abandon(c *call, stream string, err error) {
-	grant := c.grant
-	if c.stream != nil {
-		c.stream.Close()
-		c.stream = nil
-	}
-	if fault.Is(err, engine.KindRefused) || fault.Is(err, engine.KindUnsent) {
-		grant.Done(placement.Outcome{Err: err})
-		return
-	}
-	h.cancelAtEngine(grant, stream, err)
-}
-
-// cancelAtEngine repeats the cancel until the engine confirms it or the time
-// limit ends.
-func (h *Handler) cancelAtEngine(grant *placement.Grant, stream string, cause error) {
-	_ = h.cancels.Go(func() { // the pool takes everything until it is closed
-		defer grant.Done(placement.Outcome{Err: cause})
-		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-		defer cancel()
-		for ctx.Err() == nil {
-			if err := grant.Engine().Cancel(ctx, stream); err == nil {
-				return
-			}
-			select {
-			case <-time.After(cancelRetry):
-			case <-ctx.Done():
-			}
-		}
-		h.log.Warn("An engine did not confirm a cancel.", "engine", grant.Engine().Name(), "stream", stream)
-	})
-}
-
-// finish ends a call whose first piece came, with its last piece or the error
-// that cut it.
-func (h *Handler) finish(c *call, last engine.Piece, err error) {
-	h.streams.remove(c)
-	c.cancel()
-	c.stream.Close()
-	if err == nil {
-		c.grant.Done(placement.Outcome{Usage: last.Usage})
-		return
-	}
-	h.cancelAtEngine(c.grant, c.stream.ID(), err)
-}
-
-// next returns the piece after p.
-func (c *call) next(p engine.Piece) (engine.Piece, error) {
-	if p.Finish != "" {
-		return p, io.EOF
-	}
-	return c.stream.Next()
-}
-
-// cut returns the error of a call that stopped after its first token.
-func (c *call) cut() *reply.Error {
-	if c.ctx.Err() != nil {
-		return timedOut(reply.RanPartial)
+// first reads the first piece of a call.
+func (h *Handler) first(c *call) *reply.Error {
+	var err error
+	if c.piece, err = c.src.next(c.ctx); err != nil {
+		return c.errorFor(err)
 	}
-	return lost(reply.RanPartial)
+	h.metrics.Timer("first_token").Record(time.Since(c.start))
+	return nil
 }
 
 func (h *Handler) writeWhole(ctx *fasthttp.RequestCtx, c *call) {
 	var text strings.Builder
-	p, err := c.first, error(nil)
+	p, err := c.piece, error(nil)
 	for err == nil && p.Finish == "" {
 		text.WriteString(p.Text)
-		p, err = c.next(p)
+		p, err = c.src.next(c.ctx)
+	}
+	if err == nil && p.Finish == finishCancelled {
+		err = errCancelled
 	}
-	h.finish(c, p, err)
 	if err != nil {
-		h.refuse(ctx, c.cut())
+		apiErr := c.cut(err)
+		h.end(c, nil, c.blame(err))
+		h.refuse(ctx, apiErr)
 		return
 	}
-	reply.JSON(ctx, fasthttp.StatusOK, newAnswer(c.shape, c.id, c.model).whole(text.String(), p.Finish, p.Usage))
+	h.end(c, p.Usage, nil)
+	reply.JSON(ctx, fasthttp.StatusOK, newAnswer(c.rid.shape, c.id(), c.model, c.rid.created()).whole(text.String(), p.Finish, p.Usage))
 }
 
+// writeStream takes the connection over: an answer that is streamed needs none of
+// the memory of its request, and its connection serves no further one.
 func (h *Handler) writeStream(ctx *fasthttp.RequestCtx, c *call) {
-	ctx.SetContentType("text/event-stream")
-	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
-	ctx.Response.ImmediateHeaderFlush = true
 	release := h.seams.Hold()
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer release()
-		last, err := relay(w, c)
-		h.finish(c, last, err)
+	conn := ctx.Conn()
+	chunked := ctx.Request.Header.IsHTTP11()
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(net.Conn) {
+		go func() {
+			defer release()
+			h.relay(c, conn, chunked)
+		}()
 	})
 }
 
-// relay writes the pieces. It returns the last one, or an error where the answer
-// did not come to its end at the engine.
-func relay(w *bufio.Writer, c *call) (engine.Piece, error) {
-	a := newAnswer(c.shape, c.id, c.model)
-	p, err := c.first, error(nil)
-	for {
-		if err != nil {
-			_ = writeRaw(w, p.Pos, c.cut().JSON()) // the caller may be gone
-			return p, err
-		}
-		if err := writeEvent(w, p.Pos, a.chunk(p)); err != nil {
-			return p, err
-		}
-		if p.Finish != "" {
-			break
-		}
-		p, err = c.next(p)
+// end gives back what a call has.
+func (h *Handler) end(c *call, usage *engine.Usage, err error) {
+	cause := c.cause()
+	c.src.close(usage, err, errors.Is(cause, errHandover) || errors.Is(cause, errTaken))
+	h.streams.remove(c)
+	c.watcher.stop()
+	c.cancel(nil)
+	h.prompts.giveBack(c.held)
+}
+
+// Handover tells the callers of all answers in progress to resume elsewhere. What
+// an engine runs for them goes on.
+func (h *Handler) Handover() {
+	for _, c := range h.streams.all() {
+		c.cancel(errHandover)
 	}
-	if c.includeUsage {
-		if err := writeEvent(w, p.Pos, a.usageChunk(p.Usage)); err != nil {
-			return p, nil // the engine was done
+}
+
+// prefillTime estimates how long an engine of the deployment takes for a prompt.
+func prefillTime(dep *resource.Deployment, tokens int) time.Duration {
+	rate := 0
+	for _, u := range dep.Engines() {
+		if n := u.Spec().PrefillRate; n > 0 && (rate == 0 || n < rate) {
+			rate = n
 		}
 	}
-	_ = writeRaw(w, p.Pos, []byte("[DONE]")) // the caller may be gone
-	return p, nil
+	return time.Duration(tokens) * time.Second / time.Duration(orElse(rate, prefillRate))
 }
 
-// State returns the handler's part of the state dump.
-func (h *Handler) State() []StreamState { return h.streams.state() }
+// ranBefore tells what ran of a request that failed before its first token.
+func ranBefore(sent bool, err error) reply.Ran {
+	var p *placement.Error
+	if !sent && (errors.As(err, &p) || fault.Is(err, engine.KindRefused) || fault.Is(err, engine.KindUnsent)) {
+		return reply.RanNo
+	}
+	return reply.RanUnknown
+}
 
 // estimate returns the number of tokens that a text probably has.
 func estimate(text string) int {
--- a/internal/caller/openai/registry.go
+++ b/internal/caller/openai/registry.go
@@ -1,16 +1,27 @@
 package openai
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
 )
 
-// registry lists the calls whose first token came.
+// maxListed bounds the streams that a state dump lists.
+const maxListed = 1000
+
+// registry lists the calls in progress.
 type registry struct {
-	mu    sync.Mutex
-	calls map[*call]struct{}
+	mu      sync.Mutex
+	calls   map[*call]struct{}
+	counts  engine.Counts
+	resumes int64
+	replays int64
 }
 
 func newRegistry() *registry { return &registry{calls: map[*call]struct{}{}} }
@@ -25,26 +36,95 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.calls, c)
+	r.counts.Add(c.src.counts)
+	r.resumes += int64(c.src.resumes)
+	r.replays += int64(c.src.replays)
 }
 
-// StreamState is a stream's part of the state dump.
-type StreamState struct {
-	Request   string `json:"request"`
-	Workspace string `json:"workspace"`
-	Engine    string `json:"engine"`
-	AgeMS     int64  `json:"ageMs"`
-}
-
-func (r *registry) state() []StreamState {
+func (r *registry) all() []*call {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make([]StreamState, 0, len(r.calls))
-	for c := range r.calls {
-		out = append(out, StreamState{
-			Request: c.id, Workspace: c.ws.Name(), Engine: c.grant.Engine().Name(),
-			AgeMS: time.Since(c.start).Milliseconds(),
-		})
+	return slices.Collect(maps.Keys(r.calls))
+}
+
+// of returns the calls of a request.
+func (r *registry) of(request uuid.UUID) []*call {
+	return slices.DeleteFunc(r.all(), func(c *call) bool { return c.rid.request != request })
+}
+
+// Streams returns the ids of the streams that are read now.
+func (h *Handler) Streams() map[string]bool {
+	out := map[string]bool{}
+	for _, c := range h.streams.all() {
+		c.mu.Lock()
+		out[c.atID] = true
+		c.mu.Unlock()
 	}
-	slices.SortFunc(out, func(a, b StreamState) int { return strings.Compare(a.Request, b.Request) })
 	return out
 }
+
+// StreamState is a call's part of the state dump.
+type StreamState struct {
+	Request      string `json:"request"`
+	Workspace    string `json:"workspace"`
+	Engine       string `json:"engine"`
+	Phase        string `json:"phase"`
+	Position     int64  `json:"position"` // of the newest token sent
+	WaitingBytes int64  `json:"waitingBytes"`
+	AgeMS        int64  `json:"ageMs"`
+}
+
+// State is the handler's part of the state dump.
+type State struct {
+	Open           int           `json:"open"`
+	Slow           int           `json:"slow"` // callers for whom bytes wait
+	WaitingBytes   int64         `json:"waitingBytes"`
+	PromptBytes    int64         `json:"promptBytes"`
+	PromptLimit    int64         `json:"promptLimit"`
+	PromptsRefused int64         `json:"promptsRefused"`
+	Dropped        engine.Counts `json:"dropped"` // pieces that reached no caller
+	Resumes        int64         `json:"resumes"` // connections to engines that were made anew
+	Replays        int64         `json:"replays"` // answers that went on at another engine
+	Cancels        CancelState   `json:"cancels"`
+	List           []StreamState `json:"list"` // the oldest
+}
+
+// State returns the handler's part of the state dump.
+func (h *Handler) State() State {
+	st := State{
+		WaitingBytes:   h.pending.Load(),
+		PromptBytes:    h.prompts.used.Load(),
+		PromptLimit:    h.prompts.limit,
+		PromptsRefused: h.prompts.refused.Load(),
+		Cancels:        h.cancels.state(),
+		List:           []StreamState{},
+	}
+	for _, c := range h.streams.all() {
+		s := c.state()
+		st.Open++
+		if s.WaitingBytes > 0 {
+			st.Slow++
+		}
+		st.List = append(st.List, s)
+	}
+	slices.SortFunc(st.List, func(a, b StreamState) int { return strings.Compare(a.Request, b.Request) }) // by time: UUIDv7
+	st.List = st.List[:min(len(st.List), maxListed)]
+	h.streams.mu.Lock()
+	defer h.streams.mu.Unlock()
+	st.Dropped, st.Resumes, st.Replays = h.streams.counts, h.streams.resumes, h.streams.replays
+	return st
+}
+
+func (c *call) state() StreamState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	st := StreamState{
+		Request: c.rid.request.String(), Workspace: c.ws.Name(), Engine: c.engine,
+		Phase: phaseNames[phase(c.phase.Load())], Position: c.pos.Load(),
+		AgeMS: time.Since(c.start).Milliseconds(),
+	}
+	if c.out != nil {
+		st.WaitingBytes = c.out.waiting.Load()
+	}
+	return st
+}
--- a/internal/entry/server/process.go
+++ b/internal/entry/server/process.go
@@ -10,20 +10,22 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/orphan"
 )
 
 // State is the state dump of an entry.
 type State struct {
-	VM            string               `json:"vm"`
-	FailureDomain string               `json:"failureDomain"`
-	Incarnation   uint64               `json:"incarnation"`
-	UptimeMS      int64                `json:"uptimeMs"`
-	Leaving       bool                 `json:"leaving"`
-	Busy          int64                `json:"busy"` // requests in progress
-	Config        config.State         `json:"config"`
-	Placement     placement.State      `json:"placement"`
-	Engines       []fleet.EngineState  `json:"engines"`
-	Streams       []openai.StreamState `json:"streams"`
+	VM            string              `json:"vm"`
+	FailureDomain string              `json:"failureDomain"`
+	Incarnation   uint64              `json:"incarnation"`
+	UptimeMS      int64               `json:"uptimeMs"`
+	Leaving       bool                `json:"leaving"`
+	Busy          int64               `json:"busy"` // requests in progress
+	Config        config.State        `json:"config"`
+	Placement     placement.State     `json:"placement"`
+	Engines       []fleet.EngineState `json:"engines"`
+	Streams       openai.State        `json:"streams"`
+	Orphans       orphan.State        `json:"orphans"`
 }
 
 // State returns the entry's state.
@@ -39,6 +41,7 @@
 		Placement:     s.placer.State(),
 		Engines:       s.fleet.State(),
 		Streams:       s.openai.State(),
+		Orphans:       s.orphans.State(),
 	}
 }
 
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -27,6 +27,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/orphan"
 )
 
 const (
@@ -48,6 +49,7 @@
 	fleet       *fleet.Fleet
 	placer      *placement.Placer
 	openai      *openai.Handler
+	orphans     *orphan.Collector
 	service     *service.Handler
 	api         *api.Handler
 	http        *fasthttp.Server
@@ -98,6 +100,7 @@
 		Logger:                quiet{},
 		CloseOnShutdown:       true,
 		ReduceMemoryUsage:     true,
+		KeepHijackedConns:     true, // a streamed answer closes its connection itself
 	}
 	return s, nil
 }
@@ -107,7 +110,7 @@
 	s.store = config.NewStore(config.LogSeams(logservice.NewClient(s.cfg.LogURL)), logger)
 	s.fleet = fleet.New(s.store.View, logger)
 	s.placer = placement.New(owner, s.cfg.FailureDomain, s.fleet, logger)
-	s.openai = openai.NewHandler(openai.Seams{View: s.store.View, Place: s.placer.Place, Hold: s.hold}, s.metrics.scope, logger)
+	s.startStreams(owner, logger)
 	s.service = service.NewHandler(s.store.View, s.metrics.scope, logger)
 	s.api = api.NewHandler(s.store, api.Seams{Authorized: s.authorized, InForce: s.inForce}, logger)
 }
@@ -157,7 +160,7 @@
 	if err := s.peerHTTP.Close(); err != nil {
 		s.log.Warn("Peer connections were open at the end.", "err", err)
 	}
-	s.openai.Close()
+	s.stopStreams()
 	s.fleet.Close()
 	s.store.Close()
 	if err := s.metrics.closer.Close(); err != nil {
@@ -206,6 +209,8 @@
 		s.openai.Completions(ctx)
 	case path == "/v1/models" && ctx.IsGet():
 		s.openai.Models(ctx)
+	case strings.HasPrefix(path, openai.ResponsesPrefix):
+		s.openai.Responses(ctx)
 	case strings.HasPrefix(path, service.Prefix):
 		s.service.Serve(ctx)
 	case strings.HasPrefix(path, api.Prefix):
--- /dev/null
+++ b/internal/entry/server/streams_test.go
@@ -0,0 +1,523 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/operator/client"
+	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/engine"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/world"
+)
+
+const (
+	testToken = "operator-token"
+	guildKey  = "guild-key"
+	otherKey  = "other-key"
+	testDrain = 30 * time.Second
+	// testPatience is what tests wait for an event at most; no verdict depends on it.
+	testPatience = 20 * time.Second
+)
+
+const objects = `
+kind: workspaces
+metadata: {name: guild}
+spec: {weight: 1, patience: 60, keys: ["%[1]s"]}
+---
+kind: workspaces
+metadata: {name: other}
+spec: {weight: 1, patience: 60, keys: ["%[2]s"]}
+---
+kind: deployments
+metadata: {name: exact}
+spec: {model: m, contextTokens: 400000}
+---
+kind: deployments
+metadata: {name: sampled}
+spec: {model: m, contextTokens: 400000, sampled: true}
+`
+
+// bench is entries, engines and what is around them.
+type bench struct {
+	*world.World
+	t       *testing.T
+	entries []*Server
+}
+
+func engines(n int, change func(*engine.Config)) []engine.Config {
+	var out []engine.Config
+	for i := range n {
+		cfg := engine.Default(fmt.Sprintf("engine-%d", i+1), "m")
+		cfg.Step, cfg.PrefillRate = 5*time.Millisecond, 1_000_000
+		if change != nil {
+			change(&cfg)
+		}
+		out = append(out, cfg)
+	}
+	return out
+}
+
+func newBench(t *testing.T, entries int, cfgs []engine.Config) *bench {
+	t.Helper()
+	t.Parallel() // it waits for sockets more than it computes
+	w, err := world.Start(cfgs, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{World: w, t: t}
+	t.Cleanup(b.close)
+	for i := range entries {
+		b.startEntry(fmt.Sprintf("entry-%d", i+1))
+	}
+	text := fmt.Sprintf(objects, resource.HashKey(guildKey), resource.HashKey(otherKey))
+	for i, cfg := range cfgs {
+		text += fmt.Sprintf("---\nkind: upstreams\nmetadata: {name: %s}\nspec: {address: %q, failureDomain: a, deployments: [exact, sampled], memoryTokens: %d, prefillRate: %d}\n",
+			cfg.Name, w.EngineAddr(i), cfg.Memory, cfg.PrefillRate)
+	}
+	list, err := client.Decode([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := client.New("http://"+b.entries[0].Addr(), testToken)
+	for _, o := range list {
+		if _, err := c.Put(t.Context(), o); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, s := range b.entries {
+		b.await("the engines are known", func() bool { return len(s.State().Engines) == len(cfgs) })
+	}
+	return b
+}
+
+func (b *bench) startEntry(vm string) *Server {
+	b.t.Helper()
+	s, err := New(Config{
+		VM: vm, FailureDomain: "a", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
+		PeerKey: "peer-key-1", LogURL: b.LogURL(), VMListURL: b.VMListURL(), WeightStoreURL: b.WeightStoreURL(),
+		OperatorToken: testToken, MaxBodyBytes: MaxBody, Drain: testDrain,
+	}, log.New(io.Discard))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.entries = append(b.entries, s)
+	go func() { _ = s.Serve() }()
+	return s
+}
+
+func (b *bench) close() {
+	now, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, s := range b.entries {
+		_ = s.Shutdown(now) // some tests leave work on purpose
+	}
+	b.World.Close()
+}
+
+// await waits until the condition holds.
+func (b *bench) await(what string, cond func() bool) {
+	b.t.Helper()
+	for end := time.Now().Add(testPatience); !cond(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			b.t.Fatalf("in vain: %s", what)
+		}
+	}
+}
+
+func (b *bench) awaitFree() {
+	b.t.Helper()
+	b.await("the memory of all engines is free", func() bool {
+		used := 0
+		for _, e := range b.Engines {
+			used += e.MemoryUsed()
+		}
+		return used == 0
+	})
+}
+
+// running returns the engine that runs a stream now.
+func (b *bench) running() *engine.Engine {
+	b.t.Helper()
+	var found *engine.Engine
+	b.await("an engine runs a stream", func() bool {
+		for _, e := range b.Engines {
+			list, err := e.Streams()
+			for _, s := range list {
+				if err == nil && s.Finish == "" {
+					found = e
+				}
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+// promptOf returns a prompt whose answer has at least n tokens.
+func promptOf(n int) string {
+	for i := 0; ; i++ {
+		if p := fmt.Sprintf("prompt %d", i); engine.AnswerLength(p, 0) >= n {
+			return p
+		}
+	}
+}
+
+// stream is a streamed answer as a caller reads it.
+type stream struct {
+	b      *bench
+	res    *http.Response
+	cancel context.CancelFunc
+	sc     *bufio.Scanner
+	id     string
+	text   strings.Builder
+	last   string // id of the last event
+	done   bool
+	code   string // of the error event
+	ran    string
+}
+
+func (b *bench) do(s *Server, method, path, key, body string, header ...string) *stream {
+	b.t.Helper()
+	ctx, cancel := context.WithCancel(b.t.Context())
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.Addr()+path, strings.NewReader(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	res, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	st := &stream{b: b, res: res, cancel: cancel, sc: bufio.NewScanner(res.Body), id: res.Header.Get("X-Request-Id")}
+	b.t.Cleanup(st.close)
+	return st
+}
+
+func (b *bench) open(s *Server, model, prompt string) *stream {
+	b.t.Helper()
+	return b.do(s, "POST", "/v1/completions", guildKey, fmt.Sprintf(`{"model":%q,"stream":true,"prompt":%q}`, model, prompt))
+}
+
+func (b *bench) resume(s *Server, key, id, last string) *stream {
+	b.t.Helper()
+	return b.do(s, "GET", "/v1/responses/"+id, key, "", "Last-Event-ID", last)
+}
+
+func (s *stream) close() {
+	s.cancel()
+	_ = s.res.Body.Close()
+}
+
+// event reads one event and reports whether there was one.
+func (s *stream) event() bool {
+	id := ""
+	for s.sc.Scan() {
+		line := s.sc.Text()
+		if rest, ok := strings.CutPrefix(line, "id: "); ok {
+			id = rest
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		s.take(id, data)
+		return true
+	}
+	return false
+}
+
+func (s *stream) take(id, data string) {
+	var c struct {
+		Choices []struct{ Text string }
+		Error   *struct{ Code, Ran string }
+	}
+	switch {
+	case data == "[DONE]":
+		s.done = true
+	case json.Unmarshal([]byte(data), &c) != nil:
+		s.b.t.Errorf("event %q", data)
+	case c.Error != nil:
+		s.code, s.ran = c.Error.Code, c.Error.Ran
+	default:
+		s.last = id
+		s.text.WriteString(c.Choices[0].Text)
+	}
+}
+
+// read reads n events.
+func (s *stream) read(n int) *stream {
+	s.b.t.Helper()
+	for range n {
+		if !s.event() {
+			s.b.t.Fatal("the stream ended early")
+		}
+	}
+	return s
+}
+
+// readAll reads to the end of the body.
+func (s *stream) readAll() *stream {
+	for s.event() {
+		if s.done && s.code != "" {
+			s.b.t.Error("an error and an end")
+		}
+	}
+	return s
+}
+
+// isWhole checks that the caller read the answer to the prompt and its end.
+func (s *stream) isWhole(prompt string) {
+	s.b.t.Helper()
+	is := is.New(s.b.t)
+	is.NoErr(s.sc.Err())
+	is.Equal(s.text.String(), engine.Answer(prompt, 0, 1<<20))
+	is.True(s.done)
+	is.Equal(s.code, "")
+}
+
+// isPart checks that the caller read a prefix of the answer and an explicit error.
+func (s *stream) isPart(prompt, code string) {
+	s.b.t.Helper()
+	is := is.New(s.b.t)
+	is.NoErr(s.sc.Err())
+	is.True(strings.HasPrefix(engine.Answer(prompt, 0, 1<<20), s.text.String()))
+	is.True(!s.done)
+	is.Equal(s.code, code)
+	is.Equal(s.ran, "partial")
+}
+
+func TestMisdeliveredPiecesReachNoCaller(t *testing.T) {
+	b := newBench(t, 1, engines(1, nil))
+	prompt := promptOf(40)
+	for _, how := range []engine.Misdelivery{engine.Double, engine.Late, engine.OutOfOrder, engine.Foreign} {
+		s := b.open(b.entries[0], "sampled", prompt).read(3)
+		b.Engines[0].Misdeliver(how, 2)
+		s.readAll().isWhole(prompt)
+	}
+	is := is.New(t)
+	d := b.entries[0].State().Streams.Dropped
+	is.Equal(d.Double, int64(2))
+	is.Equal(d.Late, int64(2))
+	is.Equal(d.OutOfOrder, int64(1)) // both left out at once
+	is.Equal(d.Foreign, int64(2))
+	b.awaitFree()
+}
+
+func TestSilentConnectionIsResumedAtTheToken(t *testing.T) {
+	b := newBench(t, 1, engines(1, nil))
+	prompt := promptOf(60)
+	s := b.open(b.entries[0], "sampled", prompt).read(3)
+	b.Engines[0].Silence()
+	s.readAll().isWhole(prompt)
+	is.New(t).Equal(b.entries[0].State().Streams.Resumes, int64(1))
+}
+
+func TestEngineLostMidStream(t *testing.T) {
+	for name, lose := range map[string]func(*engine.Engine){
+		"dead":      (*engine.Engine).Die,
+		"restarted": (*engine.Engine).Restart,
+		"hung":      func(e *engine.Engine) { e.Pause(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 1, engines(2, nil))
+			prompt := promptOf(60)
+			s := b.open(b.entries[0], "exact", prompt).read(3)
+			lost := b.running()
+			lose(lost)
+			s.readAll().isWhole(prompt)
+			is.New(t).Equal(b.entries[0].State().Streams.Replays, int64(1))
+			lost.Pause(false)
+			if name == "dead" {
+				lost.Restart() // a dead engine has no memory
+			}
+			b.awaitFree()
+		})
+	}
+}
+
+func TestSampledAnswerIsNotReplayed(t *testing.T) {
+	b := newBench(t, 1, engines(2, nil))
+	prompt := promptOf(60)
+	s := b.open(b.entries[0], "sampled", prompt).read(3)
+	b.running().Die()
+	s.readAll().isPart(prompt, "engine_lost")
+}
+
+func TestEngineLostDuringPrefill(t *testing.T) {
+	b := newBench(t, 1, engines(2, func(cfg *engine.Config) { cfg.PrefillRate = 2_000 }))
+	prompt := strings.Repeat("long ", 4_000) // 2.5 s of prefill
+	got := make(chan *stream, 1)
+	go func() { got <- b.open(b.entries[0], "sampled", prompt).readAll() }()
+	lost := b.running()
+	lost.Die()
+	(<-got).isWhole(prompt) // no token had come: it can run elsewhere
+}
+
+func TestCallerGone(t *testing.T) {
+	slow := func(cfg *engine.Config) { cfg.PrefillRate = 100 }
+	for _, tt := range []struct {
+		name   string
+		stream bool
+		change func(*engine.Config)
+		reset  bool
+	}{
+		{"streamed between tokens", true, nil, false},
+		{"streamed and reset", true, nil, true},
+		{"streamed during prefill", true, slow, false},
+		{"whole during prefill", false, slow, false},
+		{"whole between tokens", false, nil, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 1, engines(1, tt.change))
+			b.Engines[0].SetSlow(20)
+			conn, err := net.Dial("tcp", b.entries[0].Addr())
+			is.NoErr(err)
+			body := fmt.Sprintf(`{"model":"exact","stream":%t,"prompt":%q}`, tt.stream, strings.Repeat("word", 200))
+			_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", guildKey, len(body), body)
+			is.NoErr(err)
+			if tt.stream && tt.change == nil {
+				_, err = bufio.NewReader(conn).ReadString('[') // the first token
+				is.NoErr(err)
+			}
+			b.await("the prompt is at the engine", func() bool { return b.Engines[0].MemoryUsed() > 0 })
+			if tt.reset {
+				is.NoErr(conn.(*net.TCPConn).SetLinger(0))
+			}
+			is.NoErr(conn.Close())
+			b.awaitFree()
+			b.await("nothing is in progress", func() bool { return b.entries[0].State().Busy == 0 })
+			is.Equal(b.entries[0].State().Streams.Cancels.GivenUp, int64(0))
+		})
+	}
+}
+
+func TestNextRequestOnTheConnectionIsServed(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, engines(1, nil))
+	conn, err := net.Dial("tcp", b.entries[0].Addr())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	body := fmt.Sprintf(`{"model":"exact","prompt":%q}`, promptOf(20))
+	req := fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", guildKey, len(body), body)
+	_, err = io.WriteString(conn, req+req) // the second waits unread while the first runs
+	is.NoErr(err)
+	br := bufio.NewReader(conn)
+	for range 2 {
+		res, err := http.ReadResponse(br, nil)
+		is.NoErr(err)
+		text, err := io.ReadAll(res.Body)
+		is.NoErr(err)
+		is.Equal(res.StatusCode, http.StatusOK)
+		is.True(strings.Contains(string(text), `"finish_reason":"stop"`))
+	}
+}
+
+func TestCancelIsRepeatedUntilConfirmed(t *testing.T) {
+	b := newBench(t, 1, engines(1, nil))
+	b.Engines[0].SetSlow(10)
+	s := b.open(b.entries[0], "exact", promptOf(100)).read(2)
+	b.Engines[0].LoseAnswers(3)
+	s.close()
+	b.awaitFree()
+	b.await("the cancel is confirmed", func() bool { return b.entries[0].State().Streams.Cancels.Waiting == 0 })
+	is.New(t).Equal(b.entries[0].State().Streams.Cancels.GivenUp, int64(0))
+}
+
+func TestAnswerIsResumedAtAnotherEntry(t *testing.T) {
+	b := newBench(t, 2, engines(2, nil))
+	prompt := promptOf(100)
+	for _, e := range b.Engines {
+		e.SetSlow(4)
+	}
+	first := b.open(b.entries[0], "exact", prompt).read(5)
+	first.close() // the connection is lost
+	second := b.resume(b.entries[1], guildKey, first.id, first.last)
+	second.text.WriteString(first.text.String())
+	second.readAll().isWhole(prompt)
+	b.await("the first entry left it alone", func() bool { return b.entries[0].State().Streams.Cancels.Waiting == 0 })
+	b.awaitFree()
+}
+
+func TestAnswerIsResumedAtTheSameEntry(t *testing.T) {
+	b := newBench(t, 1, engines(1, nil))
+	prompt := promptOf(100)
+	b.Engines[0].SetSlow(4)
+	first := b.open(b.entries[0], "exact", prompt).read(5)
+	second := b.resume(b.entries[0], guildKey, first.id, first.last) // the caller lost touch, the entry didn't
+	first.readAll()
+	is.New(t).Equal(first.code, "resumed_elsewhere")
+	second.text.WriteString(first.text.String())
+	whole := second.readAll()
+	is.New(t).True(whole.done)
+	b.awaitFree()
+}
+
+func TestMovedAnswerIsResumed(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 2, engines(2, nil))
+	prompt := promptOf(100)
+	for _, e := range b.Engines {
+		e.SetSlow(4)
+	}
+	first := b.open(b.entries[0], "exact", prompt).read(5)
+	b.running().Die()
+	for !strings.Contains(first.last, "@2.engine-") {
+		first.read(1)
+	}
+	first.close()
+	second := b.resume(b.entries[1], guildKey, first.id, first.last)
+	is.Equal(second.id, first.id)
+	second.text.WriteString(first.text.String())
+	second.readAll().isWhole(prompt)
+}
+
+func TestResumeOfWhatIsNotOnesOwn(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, engines(1, nil))
+	s := b.open(b.entries[0], "exact", promptOf(20)).readAll()
+	want := b.resume(b.entries[0], guildKey, "unknown", "1")
+	text, err := io.ReadAll(want.res.Body)
+	is.NoErr(err)
+	is.Equal(want.res.StatusCode, http.StatusNotFound)
+	forged := []byte(s.id)
+	forged[10] ^= 1
+	for _, tt := range []struct{ key, id string }{{otherKey, s.id}, {guildKey, string(forged)}, {guildKey, ""}} {
+		for _, method := range []string{"GET", "DELETE"} {
+			got := b.do(b.entries[0], method, "/v1/responses/"+tt.id, tt.key, "")
+			gotText, err := io.ReadAll(got.res.Body)
+			is.NoErr(err)
+			is.Equal(got.res.StatusCode, http.StatusNotFound)
+			is.Equal(string(gotText), string(text))
+		}
+	}
+	is.Equal(b.do(b.entries[0], "GET", "/v1/responses/"+s.id, "no-key", "").res.StatusCode, http.StatusUnauthorized)
+	is.Equal(b.resume(b.entries[0], guildKey, s.id, "x").res.StatusCode, http.StatusBadRequest)
+	is.Equal(b.resume(b.entries[0], guildKey, s.id, s.last).readAll().done, true) // it is kept for a while
+}
+
+func TestDeleteCancels(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 2, engines(1, nil))
+	prompt := promptOf(100)
+	b.Engines[0].SetSlow(10)
+	s := b.open(b.entries[0], "exact", prompt).read(2)
+	d := b.do(b.entries[1], "DELETE", "/v1/responses/"+s.id, guildKey, "")
+	is.Equal(d.res.StatusCode, http.StatusOK)
+	s.readAll().isPart(prompt, "cancelled")
+	b.awaitFree()
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -83,17 +83,20 @@
 	slow        float64
 	silencedAt  time.Time
 	loseNext    int
-	streams     map[string]*stream
-	queue       []*stream // not finished, in order of service
-	arrivals    uint64
-	holds       map[string]*hold
-	used        int // tokens of running streams and of holds
-	cache       *prefixCache
-	events      []Event
-	eventSeq    uint64
-	reports     []Load
-	orders      orderState
-	changed     chan struct{} // closed and replaced at each step
+	misdelivery Misdelivery
+	// misdeliverNext pieces are sent in the wrong way.
+	misdeliverNext int
+	streams        map[string]*stream
+	queue          []*stream // not finished, in order of service
+	arrivals       uint64
+	holds          map[string]*hold
+	used           int // tokens of running streams and of holds
+	cache          *prefixCache
+	events         []Event
+	eventSeq       uint64
+	reports        []Load
+	orders         orderState
+	changed        chan struct{} // closed and replaced at each step
 }
 
 // New starts an engine. Close ends it.
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -158,12 +158,14 @@
 		if err != nil || !e.waitAnswering(r) {
 			panic(http.ErrAbortHandler) // a cut must not look like an end
 		}
-		b, err := json.Marshal(p)
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
-		if _, err := fmt.Fprintf(w, "data: %s\n\n", b); err != nil || rc.Flush() != nil {
-			return
+		for _, p := range e.deliver(p) {
+			b, err := json.Marshal(p)
+			if err != nil {
+				panic(http.ErrAbortHandler)
+			}
+			if _, err := fmt.Fprintf(w, "data: %s\n\n", b); err != nil || rc.Flush() != nil {
+				return
+			}
 		}
 		if p.Finish != "" {
 			return
--- a/internal/standin/engine/switches.go
+++ b/internal/standin/engine/switches.go
@@ -58,6 +58,47 @@
 	e.loseNext = n
 }
 
+// Misdelivery is a way in which a piece of a stream is sent wrongly.
+type Misdelivery int
+
+// Ways in which a piece is sent wrongly.
+const (
+	Double     Misdelivery = iota + 1 // sent twice
+	Late                              // preceded by a piece of an earlier incarnation
+	OutOfOrder                        // left out
+	Foreign                           // preceded by a piece of another stream
+)
+
+// Misdeliver sends the next n pieces, of whichever streams, in the wrong way.
+func (e *Engine) Misdeliver(how Misdelivery, n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.misdelivery, e.misdeliverNext = how, n
+}
+
+// deliver returns what is sent for a piece.
+func (e *Engine) deliver(p Piece) []Piece {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.misdeliverNext == 0 || p.Finish != "" {
+		return []Piece{p}
+	}
+	e.misdeliverNext--
+	wrong := p
+	switch e.misdelivery {
+	case Late:
+		wrong.Incarnation--
+		wrong.Text = "late "
+	case OutOfOrder:
+		return nil
+	case Foreign:
+		wrong.Stream += "x"
+		wrong.Text = "foreign "
+	case Double:
+	}
+	return []Piece{wrong, p}
+}
+
 func (e *Engine) loseAnswer(op string) error {
 	if e.loseNext == 0 {
 		return nil
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -19,8 +19,10 @@
 
 const (
 	callTimeout = 2 * time.Second
-	// openTimeout bounds the time to send a prompt and get the head of the answer.
-	openTimeout = 15 * time.Second
+	// headTimeout bounds the time to get the head of an answer, beside the time
+	// to send the prompt at uploadRate.
+	headTimeout = 2 * time.Second
+	uploadRate  = 4 << 20 // bytes a second
 )
 
 // Owner names the entry that opened a stream or a hold.
@@ -72,6 +74,23 @@
 	Leaving       bool      `json:"leaving"`
 }
 
+// StreamInfo describes a stream that an engine keeps.
+type StreamInfo struct {
+	Stream   string `json:"stream"`
+	Owner    Owner  `json:"owner"`
+	Reserved int    `json:"reserved"` // tokens of memory
+	Produced int    `json:"produced"`
+	Finish   string `json:"finish,omitempty"`
+}
+
+// HoldInfo describes a hold of an engine.
+type HoldInfo struct {
+	Hold    string    `json:"hold"`
+	Owner   Owner     `json:"owner"`
+	Tokens  int       `json:"tokens"`
+	Expires time.Time `json:"expires"`
+}
+
 // HoldRequest reserves memory until its time limit ends.
 type HoldRequest struct {
 	Hold   string        `json:"hold"`
@@ -98,8 +117,11 @@
 // Addr returns the engine's host:port.
 func (c *Client) Addr() string { return c.addr }
 
-// Open opens a stream. A read of a piece that takes longer than readLimit fails.
-func (c *Client) Open(ctx context.Context, r Request, readLimit time.Duration) (*Stream, error) {
+// Drop closes the idle connections to the engine, which may be silent for good.
+func (c *Client) Drop() { c.rc.Drop() }
+
+// Open opens a stream.
+func (c *Client) Open(ctx context.Context, r Request) (*Stream, error) {
 	body, err := json.Marshal(r)
 	if err != nil {
 		return nil, fail("open", KindRefused, err)
@@ -110,19 +132,20 @@
 	req.Header.SetContentType("application/json")
 	req.SetRequestURI("http://" + c.addr + "/v1/streams")
 	req.SetBodyRaw(body)
-	return c.stream(ctx, "open", req, r.Stream, r.From, readLimit)
+	first := headTimeout + time.Duration(len(body))*time.Second/uploadRate
+	return c.stream(ctx, "open", req, first, r.Stream, Position{Pos: r.From})
 }
 
-// Resume goes on reading a stream at a token.
-func (c *Client) Resume(ctx context.Context, id string, from int, readLimit time.Duration) (*Stream, error) {
+// Resume goes on reading a stream at a position.
+func (c *Client) Resume(ctx context.Context, id string, at Position) (*Stream, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	req.SetRequestURI(fmt.Sprintf("http://%s/v1/streams/%s?from=%d", c.addr, url.PathEscape(id), from))
-	return c.stream(ctx, "resume", req, id, from, readLimit)
+	req.SetRequestURI(fmt.Sprintf("http://%s/v1/streams/%s?from=%d", c.addr, url.PathEscape(id), at.Pos))
+	return c.stream(ctx, "resume", req, headTimeout, id, at)
 }
 
-func (c *Client) stream(ctx context.Context, op string, req *fasthttp.Request, id string, from int, readLimit time.Duration) (*Stream, error) {
-	x, err := httpconn.Do(ctx, c.addr, req, httpconn.Limits{First: openTimeout, Read: readLimit})
+func (c *Client) stream(ctx context.Context, op string, req *fasthttp.Request, first time.Duration, id string, at Position) (*Stream, error) {
+	x, err := httpconn.Do(ctx, c.addr, req, httpconn.Limits{First: first, Read: headTimeout})
 	switch {
 	case fault.Is(err, httpconn.KindUnsent):
 		return nil, fail(op, KindUnsent, err)
@@ -130,7 +153,7 @@
 		return nil, fail(op, KindLost, err)
 	}
 	if x.Status() == http.StatusOK {
-		return newStream(x, id, from), nil
+		return NewStream(Carrier{Read: x.ReadWithin, Close: x.Close}, id, at), nil
 	}
 	defer x.Close()
 	kind := KindRefused
@@ -153,6 +176,20 @@
 	return call[struct{}, struct{}](ctx, c, "cancel", http.MethodDelete, "/v1/streams/"+url.PathEscape(id), nil, nil)
 }
 
+// Streams lists the streams that the engine keeps.
+func (c *Client) Streams(ctx context.Context) ([]StreamInfo, error) {
+	var out []StreamInfo
+	err := call[struct{}](ctx, c, "streams", http.MethodGet, "/v1/streams", nil, &out)
+	return out, err
+}
+
+// Holds lists the holds of the engine.
+func (c *Client) Holds(ctx context.Context) ([]HoldInfo, error) {
+	var out []HoldInfo
+	err := call[struct{}](ctx, c, "holds", http.MethodGet, "/v1/holds", nil, &out)
+	return out, err
+}
+
 // Load returns the engine's newest load report.
 func (c *Client) Load(ctx context.Context) (Load, error) {
 	var l Load
--- a/internal/upstream/engine/client_test.go
+++ b/internal/upstream/engine/client_test.go
@@ -37,12 +37,12 @@
 func TestStreamIsReadToItsEnd(t *testing.T) {
 	is := is.New(t)
 	_, c := start(t, fast())
-	s, err := c.Open(t.Context(), engine.Request{Stream: "s", Model: "m", Prompt: "p", MaxTokens: 50}, readLimit)
+	s, err := c.Open(t.Context(), engine.Request{Stream: "s", Model: "m", Prompt: "p", MaxTokens: 50})
 	is.NoErr(err)
 	defer s.Close()
 	var b strings.Builder
 	for {
-		p, err := s.Next()
+		p, err := s.Next(readLimit)
 		if errors.Is(err, io.EOF) {
 			break
 		}
@@ -55,37 +55,37 @@
 func TestSilentStreamResumesOnANewConnection(t *testing.T) {
 	is := is.New(t)
 	e, c := start(t, fast())
-	s, err := c.Open(t.Context(), engine.Request{Stream: "s", Model: "m", Prompt: "p", MaxTokens: 50}, 50*time.Millisecond)
+	s, err := c.Open(t.Context(), engine.Request{Stream: "s", Model: "m", Prompt: "p", MaxTokens: 50})
 	is.NoErr(err)
 	defer s.Close()
-	_, err = s.Next()
+	_, err = s.Next(readLimit)
 	is.NoErr(err)
 	e.Silence()
 	for err == nil {
-		_, err = s.Next()
+		_, err = s.Next(50 * time.Millisecond)
 	}
-	is.True(fault.Is(err, engine.KindLost))
+	is.True(fault.Is(err, engine.KindSilent))
 
-	r, err := c.Resume(t.Context(), "s", s.Pos(), readLimit)
+	r, err := c.Resume(t.Context(), "s", s.At())
 	is.NoErr(err)
 	defer r.Close()
-	p, err := r.Next()
+	p, err := r.Next(readLimit)
 	is.NoErr(err)
-	is.Equal(p.Pos, s.Pos())
+	is.Equal(p.Pos, s.At().Pos)
 }
 
 func TestRefusalsSayWhetherAnythingRan(t *testing.T) {
 	is := is.New(t)
 	e, c := start(t, fast())
-	_, err := c.Open(t.Context(), engine.Request{Stream: "s", Model: "other", Prompt: "p", MaxTokens: 5}, readLimit)
+	_, err := c.Open(t.Context(), engine.Request{Stream: "s", Model: "other", Prompt: "p", MaxTokens: 5})
 	is.True(fault.Is(err, engine.KindRefused))
-	_, err = c.Resume(t.Context(), "unknown", 0, readLimit)
+	_, err = c.Resume(t.Context(), "unknown", engine.Position{})
 	is.True(fault.Is(err, engine.KindUnknownStream))
 	e.LoseAnswers(1)
 	is.True(fault.Is(c.Cancel(t.Context(), "s"), engine.KindLost))
 	is.NoErr(c.Cancel(t.Context(), "s"))
 	e.Die()
-	_, err = c.Open(t.Context(), engine.Request{Stream: "s", Model: "m", Prompt: "p", MaxTokens: 5}, readLimit)
+	_, err = c.Open(t.Context(), engine.Request{Stream: "s", Model: "m", Prompt: "p", MaxTokens: 5})
 	is.True(fault.Is(err, engine.KindLost))
 }
 
--- a/internal/upstream/engine/errors.go
+++ b/internal/upstream/engine/errors.go
@@ -18,6 +18,8 @@
 	KindLost Kind = "lost"
 	// KindUnknownStream is the kind of a resume of a stream that the engine does not keep.
 	KindUnknownStream Kind = "unknown stream"
+	// KindSilent is the kind of a read that took longer than its limit.
+	KindSilent Kind = "silent"
 	// KindBadPiece is the kind of a stream that broke the protocol.
 	KindBadPiece Kind = "bad piece"
 )
--- a/internal/upstream/httpconn/conn.go
+++ b/internal/upstream/httpconn/conn.go
@@ -85,8 +85,11 @@
 func (x *Exchange) Header() *fasthttp.ResponseHeader { return &x.resp.Header }
 
 // Read reads the body. A read that takes longer than its limit fails with KindSilent.
-func (x *Exchange) Read(p []byte) (int, error) {
-	if err := x.conn.SetReadDeadline(time.Now().Add(x.limits.Read)); err != nil {
+func (x *Exchange) Read(p []byte) (int, error) { return x.ReadWithin(p, x.limits.Read) }
+
+// ReadWithin is Read with a limit of its own.
+func (x *Exchange) ReadWithin(p []byte, limit time.Duration) (int, error) {
+	if err := x.conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
 		return 0, fail("read", KindNoAnswer, err)
 	}
 	n, err := x.body.Read(p)
