Pass the network to every part as a seam

Cause: the assembled product can only be driven in virtual time over a network whose waits the bubble sees; sockets are not seen.

Change: netio.Network dials and listens; TCP in the daemon, any pair of functions in tests. A failed dial is told from a lost answer by its type, not by net.OpError.

--- /dev/null
+++ b/internal/base/netio/netio.go
@@ -0,0 +1,37 @@
+// Package netio is the way to the network: TCP, or an in-memory network in tests
+// that run in virtual time.
+package netio
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+const dialTimeout = time.Second
+
+// Network dials and listens.
+type Network struct {
+	dial   func(ctx context.Context, addr string) (net.Conn, error)
+	listen func(addr string) (net.Listener, error)
+}
+
+// New returns a network of the two functions. Addresses are host:port.
+func New(dial func(ctx context.Context, addr string) (net.Conn, error), listen func(addr string) (net.Listener, error)) *Network {
+	return &Network{dial: dial, listen: listen}
+}
+
+// TCP returns the network of the machine. A dial ends after a second.
+func TCP() *Network {
+	d := net.Dialer{Timeout: dialTimeout}
+	return New(
+		func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
+		func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) },
+	)
+}
+
+// Dial connects to the address.
+func (n *Network) Dial(ctx context.Context, addr string) (net.Conn, error) { return n.dial(ctx, addr) }
+
+// Listen listens on the address.
+func (n *Network) Listen(addr string) (net.Listener, error) { return n.listen(addr) }
--- a/internal/base/rest/errors.go
+++ b/internal/base/rest/errors.go
@@ -32,6 +32,12 @@
 
 func fail(op string, kind Kind, err error) error { return fault.New(&class, op, kind, err) }
 
+// unreachableError is a dial that failed: nothing was sent.
+type unreachableError struct{ error }
+
+// Unwrap returns the dial's error.
+func (e *unreachableError) Unwrap() error { return e.error }
+
 // StatusError is the cause of an error of KindStatus.
 type StatusError struct {
 	status     int
--- a/internal/base/rest/rest.go
+++ b/internal/base/rest/rest.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 )
 
 const (
@@ -26,9 +28,9 @@
 	timeout time.Duration
 }
 
-// New returns a client of the base URL, such as "http://127.0.0.1:9000".
+// New returns a client over the network of the base URL, such as "http://127.0.0.1:9000".
 // A call whose context has no earlier deadline ends after the timeout.
-func New(base string, timeout time.Duration) *Client {
+func New(network *netio.Network, base string, timeout time.Duration) *Client {
 	return &Client{
 		base:    base,
 		timeout: timeout,
@@ -39,7 +41,13 @@
 			MaxResponseBodySize:       maxAnswer,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			Dial: func(addr string) (net.Conn, error) {
-				return fasthttp.DialTimeout(addr, dialTimeout)
+				ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+				defer cancel()
+				conn, err := network.Dial(ctx, addr)
+				if err != nil {
+					return nil, &unreachableError{err}
+				}
+				return conn, nil
 			},
 		},
 	}
@@ -138,9 +146,8 @@
 		return nil
 	}
 	c.Drop()
-	var op *net.OpError
-	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &op) && op.Op == "dial" ||
-		errors.Is(err, fasthttp.ErrNoFreeConns) {
+	var dial *unreachableError
+	if errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
 		return fail(path, KindUnreachable, err)
 	}
 	return fail(path, KindNoAnswer, err)
--- a/internal/base/rest/rest_test.go
+++ b/internal/base/rest/rest_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/rest"
 )
 
@@ -34,7 +35,7 @@
 		}
 	}))
 	defer srv.Close()
-	c := rest.New(srv.URL, 5*time.Second).WithToken("t")
+	c := rest.New(netio.TCP(), srv.URL, 5*time.Second).WithToken("t")
 
 	var out pair
 	is.NoErr(rest.Call(t.Context(), c, "POST", "/swap", &pair{1, 2}, &out))
--- a/internal/caller/service/handler.go
+++ b/internal/caller/service/handler.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/reply"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
@@ -35,6 +36,7 @@
 
 // Handler passes calls through. Its methods may be called from any goroutine.
 type Handler struct {
+	network *netio.Network
 	view    func() *resource.View
 	log     *log.Logger
 	metrics tally.Scope
@@ -42,8 +44,8 @@
 }
 
 // NewHandler returns a handler of the services in the view.
-func NewHandler(view func() *resource.View, metrics tally.Scope, logger *log.Logger) *Handler {
-	return &Handler{view: view, log: logger.WithPrefix("service"), metrics: metrics.SubScope("service")}
+func NewHandler(network *netio.Network, view func() *resource.View, metrics tally.Scope, logger *log.Logger) *Handler {
+	return &Handler{network: network, view: view, log: logger.WithPrefix("service"), metrics: metrics.SubScope("service")}
 }
 
 // call is one call of a service.
@@ -112,7 +114,7 @@
 	var err error
 	for i := range servers {
 		u := servers[(first+i)%len(servers)]
-		if err = exchange(run, ctx, c, u.Spec().Address); err == nil {
+		if err = h.exchange(run, ctx, c, u.Spec().Address); err == nil {
 			return nil
 		}
 		h.log.Warn("A server did not answer.", "service", c.service.Name(), "upstream", u.Name(), "err", err)
@@ -129,7 +131,7 @@
 	}
 }
 
-func exchange(run context.Context, ctx *fasthttp.RequestCtx, c *call, addr string) error {
+func (h *Handler) exchange(run context.Context, ctx *fasthttp.RequestCtx, c *call, addr string) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	ctx.Request.CopyTo(req)
@@ -138,7 +140,7 @@
 	req.Header.Del(fasthttp.HeaderAuthorization)
 	req.Header.SetHost(addr)
 	req.SetConnectionClose()
-	x, err := httpconn.Do(run, addr, req, httpconn.Limits{First: c.timeout, Read: readLimit})
+	x, err := httpconn.Do(run, h.network, addr, req, httpconn.Limits{First: c.timeout, Read: readLimit})
 	if err != nil {
 		return err
 	}
--- a/internal/command/cli/dev.go
+++ b/internal/command/cli/dev.go
@@ -10,6 +10,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/entry/server"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/client"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
@@ -62,7 +63,7 @@
 }
 
 func startDev(port int, engines []engine.Config, logger *log.Logger) (*devWorld, error) {
-	standins, err := world.Start(engines, devListLag)
+	standins, err := world.Start(netio.TCP(), engines, devListLag)
 	if err != nil {
 		return nil, err
 	}
@@ -82,6 +83,7 @@
 		seeds = append(seeds, e.PeerAddr())
 	}
 	s, err := server.New(server.Config{
+		Network:        netio.TCP(),
 		VM:             fmt.Sprintf("entry-%d", i+1),
 		FailureDomain:  "a",
 		Listen:         fmt.Sprintf("%s:%d", devHost, port),
@@ -120,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	c := client.New("http://"+w.entries[0].Addr(), devToken)
+	c := client.New(netio.TCP(), "http://"+w.entries[0].Addr(), devToken)
 	for _, o := range objects {
 		if _, err := c.Put(ctx, o); err != nil {
 			return err
--- a/internal/command/cli/entry.go
+++ b/internal/command/cli/entry.go
@@ -9,12 +9,14 @@
 	"syscall"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/entry/server"
 )
 
 // Run runs an entry until a signal.
 func (o *EntryOptions) Run(env *environment) error {
 	s, err := server.New(server.Config{
+		Network:        netio.TCP(),
 		VM:             o.VM,
 		FailureDomain:  o.FailureDomain,
 		Listen:         o.Listen,
--- a/internal/command/cli/operator.go
+++ b/internal/command/cli/operator.go
@@ -13,6 +13,7 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/api"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/client"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
@@ -32,7 +33,9 @@
 	}
 }
 
-func (o *ClientOptions) client() *client.Client { return client.New(o.Server, o.OperatorToken) }
+func (o *ClientOptions) client() *client.Client {
+	return client.New(netio.TCP(), o.Server, o.OperatorToken)
+}
 
 // Run applies a file. Documents are checked before the first is sent.
 func (o *ApplyOptions) Run(env *environment) error {
@@ -192,7 +195,7 @@
 
 // Run prints the state of an entry.
 func (o *DumpOptions) Run(env *environment) error {
-	raw, err := client.New(o.Server, o.OperatorToken).Dump(context.Background())
+	raw, err := client.New(netio.TCP(), o.Server, o.OperatorToken).Dump(context.Background())
 	if err != nil {
 		return coded(err)
 	}
--- a/internal/command/load/load.go
+++ b/internal/command/load/load.go
@@ -20,6 +20,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
 )
 
@@ -165,7 +166,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	buildRequest(req, cfg, j)
 	start := time.Now()
-	x, err := httpconn.Do(ctx, string(req.URI().Host()), req, httpconn.Limits{First: limit, Read: limit})
+	x, err := httpconn.Do(ctx, netio.TCP(), string(req.URI().Host()), req, httpconn.Limits{First: limit, Read: limit})
 	if fault.Is(err, httpconn.KindUnsent) && ctx.Err() == nil {
 		return outcome{code: "unreachable"}
 	}
--- a/internal/entry/server/config.go
+++ b/internal/entry/server/config.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/url"
 	"time"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 )
 
 // Limits of the settings.
@@ -16,6 +18,7 @@
 
 // Config holds the settings of an entry.
 type Config struct {
+	Network        *netio.Network
 	VM             string
 	FailureDomain  string
 	Listen         string   // host:port, for callers and operators
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -65,18 +65,18 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp", cfg.Listen)
+	ln, err := cfg.Network.Listen(cfg.Listen)
 	if err != nil {
 		return nil, fail("start", KindListen, fmt.Errorf("--listen %s: %w", cfg.Listen, err))
 	}
-	peerLn, err := net.Listen("tcp", cfg.PeerListen)
+	peerLn, err := cfg.Network.Listen(cfg.PeerListen)
 	if err != nil {
 		_ = ln.Close() // nothing was served on it
 		return nil, fail("start", KindListen, fmt.Errorf("--peer-listen %s: %w", cfg.PeerListen, err))
 	}
 	s := &Server{
 		cfg:         cfg,
-		link:        link.New(cfg.VM, cfg.PeerKey),
+		link:        link.New(cfg.Network, cfg.VM, cfg.PeerKey),
 		peerLn:      peerLn,
 		log:         logger.WithPrefix("entry"),
 		incarnation: uint64(time.Now().UnixNano()),
@@ -104,11 +104,11 @@
 
 func (s *Server) startParts(logger *log.Logger) {
 	owner := engine.Owner{VM: s.cfg.VM, Incarnation: s.incarnation}
-	s.store = config.NewStore(config.LogSeams(logservice.NewClient(s.cfg.LogURL)), logger)
-	s.fleet = fleet.New(s.store.View, logger)
+	s.store = config.NewStore(config.LogSeams(logservice.NewClient(s.cfg.Network, s.cfg.LogURL)), logger)
+	s.fleet = fleet.New(s.cfg.Network, s.store.View, logger)
 	s.placer = placement.New(owner, s.cfg.FailureDomain, s.fleet, logger)
 	s.openai = openai.NewHandler(openai.Seams{View: s.store.View, Place: s.placer.Place, Hold: s.hold}, s.metrics.scope, logger)
-	s.service = service.NewHandler(s.store.View, s.metrics.scope, logger)
+	s.service = service.NewHandler(s.cfg.Network, s.store.View, s.metrics.scope, logger)
 	s.api = api.NewHandler(s.store, api.Seams{Authorized: s.authorized, InForce: s.inForce}, logger)
 }
 
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -17,6 +17,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/rest"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/api"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
@@ -54,13 +55,14 @@
 
 // Client calls one entry.
 type Client struct {
-	rc    *rest.Client
-	token string
+	network *netio.Network
+	rc      *rest.Client
+	token   string
 }
 
 // New returns a client of the entry at the base URL.
-func New(base, token string) *Client {
-	return &Client{rc: rest.New(base, callTimeout).WithToken(token), token: token}
+func New(network *netio.Network, base, token string) *Client {
+	return &Client{network: network, rc: rest.New(network, base, callTimeout).WithToken(token), token: token}
 }
 
 // Put creates or replaces an object.
@@ -108,7 +110,7 @@
 	}
 	req.SetRequestURI(uri)
 	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.token)
-	x, err := httpconn.Do(ctx, string(req.URI().Host()), req, httpconn.Limits{First: callTimeout, Read: watchLimit})
+	x, err := httpconn.Do(ctx, c.network, string(req.URI().Host()), req, httpconn.Limits{First: callTimeout, Read: watchLimit})
 	if err != nil {
 		return fail("watch", KindUnreachable, err)
 	}
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/hex"
@@ -19,6 +20,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 )
 
 const (
@@ -29,7 +31,6 @@
 	maxBody = 16 << 20 // bytes
 	// maxSkew is the largest difference between the clocks of two entries.
 	maxSkew        = 30 * time.Second
-	dialTimeout    = time.Second
 	idleTimeout    = 30 * time.Second
 	maxIdlePerHost = 2
 	headerTimeout  = 5 * time.Second
@@ -73,10 +74,12 @@
 	carry    func(*http.Request) (*http.Response, error)
 }
 
-// New returns a link of the VM that carries calls over TCP.
-func New(vm, key string) *Link {
+// New returns a link of the VM that carries calls over the network.
+func New(network *netio.Network, vm, key string) *Link {
 	client := &http.Client{Transport: &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return network.Dial(ctx, addr)
+		},
 		MaxIdleConnsPerHost:   maxIdlePerHost,
 		IdleConnTimeout:       idleTimeout,
 		ResponseHeaderTimeout: headerTimeout,
--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/link"
 )
 
@@ -34,25 +35,25 @@
 
 func TestCallsAreSignedAndCounted(t *testing.T) {
 	is := is.New(t)
-	server := link.New("b", "shared-key")
+	server := link.New(netio.TCP(), "b", "shared-key")
 	server.Handle("/twirp/", http.HandlerFunc(echo))
 	srv := httptest.NewServer(server)
 	defer srv.Close()
 
-	a := link.New("a", "shared-key")
+	a := link.New(netio.TCP(), "a", "shared-key")
 	status, body := post(t, a, srv.URL)
 	is.Equal(status, http.StatusOK)
 	is.Equal(body, "hello")
 	is.Equal(a.Counters().Sent(), server.Counters().Received())
 	is.Equal(a.Counters().Received(), server.Counters().Sent())
 
-	status, _ = post(t, link.New("a", "other-key"), srv.URL)
+	status, _ = post(t, link.New(netio.TCP(), "a", "other-key"), srv.URL)
 	is.Equal(status, http.StatusUnauthorized)
 }
 
 func TestUnsignedCallIsRefused(t *testing.T) {
 	is := is.New(t)
-	server := link.New("b", "shared-key")
+	server := link.New(netio.TCP(), "b", "shared-key")
 	server.Handle("/twirp/", http.HandlerFunc(echo))
 	rec := httptest.NewRecorder()
 	server.ServeHTTP(rec, httptest.NewRequest(http.MethodPost, "/twirp/x", strings.NewReader("hello")))
--- a/internal/platform/logservice/client.go
+++ b/internal/platform/logservice/client.go
@@ -11,6 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/rest"
 )
 
@@ -80,8 +81,8 @@
 }
 
 // NewClient returns a client of the service at the base URL.
-func NewClient(base string) *Client {
-	return &Client{rc: rest.New(base, maxCall)}
+func NewClient(network *netio.Network, base string) *Client {
+	return &Client{rc: rest.New(network, base, maxCall)}
 }
 
 // Append adds the records as one group and returns the offset of the first.
--- a/internal/platform/vmlist/client.go
+++ b/internal/platform/vmlist/client.go
@@ -10,6 +10,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/rest"
 )
 
@@ -49,7 +50,9 @@
 }
 
 // NewClient returns a client of the service at the base URL.
-func NewClient(base string) *Client { return &Client{rc: rest.New(base, callTimeout)} }
+func NewClient(network *netio.Network, base string) *Client {
+	return &Client{rc: rest.New(network, base, callTimeout)}
+}
 
 // VMs returns the list by name.
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -5,10 +5,10 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/engine"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/logservice"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/orderdesk"
@@ -32,6 +32,7 @@
 	VMs      *vmlist.List
 	Weights  *weightstore.Store
 
+	network  *netio.Network
 	servers  []*http.Server
 	engines  []string // addresses
 	desk     string
@@ -42,8 +43,9 @@
 }
 
 // Start starts an engine for each configuration and the rest.
-func Start(engines []engine.Config, listLag time.Duration) (*World, error) {
+func Start(network *netio.Network, engines []engine.Config, listLag time.Duration) (*World, error) {
 	w := &World{
+		network:  network,
 		Desk:     orderdesk.NewDesk(),
 		Registry: registry.New(),
 		Log:      logservice.NewLog(),
@@ -109,7 +111,7 @@
 }
 
 func (w *World) serve(srv *http.Server) (string, error) {
-	ln, err := net.Listen("tcp", host+":0")
+	ln, err := w.network.Listen(host + ":0")
 	if err != nil {
 		return "", err
 	}
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/rest"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
 )
@@ -82,14 +83,15 @@
 
 // Client calls one engine. Its methods may be called from any goroutine.
 type Client struct {
-	name string
-	addr string
-	rc   *rest.Client
+	name    string
+	addr    string
+	network *netio.Network
+	rc      *rest.Client
 }
 
 // NewClient returns a client of the engine at host:port.
-func NewClient(name, addr string) *Client {
-	return &Client{name: name, addr: addr, rc: rest.New("http://"+addr, callTimeout)}
+func NewClient(network *netio.Network, name, addr string) *Client {
+	return &Client{name: name, addr: addr, network: network, rc: rest.New(network, "http://"+addr, callTimeout)}
 }
 
 // Name returns the upstream's name.
@@ -122,7 +124,7 @@
 }
 
 func (c *Client) stream(ctx context.Context, op string, req *fasthttp.Request, id string, from int, readLimit time.Duration) (*Stream, error) {
-	x, err := httpconn.Do(ctx, c.addr, req, httpconn.Limits{First: openTimeout, Read: readLimit})
+	x, err := httpconn.Do(ctx, c.network, c.addr, req, httpconn.Limits{First: openTimeout, Read: readLimit})
 	switch {
 	case fault.Is(err, httpconn.KindUnsent):
 		return nil, fail(op, KindUnsent, err)
--- a/internal/upstream/engine/client_test.go
+++ b/internal/upstream/engine/client_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	standin "github.com/dogwoodmill/dogwoodmill/internal/standin/engine"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
 )
@@ -25,7 +26,7 @@
 	srv.Start()
 	t.Cleanup(srv.Close)
 	t.Cleanup(e.Close)
-	return e, engine.NewClient(cfg.Name, srv.Listener.Addr().String())
+	return e, engine.NewClient(netio.TCP(), cfg.Name, srv.Listener.Addr().String())
 }
 
 func fast() standin.Config {
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/charmbracelet/log"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
 )
@@ -68,20 +69,22 @@
 
 // Fleet follows the configuration's engines. Its methods may be called from any goroutine.
 type Fleet struct {
-	view func() *resource.View
-	log  *log.Logger
-	pool pond.Pool
-	done chan struct{}
-	stop context.CancelFunc
+	network *netio.Network
+	view    func() *resource.View
+	log     *log.Logger
+	pool    pond.Pool
+	done    chan struct{}
+	stop    context.CancelFunc
 
 	mu      sync.Mutex
 	engines map[string]*Engine
 }
 
 // New starts a fleet over the view. Close ends it.
-func New(view func() *resource.View, logger *log.Logger) *Fleet {
+func New(network *netio.Network, view func() *resource.View, logger *log.Logger) *Fleet {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Fleet{
+		network: network,
 		view:    view,
 		log:     logger.WithPrefix("fleet"),
 		pool:    pond.NewPool(pollWorkers, pond.WithQueueSize(pollQueue), pond.WithNonBlocking(true)),
@@ -122,7 +125,7 @@
 func (f *Fleet) engine(u *resource.Upstream) *Engine {
 	e := f.engines[u.Name()]
 	if e == nil || e.client.Addr() != u.Spec().Address {
-		e = &Engine{client: engine.NewClient(u.Name(), u.Spec().Address)}
+		e = &Engine{client: engine.NewClient(f.network, u.Name(), u.Spec().Address)}
 		f.engines[u.Name()] = e
 	}
 	e.configure(u)
--- a/internal/upstream/httpconn/conn.go
+++ b/internal/upstream/httpconn/conn.go
@@ -13,10 +13,11 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 )
 
 const (
-	dialTimeout = time.Second
 	readBuffer  = 4 << 10  // bytes
 	maxBuffered = 64 << 20 // bytes of an answer that is not streamed
 )
@@ -36,11 +37,10 @@
 	stop   func() bool
 }
 
-// Do connects to the address and sends the request. The exchange that it
+// Do connects to the address of the network and sends the request. The exchange that it
 // returns must be closed. It ends when ctx does.
-func Do(ctx context.Context, addr string, req *fasthttp.Request, limits Limits) (*Exchange, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", addr)
+func Do(ctx context.Context, network *netio.Network, addr string, req *fasthttp.Request, limits Limits) (*Exchange, error) {
+	conn, err := network.Dial(ctx, addr)
 	if err != nil {
 		return nil, fail("dial", KindUnsent, err)
 	}
--- a/internal/upstream/httpconn/conn_test.go
+++ b/internal/upstream/httpconn/conn_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
 )
 
@@ -48,7 +49,7 @@
 func TestAnswers(t *testing.T) {
 	is := is.New(t)
 	srv := server(t)
-	x, err := httpconn.Do(t.Context(), srv.Listener.Addr().String(), request(srv, "/whole"), limits)
+	x, err := httpconn.Do(t.Context(), netio.TCP(), srv.Listener.Addr().String(), request(srv, "/whole"), limits)
 	is.NoErr(err)
 	defer x.Close()
 	b, err := io.ReadAll(x)
@@ -60,7 +61,7 @@
 func TestCutIsNotAnEnd(t *testing.T) {
 	is := is.New(t)
 	srv := server(t)
-	x, err := httpconn.Do(t.Context(), srv.Listener.Addr().String(), request(srv, "/cut"), limits)
+	x, err := httpconn.Do(t.Context(), netio.TCP(), srv.Listener.Addr().String(), request(srv, "/cut"), limits)
 	is.NoErr(err)
 	defer x.Close()
 	_, err = io.ReadAll(x)
@@ -70,7 +71,7 @@
 func TestSilentConnectionIsNoticed(t *testing.T) {
 	is := is.New(t)
 	srv := server(t)
-	x, err := httpconn.Do(t.Context(), srv.Listener.Addr().String(), request(srv, "/silent"),
+	x, err := httpconn.Do(t.Context(), netio.TCP(), srv.Listener.Addr().String(), request(srv, "/silent"),
 		httpconn.Limits{First: 10 * time.Second, Read: 50 * time.Millisecond})
 	is.NoErr(err)
 	defer x.Close()
@@ -82,7 +83,7 @@
 	is := is.New(t)
 	srv := server(t)
 	ctx, cancel := context.WithCancel(t.Context())
-	x, err := httpconn.Do(ctx, srv.Listener.Addr().String(), request(srv, "/silent"), limits)
+	x, err := httpconn.Do(ctx, netio.TCP(), srv.Listener.Addr().String(), request(srv, "/silent"), limits)
 	is.NoErr(err)
 	defer x.Close()
 	cancel()
@@ -98,6 +99,6 @@
 	is.NoErr(ln.Close())
 	req := fasthttp.AcquireRequest()
 	req.SetRequestURI("http://" + addr + "/")
-	_, err = httpconn.Do(t.Context(), addr, req, limits)
+	_, err = httpconn.Do(t.Context(), netio.TCP(), addr, req, limits)
 	is.True(fault.Is(err, httpconn.KindUnsent))
 }
