Sketch the membership among the entries

Cause: entries know nothing of each other: nobody counts in how many entries a change is in force, and per-upstream duties have no owner.

Change: a ring of probes over twirp, records that cross each link once, urgent news pushed at once, the VM list as a hint, and summaries between failure domains. The head of a signed call is shorter and counted by its real length.

--- /dev/null
+++ b/internal/entry/server/peers.go
@@ -0,0 +1,59 @@
+package server
+
+import (
+	"github.com/charmbracelet/log"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/membership"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/memberwire"
+	"github.com/dogwoodmill/dogwoodmill/internal/platform/vmlist"
+)
+
+// peers is what the entry knows of the other ones. Other parts plug in its methods.
+type peers struct {
+	node  *membership.Node
+	owner func(upstream string) *resource.Upstream
+}
+
+// startPeers starts the membership among the entries.
+func (s *Server) startPeers(logger *log.Logger) {
+	s.peers = &peers{owner: func(name string) *resource.Upstream { return s.store.View().Upstream(name) }}
+	s.peers.node = membership.New(membership.Config{
+		VM:          s.cfg.VM,
+		Domain:      s.cfg.FailureDomain,
+		Address:     s.PeerAddr(),
+		Incarnation: s.incarnation,
+		Seeds:       s.cfg.Seeds,
+		Link:        s.link,
+		List:        vmlist.NewClient(s.cfg.Network, s.cfg.VMListURL).VMs,
+		Offset:      func() uint64 { return s.store.View().Offset() },
+		Report:      func(*memberwire.Report, int) {},
+		Spare:       func() []*memberwire.Spare { return nil },
+		Rand:        s.incarnation,
+		Log:         logger,
+		Scope:       s.metrics.scope,
+	})
+}
+
+// leave tells the other entries that this one gets no new work.
+func (p *peers) leave() { p.node.Leave() }
+
+func (p *peers) stop() { p.node.Close() }
+
+// Owns reports whether this entry is the owner of an upstream in force.
+func (p *peers) Owns(upstream string) bool {
+	u := p.owner(upstream)
+	return u != nil && p.node.Owns(upstream, u.Spec().FailureDomain)
+}
+
+// OwnerGone reports whether the incarnation of an entry is known to be gone.
+func (p *peers) OwnerGone(vm string, incarnation uint64) bool { return p.node.OwnerGone(vm, incarnation) }
+
+// Rank returns this entry's rank among the live ones of its failure domain.
+func (p *peers) Rank() (rank, of int) { return p.node.Rank() }
+
+// InForce counts the live entries that have the configuration's offset in force.
+func (p *peers) InForce(offset uint64) resource.InForce { return p.node.InForce(offset) }
+
+// Peers returns the entries that this one knows.
+func (p *peers) Peers() []membership.Peer { return p.node.Peers() }
--- a/internal/entry/server/process.go
+++ b/internal/entry/server/process.go
@@ -8,6 +8,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/openai"
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/reply"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/membership"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
 )
@@ -23,6 +24,7 @@
 	Config        config.State         `json:"config"`
 	Placement     placement.State      `json:"placement"`
 	Engines       []fleet.EngineState  `json:"engines"`
+	Peers         membership.Dump      `json:"peers"`
 	Streams       []openai.StreamState `json:"streams"`
 }
 
@@ -38,6 +40,7 @@
 		Config:        s.store.State(),
 		Placement:     s.placer.State(),
 		Engines:       s.fleet.State(),
+		Peers:         s.peers.node.Dump(),
 		Streams:       s.openai.State(),
 	}
 }
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -21,7 +21,6 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/service"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/api"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
-	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/link"
 	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
@@ -55,6 +54,7 @@
 	link        *link.Link
 	peerHTTP    *http.Server
 	peerLn      net.Listener
+	peers       *peers
 	leaving     atomic.Bool
 	refusing    atomic.Bool
 	busy        atomic.Int64 // requests in progress
@@ -105,11 +105,12 @@
 func (s *Server) startParts(logger *log.Logger) {
 	owner := engine.Owner{VM: s.cfg.VM, Incarnation: s.incarnation}
 	s.store = config.NewStore(config.LogSeams(logservice.NewClient(s.cfg.Network, s.cfg.LogURL)), logger)
+	s.startPeers(logger)
 	s.fleet = fleet.New(s.cfg.Network, s.store.View, logger)
 	s.placer = placement.New(owner, s.cfg.FailureDomain, s.fleet, logger)
 	s.openai = openai.NewHandler(openai.Seams{View: s.store.View, Place: s.placer.Place, Hold: s.hold}, s.metrics.scope, logger)
 	s.service = service.NewHandler(s.cfg.Network, s.store.View, s.metrics.scope, logger)
-	s.api = api.NewHandler(s.store, api.Seams{Authorized: s.authorized, InForce: s.inForce}, logger)
+	s.api = api.NewHandler(s.store, api.Seams{Authorized: s.authorized, InForce: s.peers.InForce}, logger)
 }
 
 // Addr returns the address that the entry listens on.
@@ -129,6 +130,7 @@
 // KindDrain where requests were still in progress.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.leaving.Store(true)
+	s.peers.leave()
 	s.log.Info("Leaving.", "in_progress", s.busy.Load())
 	wait(ctx, acceptWhileLeaving)
 	s.refusing.Store(true)
@@ -154,6 +156,7 @@
 	if err := s.http.ShutdownWithContext(ctx); err != nil {
 		s.log.Warn("Connections were open at the end.", "err", err)
 	}
+	s.peers.stop()
 	if err := s.peerHTTP.Close(); err != nil {
 		s.log.Warn("Peer connections were open at the end.", "err", err)
 	}
@@ -176,15 +179,6 @@
 	return subtle.ConstantTimeCompare([]byte(token), []byte(s.cfg.OperatorToken)) == 1
 }
 
-// inForce counts the entries that have an offset in force.
-func (s *Server) inForce(offset uint64) resource.InForce {
-	f := resource.InForce{Of: 1}
-	if s.store.View().Offset() >= offset {
-		f.Seen = 1
-	}
-	return f
-}
-
 // route finds the handler of a request.
 func (s *Server) route(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -7,13 +7,14 @@
 	"context"
 	"crypto/hmac"
 	"crypto/sha256"
-	"encoding/hex"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -24,9 +25,9 @@
 )
 
 const (
-	headerVM   = "X-Peer-Vm"
-	headerTime = "X-Peer-Time"
-	headerMAC  = "X-Peer-Mac"
+	// headerPeer holds the caller's time in milliseconds, the signature and its VM.
+	headerPeer = "X-Peer"
+	macBytes   = 16
 
 	maxBody = 16 << 20 // bytes
 	// maxSkew is the largest difference between the clocks of two entries.
@@ -34,8 +35,9 @@
 	idleTimeout    = 30 * time.Second
 	maxIdlePerHost = 2
 	headerTimeout  = 5 * time.Second
-	// headBytes stands for the head of a request or an answer in the counts.
-	headBytes = 300
+	// requestHead and answerHead are the bytes of a head beside its path and signature.
+	requestHead = 110
+	answerHead  = 115
 )
 
 // Kind classifies the errors of this package.
@@ -82,6 +84,7 @@
 		},
 		MaxIdleConnsPerHost:   maxIdlePerHost,
 		IdleConnTimeout:       idleTimeout,
+		DisableCompression:    true, // bodies are small
 		ResponseHeaderTimeout: headerTimeout,
 	}}
 	return NewOver(vm, key, client.Do)
@@ -108,20 +111,41 @@
 	signed := r.Clone(r.Context())
 	signed.Body = io.NopCloser(bytes.NewReader(body))
 	signed.ContentLength = int64(len(body))
-	ms := strconv.FormatInt(l.now().UnixMilli(), 10)
-	signed.Header.Set(headerVM, l.vm)
-	signed.Header.Set(headerTime, ms)
-	signed.Header.Set(headerMAC, l.mac(l.vm, ms, r.URL.Path, body))
-	l.counters.sent.Add(int64(len(body)) + headBytes)
+	head := l.sign(signed, body)
+	l.counters.sent.Add(int64(len(body) + head))
 	res, err := l.carry(signed)
 	if err != nil {
 		return nil, err
 	}
 	res.Body = &countedBody{ReadCloser: res.Body, count: &l.counters.received}
-	l.counters.received.Add(headBytes)
+	l.counters.received.Add(answerHead)
 	return res, nil
 }
 
+// sign sets the signature, drops the headers that the other side doesn't read, and
+// returns the length of the head.
+func (l *Link) sign(r *http.Request, body []byte) int {
+	for _, name := range []string{"Accept", "Twirp-Version"} {
+		r.Header.Del(name)
+	}
+	r.Header.Set("User-Agent", "") // net/http sends none
+	ms := strconv.FormatInt(l.now().UnixMilli(), 10)
+	r.Header.Set(headerPeer, ms+" "+l.mac(l.vm, ms, r, body)+" "+l.vm)
+	return headLen(r)
+}
+
+func headLen(r *http.Request) int {
+	return requestHead + len(r.URL.Path) + len(host(r)) + len(r.Header.Get(headerPeer))
+}
+
+// host is what the caller dialled; an in-memory carrier leaves it in the URL.
+func host(r *http.Request) string {
+	if r.Host != "" {
+		return r.Host
+	}
+	return r.URL.Host
+}
+
 // ServeHTTP checks the signature of a call and serves it.
 func (l *Link) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := readAll(http.MaxBytesReader(w, r.Body, maxBody))
@@ -129,23 +153,41 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	l.counters.received.Add(int64(len(body)) + headBytes)
+	l.counters.received.Add(int64(len(body) + headLen(r)))
 	if err := l.check(r, body); err != nil {
 		http.Error(w, err.Error(), http.StatusUnauthorized)
 		return
 	}
+	r = r.WithContext(context.WithValue(r.Context(), callerKey{}, caller(r)))
 	r.Body = io.NopCloser(bytes.NewReader(body))
-	l.counters.sent.Add(headBytes)
+	l.counters.sent.Add(answerHead)
 	l.mux.ServeHTTP(&countedWriter{ResponseWriter: w, count: &l.counters.sent}, r)
 }
 
+type callerKey struct{}
+
+// Caller returns the VM that signed the call of a handler's context.
+func Caller(ctx context.Context) string {
+	vm, _ := ctx.Value(callerKey{}).(string)
+	return vm
+}
+
+func caller(r *http.Request) string {
+	if parts := strings.SplitN(r.Header.Get(headerPeer), " ", 3); len(parts) == 3 {
+		return parts[2]
+	}
+	return ""
+}
+
 func (l *Link) check(r *http.Request, body []byte) error {
-	ms := r.Header.Get(headerTime)
-	mac := l.mac(r.Header.Get(headerVM), ms, r.URL.Path, body)
-	if !hmac.Equal([]byte(mac), []byte(r.Header.Get(headerMAC))) {
+	parts := strings.SplitN(r.Header.Get(headerPeer), " ", 3)
+	if len(parts) != 3 {
+		return fault.New(&class, "check", KindUnsigned, nil)
+	}
+	if !hmac.Equal([]byte(l.mac(parts[2], parts[0], r, body)), []byte(parts[1])) {
 		return fault.New(&class, "check", KindUnsigned, nil)
 	}
-	n, err := strconv.ParseInt(ms, 10, 64)
+	n, err := strconv.ParseInt(parts[0], 10, 64)
 	if err != nil {
 		return fault.New(&class, "check", KindUnsigned, err)
 	}
@@ -155,11 +197,12 @@
 	return nil
 }
 
-func (l *Link) mac(vm, ms, path string, body []byte) string {
+// mac signs the caller, its time, the receiver, the path and the body.
+func (l *Link) mac(vm, ms string, r *http.Request, body []byte) string {
 	h := hmac.New(sha256.New, l.key)
 	sum := sha256.Sum256(body)
-	_, _ = fmt.Fprintf(h, "%s\n%s\n%s\n%x", vm, ms, path, sum) // a hash never fails
-	return hex.EncodeToString(h.Sum(nil))
+	_, _ = fmt.Fprintf(h, "%s\n%s\n%s\n%s\n%x", vm, ms, host(r), r.URL.Path, sum) // a hash never fails
+	return base64.RawStdEncoding.EncodeToString(h.Sum(nil)[:macBytes])
 }
 
 // Server returns an HTTP server of the link.
--- /dev/null
+++ b/internal/peer/membership/node.go
@@ -0,0 +1,451 @@
+// Package membership keeps what an entry knows of the other ones: who is live,
+// suspect, leaving or gone in its failure domain, what they report about
+// themselves and their upstreams, and summaries of the other failure domains.
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/link"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/memberwire"
+	"github.com/dogwoodmill/dogwoodmill/internal/platform/vmlist"
+)
+
+const (
+	beatEvery    = time.Second
+	randomEvery  = 2 * time.Second
+	probeTimeout = 250 * time.Millisecond
+	directTries  = 5
+	reachHelpers = 2
+	reachTimeout = 3 * probeTimeout
+	pushFan      = 4
+	pushGap      = 100 * time.Millisecond
+	// isolatedAfter is how long no call succeeds until all others count as suspect.
+	isolatedAfter = 3 * time.Second
+	isolatedMin   = 4 // live entries; among fewer each one is suspected by itself
+	// An entry reports at most once in reportPerEntry for each live entry of its
+	// failure domain, so that the bytes do not grow with it.
+	reportPerEntry = 100 * time.Millisecond
+	reportMin      = time.Second
+	reportRefresh  = 30 * time.Second
+	bridgeEvery    = 2 * time.Second
+	joinFirst      = 200 * time.Millisecond
+	joinMax        = 5 * time.Second
+	rejoinEvery    = 30 * time.Second
+	maxContacts    = 8 // of a failure domain
+)
+
+// Config holds what a node needs.
+type Config struct {
+	VM          string
+	Domain      string
+	Address     string // host:port for other entries
+	Incarnation uint64
+	Seeds       []string // host:port of some entries
+	Link        *link.Link
+	// List reads the platform's VM list.
+	List func(ctx context.Context) ([]vmlist.VM, error)
+	// Offset returns the offset of the configuration in force here.
+	Offset func() uint64
+	// Report fills in the demands and, while bytes are left, the loads that this
+	// entry reports.
+	Report func(r *memberwire.Report, left int)
+	// Spare tells what the failure domain can take over from others.
+	Spare func() []*memberwire.Spare
+	Rand  uint64 // seed of the jitter
+	Log   *log.Logger
+	Scope tally.Scope
+}
+
+// Node is an entry among the others. Its methods may be called from any goroutine.
+type Node struct {
+	cfg    Config
+	log    *log.Logger
+	now    func() time.Time
+	kicked chan struct{}
+	done   chan struct{}
+	stop   context.CancelFunc
+
+	mu        sync.Mutex
+	rand      *rand.Rand
+	table     *table
+	reports   *feed[*memberwire.Report]
+	summaries *feed[*memberwire.Summary]
+	cursors   map[string]*cursor
+	clients   map[string]memberwire.Member
+	contacts  map[string][]target // by failure domain
+	listed    map[string]bool     // names that the VM list had
+	budget    budget
+	started   time.Time
+	contacted time.Time // when a call last succeeded
+	reported  time.Time
+	met       bool // another entry was ever met
+	suspected int64
+}
+
+// New starts a node and serves its calls on the link. Close ends it.
+func New(cfg Config) *Node {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		cfg:       cfg,
+		log:       cfg.Log.WithPrefix("peers"),
+		now:       time.Now,
+		kicked:    make(chan struct{}, 1),
+		done:      make(chan struct{}),
+		stop:      cancel,
+		rand:      rand.New(rand.NewPCG(cfg.Rand, cfg.Incarnation)),
+		reports:   newFeed[*memberwire.Report](),
+		summaries: newFeed[*memberwire.Summary](),
+		cursors:   map[string]*cursor{},
+		clients:   map[string]memberwire.Member{},
+		contacts:  map[string][]target{},
+		listed:    map[string]bool{},
+		started:   time.Now(),
+		contacted: time.Now(),
+	}
+	n.table = newTable(n.now, &memberwire.Peer{Name: cfg.VM, Address: cfg.Address, Incarnation: cfg.Incarnation})
+	srv := memberwire.NewMemberServer(n)
+	cfg.Link.Handle(srv.PathPrefix(), srv)
+	go n.run(ctx)
+	return n
+}
+
+// run runs the duties and waits for them.
+func (n *Node) run(ctx context.Context) {
+	defer close(n.done)
+	duties := []func(context.Context){
+		func(ctx context.Context) { n.watch(ctx, 0) },
+		func(ctx context.Context) { n.watch(ctx, 1) },
+		n.wander, n.push, n.join, n.follow, n.report, n.bridge,
+	}
+	var wg sync.WaitGroup
+	for _, duty := range duties {
+		wg.Go(func() { duty(ctx) })
+	}
+	wg.Wait()
+}
+
+// Leave tells the others that this entry is leaving: it gets no new work.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.table.tell(memberwire.State_LEAVING, n.table.self.GetSeq()+1)
+	n.urgent()
+}
+
+// Close says that this entry is gone and ends the node.
+func (n *Node) Close() {
+	n.mu.Lock()
+	n.table.tell(memberwire.State_GONE, n.table.self.GetSeq()+1)
+	n.mu.Unlock()
+	n.tellSome(context.Background())
+	n.stop()
+	<-n.done
+}
+
+func (n *Node) urgent() {
+	select {
+	case n.kicked <- struct{}{}:
+	default: // a push is due already
+	}
+}
+
+func (n *Node) client(address string) memberwire.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := n.clients[address]
+	if c == nil {
+		c = memberwire.NewMemberProtobufClient("http://"+address, n.cfg.Link)
+		n.clients[address] = c
+	}
+	return c
+}
+
+func (n *Node) budgetLeft() int {
+	c := n.cfg.Link.Counters()
+	return n.budget.left(c.Sent()+c.Received(), n.now())
+}
+
+// jitter returns a time within a tenth of d.
+func (n *Node) jitter(d time.Duration) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return d - d/10 + time.Duration(n.rand.Int64N(int64(d/5)+1))
+}
+
+// watch probes a successor in the ring, again and again.
+func (n *Node) watch(ctx context.Context, slot int) {
+	for wait(ctx, n.jitter(beatEvery)) {
+		n.mu.Lock()
+		next := successors(n.table.live(), n.cfg.VM)
+		var p *memberwire.Peer
+		if slot < len(next) {
+			p, _ = n.table.feed.get(next[slot])
+		}
+		n.mu.Unlock()
+		if p != nil {
+			n.check(ctx, targetOf(p), true)
+		}
+	}
+}
+
+// wander probes entries at random, half of the time such that can't be reached.
+func (n *Node) wander(ctx context.Context) {
+	for wait(ctx, n.jitter(randomEvery)) {
+		if p, live := n.anyone(); p != nil && live {
+			n.check(ctx, targetOf(p), false)
+		} else if p != nil {
+			_ = n.exchange(ctx, targetOf(p), false) // it was known not to answer
+		}
+	}
+}
+
+func (n *Node) anyone() (p *memberwire.Peer, live bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var up, down []*memberwire.Peer
+	for _, p := range n.table.entries() {
+		switch {
+		case p.GetName() == n.cfg.VM:
+		case p.GetState() == memberwire.State_SUSPECT || p.GetState() == memberwire.State_GONE:
+			down = append(down, p)
+		default:
+			up = append(up, p)
+		}
+	}
+	if len(down) > 0 && (len(up) == 0 || n.rand.IntN(2) == 0) {
+		return down[n.rand.IntN(len(down))], false
+	}
+	if len(up) > 0 {
+		return up[n.rand.IntN(len(up))], true
+	}
+	return nil, false
+}
+
+// reached reports whether one of several probes succeeds. After the second miss
+// others are asked to probe as well.
+func reached(direct func() bool, ask func() (answer func() bool)) bool {
+	indirect := func() bool { return false }
+	for i := range directTries {
+		if direct() {
+			return true
+		}
+		if i == 1 {
+			indirect = ask()
+		}
+	}
+	return indirect()
+}
+
+// check probes an entry and suspects it where nobody reaches it.
+func (n *Node) check(ctx context.Context, to target, full bool) {
+	ok := reached(
+		func() bool { return n.probe(ctx, to, full) },
+		func() func() bool { return n.askOthers(ctx, to) },
+	)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if ok || ctx.Err() != nil || n.isolated() {
+		return
+	}
+	if n.table.unreachable(to.vm, to.incarnation) {
+		n.suspected++
+		n.log.Warn("An entry can't be reached.", "entry", to.vm, "address", to.address)
+		n.urgent()
+	}
+}
+
+// probe exchanges once. A refused connection takes as long as a lost one, so that a
+// restart is not taken for a death at once.
+func (n *Node) probe(ctx context.Context, to target, full bool) bool {
+	begun := n.now()
+	if err := n.exchange(ctx, to, full); err == nil {
+		return true
+	}
+	wait(ctx, probeTimeout-n.now().Sub(begun))
+	return false
+}
+
+// askOthers has some entries probe another one. The answer waits for them.
+func (n *Node) askOthers(ctx context.Context, to target) (answer func() bool) {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	helpers := n.some(reachHelpers, to.vm)
+	answers := make(chan bool, len(helpers))
+	for _, h := range helpers {
+		go func() {
+			r, err := n.client(h.address).Reach(ctx, &memberwire.ReachRequest{Vm: to.vm, Address: to.address})
+			answers <- err == nil && r.GetReached()
+		}()
+	}
+	return func() bool {
+		defer cancel()
+		any := false
+		for range helpers {
+			any = <-answers || any
+		}
+		return any
+	}
+}
+
+// some returns up to so many other live entries at random.
+func (n *Node) some(count int, but string) []target {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []target
+	for _, p := range n.table.entries() {
+		if p.GetState() == memberwire.State_LIVE && p.GetName() != n.cfg.VM && p.GetName() != but {
+			out = append(out, targetOf(p))
+		}
+	}
+	n.rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(count, len(out))]
+}
+
+// push tells urgent news to some entries at once, and each of them does so in turn.
+func (n *Node) push(ctx context.Context) {
+	for {
+		select {
+		case <-n.kicked:
+		case <-ctx.Done():
+			return
+		}
+		wait(ctx, n.jitter(pushGap/5))
+		n.tellSome(ctx)
+		wait(ctx, n.jitter(pushGap))
+	}
+}
+
+func (n *Node) tellSome(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, to := range n.some(pushFan, "") {
+		wg.Go(func() { _ = n.exchange(ctx, to, false) }) // heartbeats repeat what was lost
+	}
+	wg.Wait()
+}
+
+// join contacts seeds and listed entries until another entry is met, and a random
+// one of them from time to time, so that parts that lost each other meet again.
+func (n *Node) join(ctx context.Context) {
+	delay := joinFirst
+	for ctx.Err() == nil {
+		for _, to := range n.candidates() {
+			if err := n.exchange(ctx, to, true); err == nil {
+				break
+			}
+		}
+		if n.alone() {
+			delay = min(2*delay, joinMax)
+		} else {
+			delay = rejoinEvery
+		}
+		wait(ctx, n.jitter(delay))
+	}
+}
+
+// candidates returns addresses of entries that are not known as live, in random order.
+func (n *Node) candidates() []target {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	known := map[string]bool{n.cfg.Address: true}
+	for _, p := range n.table.entries() {
+		if p.GetState() == memberwire.State_LIVE {
+			known[p.GetAddress()] = true
+		}
+	}
+	var out []target
+	for _, a := range n.cfg.Seeds {
+		if !known[a] {
+			out = append(out, target{address: a})
+		}
+	}
+	for _, c := range n.contacts[n.cfg.Domain] {
+		if !known[c.address] {
+			out = append(out, target{address: c.address})
+		}
+	}
+	n.rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+func (n *Node) alone() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.table.live()) < 2
+}
+
+// isolated reports whether no call has succeeded for some seconds although there
+// are several others to call: it is this entry that is cut off.
+func (n *Node) isolated() bool {
+	return len(n.table.live()) >= isolatedMin && n.now().Sub(n.contacted) >= isolatedAfter
+}
+
+// report publishes what this entry tells about itself.
+func (n *Node) report(ctx context.Context) {
+	for {
+		n.publish()
+		n.mu.Lock()
+		every := max(reportMin, reportPerEntry*time.Duration(len(n.table.live())))
+		n.table.forget()
+		n.measure()
+		n.mu.Unlock()
+		if !wait(ctx, n.jitter(every)) {
+			return
+		}
+	}
+}
+
+func (n *Node) publish() {
+	n.mu.Lock()
+	left := n.budgetLeft()
+	n.mu.Unlock()
+	r := &memberwire.Report{Vm: n.cfg.VM, Incarnation: n.cfg.Incarnation, Offset: n.cfg.Offset()}
+	n.cfg.Report(r, left)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	old, known := n.reports.get(n.cfg.VM)
+	r.Version = old.GetVersion()
+	if known && proto.Equal(old, r) && n.now().Sub(n.reported) < reportRefresh {
+		return
+	}
+	r.Version++
+	n.reported = n.now()
+	n.reports.put(n.cfg.VM, r, n.cfg.VM, n.now())
+}
+
+func (n *Node) measure() {
+	c := n.cfg.Link.Counters()
+	n.cfg.Scope.Gauge("peer_bytes_sent").Update(float64(c.Sent()))
+	n.cfg.Scope.Gauge("peer_bytes_received").Update(float64(c.Received()))
+	n.cfg.Scope.Gauge("peer_budget_left_bytes").Update(float64(n.budgetLeft()))
+	n.cfg.Scope.Gauge("peers_live").Update(float64(len(n.table.live())))
+	n.cfg.Scope.Gauge("peers_cut_off").Update(float64(n.table.cutOff()))
+	n.cfg.Scope.Gauge("peer_suspicions").Update(float64(n.suspected))
+}
+
+// addContact notes the address of an entry of a failure domain.
+func (n *Node) addContact(domain, vm, address string) {
+	list := n.contacts[domain]
+	i := slices.IndexFunc(list, func(t target) bool { return t.address == address })
+	if i >= 0 {
+		list = slices.Delete(list, i, i+1)
+	}
+	list = append(list, target{vm: vm, address: address})
+	n.contacts[domain] = list[max(0, len(list)-maxContacts):]
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
