--- a/internal/caller/openai/handler.go
+++ b/internal/caller/openai/handler.go
@@ -10,13 +10,13 @@
 	"strings"
 	"time"
 
-	"github.com/alitto/pond/v2"
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/work"
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/reply"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
@@ -32,6 +32,7 @@
 	cancelTimeout  = 10 * time.Second
 	cancelRetry    = 200 * time.Millisecond
 	cancelWorkers  = 32
+	cancelQueue    = 4096
 	runesPerToken  = 4
 	maxTokensFloor = 1
 )
@@ -48,7 +49,7 @@
 	seams   Seams
 	log     *log.Logger
 	metrics tally.Scope
-	cancels pond.Pool
+	cancels *work.Pool
 	streams *registry
 }
 
@@ -58,13 +59,13 @@
 		seams:   seams,
 		log:     logger.WithPrefix("openai"),
 		metrics: metrics.SubScope("openai"),
-		cancels: pond.NewPool(cancelWorkers),
+		cancels: work.New(cancelWorkers, cancelQueue),
 		streams: newRegistry(),
 	}
 }
 
 // Close waits for the cancels under way.
-func (h *Handler) Close() { h.cancels.StopAndWait() }
+func (h *Handler) Close() { h.cancels.Close() }
 
 // Chat serves POST /v1/chat/completions.
 func (h *Handler) Chat(ctx *fasthttp.RequestCtx) { h.serve(ctx, shapeChat) }
@@ -259,7 +260,7 @@
 // cancelAtEngine repeats the cancel until the engine confirms it or the time
 // limit ends.
 func (h *Handler) cancelAtEngine(grant *placement.Grant, stream string, cause error) {
-	_ = h.cancels.Go(func() { // the pool takes everything until it is closed
+	err := h.cancels.Go(func() {
 		defer grant.Done(placement.Outcome{Err: cause})
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
@@ -274,6 +275,10 @@
 		}
 		h.log.Warn("An engine did not confirm a cancel.", "engine", grant.Engine().Name(), "stream", stream)
 	})
+	if err != nil {
+		grant.Done(placement.Outcome{Err: cause})
+		h.log.Warn("A cancel was left to the collection of orphans.", "engine", grant.Engine().Name(), "stream", stream, "err", err)
+	}
 }
 
 // finish ends a call whose first piece came, with its last piece or the error
--- a/internal/command/cli/dev.go
+++ b/internal/command/cli/dev.go
@@ -63,7 +63,7 @@
 }
 
 func startDev(port int, engines []engine.Config, logger *log.Logger) (*devWorld, error) {
-	standins, err := world.Start(netio.TCP(), engines, devListLag)
+	standins, err := world.Start(world.SameHost(netio.TCP()), engines, devListLag)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -86,6 +86,7 @@
 	streams     map[string]*stream
 	queue       []*stream // not finished, in order of service
 	arrivals    uint64
+	opened      []Opening
 	holds       map[string]*hold
 	used        int // tokens of running streams and of holds
 	cache       *prefixCache
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -14,6 +14,7 @@
 const (
 	minAnswerTokens    = 16
 	answerTokensSpread = 112
+	maxOpened          = 16_384
 )
 
 // Owner names the entry that opened a stream or a hold.
@@ -64,6 +65,21 @@
 	Finish   string `json:"finish,omitempty"`
 }
 
+// Opening is a stream that an engine took, whatever became of it.
+type Opening struct {
+	Stream string
+	Owner  Owner
+	Time   time.Time
+}
+
+// Opened lists the last maxOpened streams that the engine took, in order. It
+// outlives a restart.
+func (e *Engine) Opened() []Opening {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.opened)
+}
+
 type stream struct {
 	req        StreamRequest
 	arrival    uint64
@@ -160,6 +176,7 @@
 	s.arrival = e.arrivals
 	e.streams[req.Stream] = s
 	e.queue = append(e.queue, s)
+	e.remember(Opening{Stream: req.Stream, Owner: req.Owner, Time: time.Now()})
 	if req.Hold != "" && e.used+s.reserve <= e.cfg.Memory {
 		s.admitted = true
 		e.used += s.reserve
@@ -168,6 +185,13 @@
 	return nil
 }
 
+func (e *Engine) remember(o Opening) {
+	if len(e.opened) == maxOpened {
+		e.opened = e.opened[1:]
+	}
+	e.opened = append(e.opened, o)
+}
+
 func (e *Engine) check(req StreamRequest) error {
 	switch {
 	case e.dead:
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -32,7 +32,6 @@
 	VMs      *vmlist.List
 	Weights  *weightstore.Store
 
-	network  *netio.Network
 	servers  []*http.Server
 	engines  []string // addresses
 	desk     string
@@ -42,10 +41,18 @@
 	weights  string
 }
 
+// Hosts returns the network as a host sees it. The hosts are named like the
+// engines, "desk", "registry" and "platform".
+type Hosts func(host string) *netio.Network
+
+// SameHost returns the hosts of a world that runs on one machine.
+func SameHost(network *netio.Network) Hosts {
+	return func(string) *netio.Network { return network }
+}
+
 // Start starts an engine for each configuration and the rest.
-func Start(network *netio.Network, engines []engine.Config, listLag time.Duration) (*World, error) {
+func Start(hosts Hosts, engines []engine.Config, listLag time.Duration) (*World, error) {
 	w := &World{
-		network:  network,
 		Desk:     orderdesk.NewDesk(),
 		Registry: registry.New(),
 		Log:      logservice.NewLog(),
@@ -53,21 +60,21 @@
 		Weights:  weightstore.New(weightRate, weightWait),
 	}
 	var errList []error
-	serve := func(srv *http.Server) string {
-		addr, err := w.serve(srv)
+	serve := func(host string, srv *http.Server) string {
+		addr, err := w.serve(hosts(host), srv)
 		errList = append(errList, err)
 		return addr
 	}
 	for _, cfg := range engines {
 		e := engine.New(cfg)
 		w.Engines = append(w.Engines, e)
-		w.engines = append(w.engines, serve(e.Server()))
+		w.engines = append(w.engines, serve(cfg.Name, e.Server()))
 	}
-	w.desk = serve(plain(w.Desk.Handler()))
-	w.registry = serve(plain(w.Registry.Handler()))
-	w.log = serve(plain(w.Log.Handler()))
-	w.vms = serve(plain(w.VMs.Handler()))
-	w.weights = serve(plain(w.Weights.Handler()))
+	w.desk = serve("desk", plain(w.Desk.Handler()))
+	w.registry = serve("registry", plain(w.Registry.Handler()))
+	w.log = serve("platform", plain(w.Log.Handler()))
+	w.vms = serve("platform", plain(w.VMs.Handler()))
+	w.weights = serve("platform", plain(w.Weights.Handler()))
 	if err := errors.Join(errList...); err != nil {
 		w.Close()
 		return nil, err
@@ -110,8 +117,8 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 }
 
-func (w *World) serve(srv *http.Server) (string, error) {
-	ln, err := w.network.Listen(host + ":0")
+func (w *World) serve(network *netio.Network, srv *http.Server) (string, error) {
+	ln, err := network.Listen(host + ":0")
 	if err != nil {
 		return "", err
 	}
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -8,10 +8,10 @@
 	"sync"
 	"time"
 
-	"github.com/alitto/pond/v2"
 	"github.com/charmbracelet/log"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/work"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
 )
@@ -72,7 +72,7 @@
 	network *netio.Network
 	view    func() *resource.View
 	log     *log.Logger
-	pool    pond.Pool
+	pool    *work.Pool
 	done    chan struct{}
 	stop    context.CancelFunc
 
@@ -87,7 +87,7 @@
 		network: network,
 		view:    view,
 		log:     logger.WithPrefix("fleet"),
-		pool:    pond.NewPool(pollWorkers, pond.WithQueueSize(pollQueue), pond.WithNonBlocking(true)),
+		pool:    work.New(pollWorkers, pollQueue),
 		done:    make(chan struct{}),
 		stop:    cancel,
 		engines: map[string]*Engine{},
@@ -100,7 +100,7 @@
 func (f *Fleet) Close() {
 	f.stop()
 	<-f.done
-	f.pool.StopAndWait()
+	f.pool.Close()
 }
 
 // Of returns the engines that serve the deployment in the current view, by name.
