Add a group appender and a follower to the log client

Cause: each change was one append call and the configuration's store held its own loop over the log; other streams need the same two things.

Change: Appender groups the records that come while an append is in flight, retries only what took no effect, and tells a caller that its record was not appended, was appended at an offset, or is unknown. Limiter keeps the append calls of a whole entry below a rate and slows down when the service says so. Follower hands records in order to a fold, reports another epoch or an end that went back without following it, and asks for state when records are gone. A status of 500 or more other than 503 now counts as a lost answer.

Measured: 50 records that come within one append of 100 ms take 2 append calls (TestRecordsThatComeInFlightFormOneGroup).

--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -44,7 +44,10 @@
 	incarnation uint64
 	started     time.Time
 	metrics     *metrics
+	logClient   *logservice.Client
+	logLimiter  *logservice.Limiter // shared by all appenders of the entry
 	store       *config.Store
+	configLog   *logservice.Appender
 	fleet       *fleet.Fleet
 	placer      *placement.Placer
 	openai      *openai.Handler
@@ -104,7 +107,7 @@
 
 func (s *Server) startParts(logger *log.Logger) {
 	owner := engine.Owner{VM: s.cfg.VM, Incarnation: s.incarnation}
-	s.store = config.NewStore(config.LogSeams(logservice.NewClient(s.cfg.LogURL)), logger)
+	s.startConfig(logger)
 	s.fleet = fleet.New(s.store.View, logger)
 	s.placer = placement.New(owner, s.cfg.FailureDomain, s.fleet, logger)
 	s.openai = openai.NewHandler(openai.Seams{View: s.store.View, Place: s.placer.Place, Hold: s.hold}, s.metrics.scope, logger)
@@ -159,7 +162,7 @@
 	}
 	s.openai.Close()
 	s.fleet.Close()
-	s.store.Close()
+	s.stopConfig()
 	if err := s.metrics.closer.Close(); err != nil {
 		s.log.Warn("Metrics could not be closed.", "err", err)
 	}
--- /dev/null
+++ b/internal/platform/logservice/appender_test.go
@@ -0,0 +1,211 @@
+package logservice_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/zeebo/errs"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
+	standin "github.com/dogwoodmill/dogwoodmill/internal/standin/logservice"
+)
+
+const stream = "s"
+
+var class = errs.Class("test")
+
+// translate gives the errors of the stand-in the kinds of the client.
+func translate(err error) error {
+	for from, to := range map[standin.Kind]logservice.Kind{
+		standin.KindUnavailable: logservice.KindUnavailable,
+		standin.KindRateLimited: logservice.KindRateLimited,
+		standin.KindGone:        logservice.KindGone,
+		standin.KindAnswerLost:  logservice.KindUnknown,
+	} {
+		if fault.Is(err, from) {
+			return fault.New(&class, "call", to, err)
+		}
+	}
+	return err
+}
+
+func appends(l *standin.Log) func(context.Context, [][]byte) (uint64, error) {
+	return func(ctx context.Context, recs [][]byte) (uint64, error) {
+		first, _, err := l.Append(ctx, stream, recs)
+		return first, translate(err)
+	}
+}
+
+func read(l *standin.Log) func(context.Context, uint64, time.Duration) ([]logservice.Record, logservice.Bounds, error) {
+	return func(ctx context.Context, from uint64, wait time.Duration) ([]logservice.Record, logservice.Bounds, error) {
+		recs, b, err := l.Read(ctx, stream, from, 100, wait)
+		out := make([]logservice.Record, 0, len(recs))
+		for _, r := range recs {
+			out = append(out, logservice.Record(r))
+		}
+		return out, logservice.Bounds(b), translate(err)
+	}
+}
+
+// withAppender runs the test with an appender on a stand-in.
+func withAppender(t *testing.T, cfg logservice.AppenderConfig, f func(is *is.I, l *standin.Log, a *logservice.Appender)) {
+	synctest.Test(t, func(t *testing.T) {
+		l := standin.NewLog()
+		if cfg.Append == nil {
+			cfg.Append = appends(l)
+		}
+		a := logservice.NewAppender(cfg)
+		defer a.Close()
+		f(is.New(t), l, a)
+	})
+}
+
+func TestRecordsThatComeInFlightFormOneGroup(t *testing.T) {
+	withAppender(t, logservice.AppenderConfig{}, func(is *is.I, l *standin.Log, a *logservice.Appender) {
+		l.SetDelay(100 * time.Millisecond)
+		var wg sync.WaitGroup
+		offsets := make([]uint64, 50)
+		for i := range offsets {
+			wg.Go(func() {
+				if i > 0 {
+					time.Sleep(time.Millisecond)
+				}
+				off, err := a.Append(context.Background(), fmt.Append(nil, i))
+				is.NoErr(err)
+				offsets[i] = off
+			})
+		}
+		wg.Wait()
+		is.Equal(l.Appends(), uint64(2)) // the first alone, the others as one group
+		recs, _, err := l.Read(context.Background(), stream, 1, 100, 0)
+		is.NoErr(err)
+		for i, off := range offsets {
+			is.Equal(string(recs[off-1].Data), fmt.Sprint(i)) // each caller has its own record's offset
+		}
+	})
+}
+
+func TestOutageIsRetriedThenRefused(t *testing.T) {
+	withAppender(t, logservice.AppenderConfig{}, func(is *is.I, l *standin.Log, a *logservice.Appender) {
+		l.SetOutage(true)
+		_, err := a.Append(context.Background(), []byte("a"))
+		is.True(fault.Is(err, logservice.KindUnavailable))
+		time.AfterFunc(time.Second, func() { l.SetOutage(false) })
+		off, err := a.Append(context.Background(), []byte("b"))
+		is.NoErr(err)
+		is.Equal(off, uint64(1)) // nothing of "a" was left behind
+		time.Sleep(time.Minute)
+		b, err := l.Bounds(context.Background(), stream)
+		is.NoErr(err)
+		is.Equal(b.Next, uint64(2))
+	})
+}
+
+func TestLostAnswerIsUnknownAndNotSentAgain(t *testing.T) {
+	withAppender(t, logservice.AppenderConfig{}, func(is *is.I, l *standin.Log, a *logservice.Appender) {
+		l.LoseAnswers(1)
+		_, err := a.Append(context.Background(), []byte("a"))
+		is.True(fault.Is(err, logservice.KindUnknown))
+		time.Sleep(time.Minute)
+		is.Equal(l.Appends(), uint64(1))
+	})
+}
+
+func TestErrorOfNoKindIsUnknown(t *testing.T) {
+	cfg := logservice.AppenderConfig{Append: func(context.Context, [][]byte) (uint64, error) { return 0, errors.New("?") }}
+	withAppender(t, cfg, func(is *is.I, _ *standin.Log, a *logservice.Appender) {
+		_, err := a.Append(context.Background(), []byte("a"))
+		is.True(fault.Is(err, logservice.KindUnknown))
+	})
+}
+
+func TestCallerWhoLeavesGetsAnHonestAnswer(t *testing.T) {
+	withAppender(t, logservice.AppenderConfig{}, func(is *is.I, l *standin.Log, a *logservice.Appender) {
+		l.SetDelay(time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		ch := make(chan error)
+		go func() {
+			_, err := a.Append(ctx, []byte("sent"))
+			ch <- err
+		}()
+		synctest.Wait()
+		_, err := a.Append(ctx, []byte("waiting"))
+		is.True(fault.Is(err, logservice.KindUnavailable)) // it was never sent
+		is.True(fault.Is(<-ch, logservice.KindUnknown))
+		time.Sleep(time.Minute)
+		b, err := l.Bounds(context.Background(), stream)
+		is.NoErr(err)
+		is.Equal(b.Next, uint64(2)) // only the one that was unknown is there
+	})
+}
+
+func TestFullQueueRefuses(t *testing.T) {
+	withAppender(t, logservice.AppenderConfig{Queue: 1}, func(is *is.I, l *standin.Log, a *logservice.Appender) {
+		l.SetDelay(time.Second)
+		var wg sync.WaitGroup
+		refused := 0
+		for range 10 {
+			wg.Go(func() {
+				if _, err := a.Append(context.Background(), []byte("x")); fault.Is(err, logservice.KindRateLimited) {
+					refused++
+				}
+			})
+			synctest.Wait()
+		}
+		wg.Wait()
+		is.Equal(refused, 8) // one in flight, one in the queue
+	})
+}
+
+func TestEntryKeepsTheRateOverAllStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := standin.NewLog()
+		lim := logservice.NewLimiter(20)
+		var wg sync.WaitGroup
+		for range 2 {
+			a := logservice.NewAppender(logservice.AppenderConfig{Append: appends(l), Limiter: lim})
+			defer a.Close()
+			for range 4 {
+				wg.Go(func() {
+					for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+						_, err := a.Append(context.Background(), []byte("x"))
+						is.NoErr(err)
+					}
+				})
+			}
+		}
+		wg.Wait()
+		is.True(l.Appends() <= 20*10+10+2) // the rate, the burst and the calls under way at the end
+		is.True(l.Appends() >= 20*10)
+	})
+}
+
+func TestRateLimitOfTheServiceSlowsTheEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := standin.NewLog()
+		l.SetRate(2)
+		lim := logservice.NewLimiter(50)
+		a := logservice.NewAppender(logservice.AppenderConfig{Append: appends(l), Limiter: lim, RetryFor: 10 * time.Second})
+		defer a.Close()
+		for range 20 {
+			_, err := a.Append(context.Background(), []byte("x"))
+			is.NoErr(err) // refused ones took no effect and were tried again
+		}
+		is.True(lim.Rate() < 50)
+		b, err := l.Bounds(context.Background(), stream)
+		is.NoErr(err)
+		is.Equal(b.Next, uint64(21))
+		time.Sleep(time.Minute)
+		is.Equal(lim.Rate(), 50.0)
+	})
+}
--- a/internal/platform/logservice/client.go
+++ b/internal/platform/logservice/client.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -18,7 +20,7 @@
 	// callTimeout bounds an append.
 	callTimeout = 5 * time.Second
 	// readSlack is added to the time that a read may wait for a record.
-	readSlack = 5 * time.Second
+	readSlack = 2 * time.Second
 	// maxCall bounds a read that waits for a record.
 	maxCall = time.Minute
 	// MaxRecords is the largest number of records asked for in one read.
@@ -37,6 +39,8 @@
 	KindUnknown Kind = "unknown"
 	// KindGone is the kind of a read of offsets that the service no longer keeps.
 	KindGone Kind = "records gone"
+	// KindEpoch is the kind of a log that is another one than the one followed.
+	KindEpoch Kind = "another log"
 )
 
 // Error is the error type of this package.
@@ -103,12 +107,26 @@
 	defer cancel()
 	path := fmt.Sprintf("%s?from=%d&max=%d&wait_ms=%d", recordsPath(stream), from, MaxRecords, wait.Milliseconds())
 	var out readAnswer
-	if err := rest.Call[struct{}](ctx, c.rc, http.MethodGet, path, nil, &out); err != nil {
+	err := rest.Call[struct{}](ctx, c.rc, http.MethodGet, path, nil, &out)
+	if rest.Status(err) == http.StatusGone {
+		return nil, goneBounds(err), classify("read", err)
+	}
+	if err != nil {
 		return nil, Bounds{}, classify("read", err)
 	}
 	return out.Records, out.Bounds, nil
 }
 
+// goneBounds returns the bounds that an answer 410 carries; none where it has none.
+func goneBounds(err error) Bounds {
+	var st *rest.StatusError
+	var b Bounds
+	if !errors.As(err, &st) || json.Unmarshal(st.Body(), &b) != nil {
+		return Bounds{}
+	}
+	return b
+}
+
 // Bounds returns the ends of the stream.
 func (c *Client) Bounds(ctx context.Context, stream string) (Bounds, error) {
 	var out Bounds
@@ -119,15 +137,32 @@
 	return out, nil
 }
 
+// Appends returns the seam of an Appender of the stream.
+func (c *Client) Appends(stream string) func(ctx context.Context, records [][]byte) (uint64, error) {
+	return func(ctx context.Context, records [][]byte) (uint64, error) { return c.Append(ctx, stream, records) }
+}
+
+// Reads returns the seam of a Follower of the stream.
+func (c *Client) Reads(stream string) func(ctx context.Context, from uint64, wait time.Duration) ([]Record, Bounds, error) {
+	return func(ctx context.Context, from uint64, wait time.Duration) ([]Record, Bounds, error) {
+		return c.Read(ctx, stream, from, wait)
+	}
+}
+
 func recordsPath(stream string) string { return "/v1/streams/" + url.PathEscape(stream) + "/records" }
 
+// classify says what an error means for the caller. Only the service itself says
+// 503 before it acts; any other status of 500 or more may come from something
+// between that lost the answer.
 func classify(op string, err error) error {
 	switch status := rest.Status(err); {
 	case status == http.StatusTooManyRequests:
 		return fail(op, KindRateLimited, err)
 	case status == http.StatusGone:
 		return fail(op, KindGone, err)
-	case status != 0, fault.Is(err, rest.KindUnreachable), fault.Is(err, rest.KindRequest):
+	case status == http.StatusServiceUnavailable,
+		status >= http.StatusBadRequest && status < http.StatusInternalServerError,
+		fault.Is(err, rest.KindUnreachable), fault.Is(err, rest.KindRequest):
 		return fail(op, KindUnavailable, err)
 	default:
 		return fail(op, KindUnknown, err)
--- /dev/null
+++ b/internal/platform/logservice/follower_test.go
@@ -0,0 +1,120 @@
+package logservice_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
+	standin "github.com/dogwoodmill/dogwoodmill/internal/standin/logservice"
+)
+
+// reader is a follower whose fold keeps the offsets.
+type reader struct {
+	*logservice.Follower
+	offsets []uint64
+}
+
+func follow(t *testing.T, l *standin.Log, change func(cfg *logservice.FollowerConfig)) *reader {
+	r := &reader{}
+	cfg := logservice.FollowerConfig{
+		Stream: stream, Read: read(l), Log: log.New(io.Discard),
+		Fold: func(recs []logservice.Record) {
+			for _, rec := range recs {
+				r.offsets = append(r.offsets, rec.Offset)
+			}
+		},
+		Restore: func(context.Context, logservice.Bounds) (uint64, error) { return 0, nil },
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	r.Follower = logservice.NewFollower(cfg)
+	t.Cleanup(r.Close)
+	return r
+}
+
+func add(is *is.I, l *standin.Log, n int) {
+	for range n {
+		_, _, err := l.Append(context.Background(), stream, [][]byte{[]byte("x")})
+		is.NoErr(err)
+	}
+}
+
+func TestFollowerFoldsInOrderAcrossAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := standin.NewLog()
+		r := follow(t, l, nil)
+		add(is, l, 3)
+		time.Sleep(time.Second)
+		l.SetOutage(true)
+		time.Sleep(time.Minute)
+		st := r.State()
+		is.True(!st.Healthy)
+		is.True(st.FailingFor > 50*time.Second)
+		l.SetOutage(false)
+		add(is, l, 2)
+		time.Sleep(3 * time.Second)
+		is.Equal(r.offsets, []uint64{1, 2, 3, 4, 5})
+		is.True(r.Healthy())
+	})
+}
+
+func TestFollowerAsksForStateWhenRecordsAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := standin.NewLog()
+		add(is, l, 5)
+		l.Expire(stream, 4)
+		offer := uint64(0)
+		r := follow(t, l, func(cfg *logservice.FollowerConfig) {
+			cfg.Restore = func(context.Context, logservice.Bounds) (uint64, error) { return offer, nil }
+		})
+		time.Sleep(10 * time.Second)
+		is.Equal(r.Offset(), uint64(0)) // state that is not newer is not taken
+		is.True(!r.Healthy())
+		offer = 3
+		time.Sleep(10 * time.Second)
+		is.Equal(r.offsets, []uint64{4, 5})
+		is.Equal(r.State().Restores, uint64(1))
+	})
+}
+
+func TestFollowerDoesNotFollowAnotherLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := standin.NewLog()
+		r := follow(t, l, nil)
+		add(is, l, 3)
+		time.Sleep(time.Second)
+		l.Reset("2") // another epoch
+		add(is, l, 9)
+		time.Sleep(time.Minute)
+		is.Equal(r.Offset(), uint64(3))
+		is.True(!r.Healthy())
+		l.Reset("1") // the same epoch with an end behind what was applied
+		add(is, l, 1)
+		time.Sleep(time.Minute)
+		is.Equal(r.offsets, []uint64{1, 2, 3})
+		is.True(!r.Healthy())
+	})
+}
+
+func TestFollowerCountsSlowReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := standin.NewLog()
+		r := follow(t, l, nil)
+		add(is, l, 1)
+		l.SetDelay(4 * time.Second)
+		time.Sleep(time.Minute)
+		is.True(r.State().SlowReads > 0)
+		is.True(r.Healthy())
+	})
+}
