--- a/internal/entry/server/configlog.go
+++ b/internal/entry/server/configlog.go
@@ -10,7 +10,7 @@
 
 // startConfig starts what follows and changes the configuration.
 func (s *Server) startConfig(logger *log.Logger) {
-	s.logClient = logservice.NewClient(s.cfg.LogURL)
+	s.logClient = logservice.NewClient(s.cfg.Network, s.cfg.LogURL)
 	s.logLimiter = logservice.NewLimiter(logservice.DefaultEntryAppends)
 	s.configLog = logservice.NewAppender(logservice.AppenderConfig{
 		Append:  s.logClient.Appends(resource.Stream),
