--- a/internal/entry/server/peers.go
+++ b/internal/entry/server/peers.go
@@ -35,6 +35,13 @@
 	})
 }
 
+// VM returns the name of the entry's VM.
+func (s *Server) VM() string { return s.cfg.VM }
+
+// InForce returns how many live entries are known to have the configuration's
+// offset in force.
+func (s *Server) InForce(offset uint64) int { return s.peers.InForce(offset).Seen }
+
 // leave tells the other entries that this one gets no new work.
 func (p *peers) leave() { p.node.Leave() }
 
@@ -47,7 +54,9 @@
 }
 
 // OwnerGone reports whether the incarnation of an entry is known to be gone.
-func (p *peers) OwnerGone(vm string, incarnation uint64) bool { return p.node.OwnerGone(vm, incarnation) }
+func (p *peers) OwnerGone(vm string, incarnation uint64) bool {
+	return p.node.OwnerGone(vm, incarnation)
+}
 
 // Rank returns this entry's rank among the live ones of its failure domain.
 func (p *peers) Rank() (rank, of int) { return p.node.Rank() }
--- a/internal/peer/membership/node.go
+++ b/internal/peer/membership/node.go
@@ -34,13 +34,16 @@
 	// An entry reports at most once in reportPerEntry for each live entry of its
 	// failure domain, so that the bytes do not grow with it.
 	reportPerEntry = 100 * time.Millisecond
-	reportMin      = time.Second
-	reportRefresh  = 30 * time.Second
-	bridgeEvery    = 2 * time.Second
-	joinFirst      = 200 * time.Millisecond
-	joinMax        = 5 * time.Second
-	rejoinEvery    = 30 * time.Second
-	maxContacts    = 8 // of a failure domain
+	reportLeast    = 200 * time.Millisecond
+	// In a small failure domain a new offset is told at once.
+	pushOffsets   = 8 // entries
+	reportRefresh = 30 * time.Second
+	bridgeEvery   = 2 * time.Second
+	joinFirst     = 200 * time.Millisecond
+	joinMax       = 5 * time.Second
+	rejoinEvery   = 30 * time.Second
+	maxContacts   = 8 // of a failure domain
+	settledFor    = 100 * time.Millisecond
 )
 
 // Config holds what a node needs.
@@ -87,8 +90,11 @@
 	started   time.Time
 	contacted time.Time // when a call last succeeded
 	reported  time.Time
-	met       bool // another entry was ever met
 	suspected int64
+
+	settled    []string // entries that own duties, at a position of the table and a time
+	settledPos uint64
+	settledAt  time.Time
 }
 
 // New starts a node and serves its calls on the link. Close ends it.
@@ -287,11 +293,11 @@
 	}
 	return func() bool {
 		defer cancel()
-		any := false
+		ok := false
 		for range helpers {
-			any = <-answers || any
+			ok = <-answers || ok
 		}
-		return any
+		return ok
 	}
 }
 
@@ -392,7 +398,7 @@
 	for {
 		n.publish()
 		n.mu.Lock()
-		every := max(reportMin, reportPerEntry*time.Duration(len(n.table.live())))
+		every := max(reportLeast, reportPerEntry*time.Duration(len(n.table.live())))
 		n.table.forget()
 		n.measure()
 		n.mu.Unlock()
@@ -415,6 +421,9 @@
 	if known && proto.Equal(old, r) && n.now().Sub(n.reported) < reportRefresh {
 		return
 	}
+	if r.GetOffset() != old.GetOffset() && len(n.table.live()) <= pushOffsets {
+		n.urgent()
+	}
 	r.Version++
 	n.reported = n.now()
 	n.reports.put(n.cfg.VM, r, n.cfg.VM, n.now())
--- a/internal/peer/membership/ring.go
+++ b/internal/peer/membership/ring.go
@@ -8,9 +8,6 @@
 	"github.com/zeebo/xxh3"
 )
 
-// hash returns the short hash of a name that records carry.
-func hash(name string) uint32 { return uint32(xxh3.HashString(name)) }
-
 // ring returns the names in the order of their hashes, which no two parts of a
 // rack share.
 func ring(names []string) []string {
--- a/internal/peer/membership/view.go
+++ b/internal/peer/membership/view.go
@@ -123,7 +123,10 @@
 	if n.isolated() {
 		return n.cfg.VM
 	}
-	return owner(n.table.settled(), upstream)
+	if now := n.now(); n.settledPos != n.table.feed.pos || now.Sub(n.settledAt) >= settledFor {
+		n.settled, n.settledPos, n.settledAt = n.table.settled(), n.table.feed.pos, now
+	}
+	return owner(n.settled, upstream)
 }
 
 // standsIn reports whether the own failure domain looks after the upstream of one
@@ -239,3 +242,11 @@
 		return StateLive
 	}
 }
+
+// CutOff returns how many entries of the own failure domain may be serving where
+// they can't be reached from here.
+func (n *Node) CutOff() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.table.live()) - len(n.live()) + n.table.cutOff()
+}
--- a/internal/peer/memberwire/member.twirp.go
+++ b/internal/peer/memberwire/member.twirp.go
@@ -5,23 +5,36 @@
 
 package memberwire
 
-import context "context"
-import fmt "fmt"
-import http "net/http"
-import io "io"
-import json "encoding/json"
-import strconv "strconv"
-import strings "strings"
-
-import protojson "google.golang.org/protobuf/encoding/protojson"
-import proto "google.golang.org/protobuf/proto"
-import twirp "github.com/twitchtv/twirp"
-import ctxsetters "github.com/twitchtv/twirp/ctxsetters"
-
-import bytes "bytes"
-import errors "errors"
-import path "path"
-import url "net/url"
+import (
+	context "context"
+	fmt "fmt"
+
+	http "net/http"
+
+	io "io"
+
+	json "encoding/json"
+
+	strconv "strconv"
+
+	strings "strings"
+
+	protojson "google.golang.org/protobuf/encoding/protojson"
+
+	proto "google.golang.org/protobuf/proto"
+
+	twirp "github.com/twitchtv/twirp"
+
+	ctxsetters "github.com/twitchtv/twirp/ctxsetters"
+
+	bytes "bytes"
+
+	errors "errors"
+
+	path "path"
+
+	url "net/url"
+)
 
 // Version compatibility assertion.
 // If the constant is not defined in the package, that likely means
