Report the slowdown of short prompts beside long ones

Cause: the users weigh how much short requests slow down when long ones are present; the load tool did not tell.

Change: load compares the first token of prompts up to 4k sent while one over 32k was in flight with that of the others.

Measured: unit test only (300 ms beside against 100 ms alone gives 3.0).

--- a/internal/command/load/load.go
+++ b/internal/command/load/load.go
@@ -110,10 +110,11 @@
 		case <-next.C:
 			j := draw(cfg, r, sent)
 			sent++
-			if rep.begin() > maxInFlight {
-				rep.end(j.tokens, outcome{code: "not_sent"})
+			end, inFlight := rep.begin(j.tokens)
+			if inFlight > maxInFlight {
+				end(outcome{code: "not_sent"})
 			} else {
-				wg.Go(func() { rep.end(j.tokens, send(ctx, cfg, j)) })
+				wg.Go(func() { end(send(ctx, cfg, j)) })
 			}
 			next.Reset(time.Duration(r.ExpFloat64() / cfg.Rate * float64(time.Second)))
 		}
--- a/internal/command/load/load_test.go
+++ b/internal/command/load/load_test.go
@@ -46,15 +46,21 @@
 func TestReportBySize(t *testing.T) {
 	is := is.New(t)
 	r := newReport()
-	r.begin()
-	r.end(200_000, outcome{code: "ok", first: 2 * time.Second, tokens: 3, gaps: []time.Duration{time.Millisecond}})
-	r.begin()
-	r.end(1_000, outcome{code: "overloaded"})
+	endAlone, _ := r.begin(1_000)
+	endAlone(outcome{code: "ok", first: 100 * time.Millisecond, tokens: 1})
+	endLong, _ := r.begin(200_000)
+	endBeside, inFlight := r.begin(1_000)
+	is.Equal(inFlight, 2)
+	endLong(outcome{code: "ok", first: 2 * time.Second, tokens: 3, gaps: []time.Duration{time.Millisecond}})
+	endBeside(outcome{code: "ok", first: 300 * time.Millisecond, tokens: 1})
+	endRefused, _ := r.begin(1_000)
+	endRefused(outcome{code: "overloaded"})
 	s := r.Summary()
 	is.Equal(s.Classes[3].OK, 1)
 	is.True(s.Classes[3].FirstP50 > 1990 && s.Classes[3].FirstP50 < 2010)
 	is.Equal(s.Results["overloaded"], 1)
 	is.Equal(s.InFlight, 0)
+	is.True(s.ShortSlowdown > 2.9 && s.ShortSlowdown < 3.1)
 }
 
 func TestPromptLength(t *testing.T) {
--- a/internal/command/load/report.go
+++ b/internal/command/load/report.go
@@ -44,44 +44,70 @@
 	started  time.Time
 	took     time.Duration
 	inFlight int
+	long     int // in flight that are long
 	tokens   int
 	classes  []*figures
+	beside   *hdrhistogram.Histogram // first token of short prompts sent while a long one was in flight
+	alone    *hdrhistogram.Histogram // first token of the other short prompts
 }
 
 func newReport() *Report {
-	r := &Report{started: time.Now()}
+	r := &Report{started: time.Now(), beside: newHistogram(), alone: newHistogram()}
 	for range classes {
-		r.classes = append(r.classes, &figures{
-			first: hdrhistogram.New(1, histogramMax, histogramDigits),
-			gap:   hdrhistogram.New(1, histogramMax, histogramDigits),
-			codes: map[string]int{},
-		})
+		r.classes = append(r.classes, &figures{first: newHistogram(), gap: newHistogram(), codes: map[string]int{}})
 	}
 	return r
 }
 
-// begin counts a request and returns how many are in flight.
-func (r *Report) begin() int {
+// newHistogram returns a histogram of microseconds.
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, histogramMax, histogramDigits)
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), histogramMax)) // in range
+}
+
+// begin counts a request. It returns how many are in flight and the function to
+// call with what became of it.
+func (r *Report) begin(tokens int) (end func(outcome), inFlight int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.inFlight++
-	return r.inFlight
+	beside := r.long > 0
+	if isLong(tokens) {
+		r.long++
+	}
+	return func(out outcome) { r.end(tokens, beside, out) }, r.inFlight
 }
 
-func (r *Report) end(tokens int, out outcome) {
+func isLong(tokens int) bool { return tokens > classes[1].upTo }
+
+func isShort(tokens int) bool { return tokens <= classes[0].upTo }
+
+func (r *Report) end(tokens int, beside bool, out outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.inFlight--
 	r.tokens += out.tokens
+	if isLong(tokens) {
+		r.long--
+	}
 	f := r.classes[classOf(tokens)]
 	f.sent++
 	f.codes[out.code]++
 	if out.tokens == 0 {
 		return
 	}
-	_ = f.first.RecordValue(min(max(out.first.Microseconds(), 1), histogramMax)) // in range
+	record(f.first, out.first)
 	for _, g := range out.gaps {
-		_ = f.gap.RecordValue(min(max(g.Microseconds(), 1), histogramMax)) // in range
+		record(f.gap, g)
+	}
+	switch {
+	case isShort(tokens) && beside:
+		record(r.beside, out.first)
+	case isShort(tokens):
+		record(r.alone, out.first)
 	}
 }
 
@@ -102,6 +128,9 @@
 	Tokens   int            `json:"tokens"`
 	Classes  []ClassSummary `json:"classes"`
 	Results  map[string]int `json:"results"` // by code
+	// ShortSlowdown is the first token's p95 of prompts up to 4k that were sent while
+	// one over 32k was in flight, over that of the others; 0 where there were none.
+	ShortSlowdown float64 `json:"shortSlowdown"`
 }
 
 // ClassSummary is the figures of a class. Times are in milliseconds.
@@ -134,6 +163,9 @@
 			s.Results[code] += n
 		}
 	}
+	if r.beside.TotalCount() > 0 && r.alone.TotalCount() > 0 {
+		s.ShortSlowdown = float64(r.beside.ValueAtQuantile(95)) / float64(r.alone.ValueAtQuantile(95))
+	}
 	return s
 }
 
@@ -164,5 +196,8 @@
 	if err == nil {
 		_, err = fmt.Fprintln(w)
 	}
+	if err == nil && s.ShortSlowdown > 0 {
+		_, err = fmt.Fprintf(w, "short prompts' first token beside long ones: %.2f times that without (p95)\n", s.ShortSlowdown)
+	}
 	return err
 }
