Mend the deadlines of the in-memory network and note refused openings

Cause: a timer that had fired but not run yet closed the channel of a later deadline, so a request's context ended for no reason; and an engine that is leaving noted only what it took, so that no test could see work sent to it.

Change: a deadline has a number that its timer checks; a past deadline ends waits at once; Opened lists refused requests too.

--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -65,15 +65,17 @@
 	Finish   string `json:"finish,omitempty"`
 }
 
-// Opening is a stream that an engine took, whatever became of it.
+// Opening is a request for a stream that reached an engine, whatever became of it.
 type Opening struct {
-	Stream string
-	Owner  Owner
-	Time   time.Time
+	Stream  string
+	Owner   Owner
+	Time    time.Time
+	Taken   bool // the engine ran it or a part of it
+	Leaving bool // the engine was leaving
 }
 
-// Opened lists the last maxOpened streams that the engine took, in order. It
-// outlives a restart.
+// Opened lists the last maxOpened requests for a stream, in order. It outlives a
+// restart.
 func (e *Engine) Opened() []Opening {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -162,21 +164,19 @@
 func (e *Engine) Open(req StreamRequest) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if err := e.check(req); err != nil {
+	s := newStream(req)
+	err := e.check(s)
+	e.remember(Opening{Stream: req.Stream, Owner: req.Owner, Time: time.Now(), Taken: err == nil, Leaving: e.leaving})
+	if err != nil {
 		return err
 	}
-	s := newStream(req)
-	if s.reserve > e.cfg.Memory {
-		return fail("open", KindInvalid, fmt.Errorf("%d tokens exceed the memory of %d", s.reserve, e.cfg.Memory))
-	}
-	if req.Hold != "" && !e.release(req.Hold) {
-		return fail("open", KindNotFound, fmt.Errorf("hold %q", req.Hold))
+	if req.Hold != "" {
+		e.release(req.Hold)
 	}
 	e.arrivals++
 	s.arrival = e.arrivals
 	e.streams[req.Stream] = s
 	e.queue = append(e.queue, s)
-	e.remember(Opening{Stream: req.Stream, Owner: req.Owner, Time: time.Now()})
 	if req.Hold != "" && e.used+s.reserve <= e.cfg.Memory {
 		s.admitted = true
 		e.used += s.reserve
@@ -192,7 +192,8 @@
 	e.opened = append(e.opened, o)
 }
 
-func (e *Engine) check(req StreamRequest) error {
+func (e *Engine) check(s *stream) error {
+	req := s.req
 	switch {
 	case e.dead:
 		return fail("open", KindDead, nil)
@@ -206,6 +207,10 @@
 		return fail("open", KindConflict, fmt.Errorf("stream %q", req.Stream))
 	case len(e.queue) >= MaxQueue:
 		return fail("open", KindFull, fmt.Errorf("queue has %d streams", len(e.queue)))
+	case s.reserve > e.cfg.Memory:
+		return fail("open", KindInvalid, fmt.Errorf("%d tokens exceed the memory of %d", s.reserve, e.cfg.Memory))
+	case req.Hold != "" && e.holds[req.Hold] == nil:
+		return fail("open", KindNotFound, fmt.Errorf("hold %q", req.Hold))
 	}
 	return nil
 }
--- a/internal/standin/network/conn.go
+++ b/internal/standin/network/conn.go
@@ -74,15 +74,17 @@
 // deadline ends the waits of one direction.
 type deadline struct {
 	mu    sync.Mutex
+	set   uint64 // counts the calls of setAt: a timer of an earlier one does nothing
 	timer *time.Timer
 	over  chan struct{}
 }
 
 func newDeadline() *deadline { return &deadline{over: make(chan struct{})} }
 
-func (d *deadline) set(t time.Time) {
+func (d *deadline) setAt(t time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.set++
 	if d.timer != nil {
 		d.timer.Stop()
 		d.timer = nil
@@ -92,19 +94,23 @@
 		d.over = make(chan struct{})
 	default:
 	}
-	if t.IsZero() {
-		return
+	left := time.Until(t)
+	switch {
+	case t.IsZero():
+	case left <= 0:
+		close(d.over)
+	default:
+		set := d.set
+		d.timer = time.AfterFunc(left, func() { d.expire(set) })
+	}
+}
+
+func (d *deadline) expire(set uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.set == set {
+		close(d.over)
 	}
-	over := d.over
-	d.timer = time.AfterFunc(time.Until(t), func() {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		select {
-		case <-over:
-		default:
-			close(over)
-		}
-	})
 }
 
 func (d *deadline) wait() <-chan struct{} {
@@ -167,8 +173,8 @@
 	c.once.Do(func() {
 		c.out.update(func() { c.out.closed = true })
 		c.in.update(func() { c.in.reset = true })
-		c.readBy.set(time.Time{})
-		c.writeBy.set(time.Time{})
+		c.readBy.setAt(time.Time{})
+		c.writeBy.setAt(time.Time{})
 		c.forget()
 	})
 	return nil
@@ -186,20 +192,20 @@
 
 // SetDeadline sets both deadlines.
 func (c *conn) SetDeadline(t time.Time) error {
-	c.readBy.set(t)
-	c.writeBy.set(t)
+	c.readBy.setAt(t)
+	c.writeBy.setAt(t)
 	return nil
 }
 
 // SetReadDeadline ends the reads after t.
 func (c *conn) SetReadDeadline(t time.Time) error {
-	c.readBy.set(t)
+	c.readBy.setAt(t)
 	return nil
 }
 
 // SetWriteDeadline ends the writes after t.
 func (c *conn) SetWriteDeadline(t time.Time) error {
-	c.writeBy.set(t)
+	c.writeBy.setAt(t)
 	return nil
 }
 
--- a/internal/standin/network/network_test.go
+++ b/internal/standin/network/network_test.go
@@ -73,6 +73,24 @@
 	})
 }
 
+func TestDeadlineThatWasReplacedDoesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, s := connect(t, network.New())
+		for range 100 {
+			is.NoErr(s.SetReadDeadline(time.Unix(1, 0)))
+			is.NoErr(s.SetReadDeadline(time.Time{}))
+			_, err := c.Write([]byte("x"))
+			is.NoErr(err)
+			_, err = s.Read(make([]byte, 1))
+			is.NoErr(err)
+		}
+		is.NoErr(s.SetReadDeadline(time.Now().Add(time.Second)))
+		_, err := s.Read(make([]byte, 1))
+		is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	})
+}
+
 func TestKillResets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
