--- a/internal/command/cli/dev.go
+++ b/internal/command/cli/dev.go
@@ -10,10 +10,12 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/entry/server"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/client"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/engine"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/vmlist"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/world"
 )
 
@@ -22,6 +24,7 @@
 	devHost        = "127.0.0.1"
 	devEntries     = 2
 	devEngines     = 3
+	devDomain      = "a"
 	devModel       = "assistant-1"
 	devPeerKey     = "peer-dev-key"
 	devToken       = "operator-dev-token"
@@ -62,7 +65,7 @@
 }
 
 func startDev(port int, engines []engine.Config, logger *log.Logger) (*devWorld, error) {
-	standins, err := world.Start(engines, devListLag)
+	standins, err := world.Start(world.SameHost(netio.TCP()), engines, devListLag)
 	if err != nil {
 		return nil, err
 	}
@@ -82,8 +85,9 @@
 		seeds = append(seeds, e.PeerAddr())
 	}
 	s, err := server.New(server.Config{
+		Network:        netio.TCP(),
 		VM:             fmt.Sprintf("entry-%d", i+1),
-		FailureDomain:  "a",
+		FailureDomain:  devDomain,
 		Listen:         fmt.Sprintf("%s:%d", devHost, port),
 		PeerListen:     devHost + ":0",
 		PeerKey:        devPeerKey,
@@ -99,6 +103,7 @@
 		return fmt.Errorf("port %d can't be used (--port moves it): %w", port, err)
 	}
 	w.entries = append(w.entries, s)
+	w.VMs.Put(vmlist.VM{Name: s.VM(), Address: s.PeerAddr(), FailureDomain: devDomain, State: vmlist.StateLive})
 	return nil
 }
 
@@ -120,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	c := client.New("http://"+w.entries[0].Addr(), devToken)
+	c := client.New(netio.TCP(), "http://"+w.entries[0].Addr(), devToken)
 	for _, o := range objects {
 		if _, err := c.Put(ctx, o); err != nil {
 			return err
@@ -129,12 +134,14 @@
 	return w.awaitInForce(ctx)
 }
 
-// awaitInForce waits until both entries have the objects and have seen the engines.
+// awaitInForce waits until both entries have the objects, have seen the engines and
+// know each other and that the objects are in force.
 func (w *devWorld) awaitInForce(ctx context.Context) error {
 	for _, s := range w.entries {
 		for {
 			st := s.State()
-			if st.Config.Offset >= w.entries[0].State().Config.Offset && len(st.Engines) == devEngines {
+			offset := w.entries[0].State().Config.Offset
+			if st.Config.Offset >= offset && len(st.Engines) == devEngines && s.InForce(offset) == devEntries {
 				break
 			}
 			select {
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -21,7 +21,6 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/service"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/api"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
-	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/link"
 	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
@@ -45,7 +44,10 @@
 	incarnation uint64
 	started     time.Time
 	metrics     *metrics
+	logClient   *logservice.Client
+	logLimiter  *logservice.Limiter // shared by all appenders of the entry
 	store       *config.Store
+	configLog   *logservice.Appender
 	fleet       *fleet.Fleet
 	placer      *placement.Placer
 	openai      *openai.Handler
@@ -57,6 +59,7 @@
 	link        *link.Link
 	peerHTTP    *http.Server
 	peerLn      net.Listener
+	peers       *peers
 	leaving     atomic.Bool
 	refusing    atomic.Bool
 	busy        atomic.Int64 // requests in progress
@@ -67,18 +70,18 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp", cfg.Listen)
+	ln, err := cfg.Network.Listen(cfg.Listen)
 	if err != nil {
 		return nil, fail("start", KindListen, fmt.Errorf("--listen %s: %w", cfg.Listen, err))
 	}
-	peerLn, err := net.Listen("tcp", cfg.PeerListen)
+	peerLn, err := cfg.Network.Listen(cfg.PeerListen)
 	if err != nil {
 		_ = ln.Close() // nothing was served on it
 		return nil, fail("start", KindListen, fmt.Errorf("--peer-listen %s: %w", cfg.PeerListen, err))
 	}
 	s := &Server{
 		cfg:         cfg,
-		link:        link.New(cfg.VM, cfg.PeerKey),
+		link:        link.New(cfg.Network, cfg.VM, cfg.PeerKey),
 		peerLn:      peerLn,
 		log:         logger.WithPrefix("entry"),
 		incarnation: uint64(time.Now().UnixNano()),
@@ -107,12 +110,13 @@
 
 func (s *Server) startParts(logger *log.Logger) {
 	owner := engine.Owner{VM: s.cfg.VM, Incarnation: s.incarnation}
-	s.store = config.NewStore(config.LogSeams(logservice.NewClient(s.cfg.LogURL)), logger)
-	s.fleet = fleet.New(s.store.View, logger)
+	s.startConfig(logger)
+	s.startPeers(logger)
+	s.fleet = fleet.New(s.cfg.Network, s.store.View, logger)
 	s.placer = placement.New(owner, s.cfg.FailureDomain, s.fleet, logger)
 	s.startStreams(owner, logger)
-	s.service = service.NewHandler(s.store.View, s.metrics.scope, logger)
-	s.api = api.NewHandler(s.store, api.Seams{Authorized: s.authorized, InForce: s.inForce}, logger)
+	s.service = service.NewHandler(s.cfg.Network, s.store.View, s.metrics.scope, logger)
+	s.api = api.NewHandler(s.store, api.Seams{Authorized: s.authorized, InForce: s.peers.InForce}, logger)
 }
 
 // Addr returns the address that the entry listens on.
@@ -132,6 +136,7 @@
 // KindDrain where requests were still in progress.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.leaving.Store(true)
+	s.peers.leave()
 	s.log.Info("Leaving.", "in_progress", s.busy.Load())
 	wait(ctx, acceptWhileLeaving)
 	s.refusing.Store(true)
@@ -157,12 +162,13 @@
 	if err := s.http.ShutdownWithContext(ctx); err != nil {
 		s.log.Warn("Connections were open at the end.", "err", err)
 	}
+	s.peers.stop()
 	if err := s.peerHTTP.Close(); err != nil {
 		s.log.Warn("Peer connections were open at the end.", "err", err)
 	}
 	s.stopStreams()
 	s.fleet.Close()
-	s.store.Close()
+	s.stopConfig()
 	if err := s.metrics.closer.Close(); err != nil {
 		s.log.Warn("Metrics could not be closed.", "err", err)
 	}
@@ -179,15 +185,6 @@
 	return subtle.ConstantTimeCompare([]byte(token), []byte(s.cfg.OperatorToken)) == 1
 }
 
-// inForce counts the entries that have an offset in force.
-func (s *Server) inForce(offset uint64) resource.InForce {
-	f := resource.InForce{Of: 1}
-	if s.store.View().Offset() >= offset {
-		f.Seen = 1
-	}
-	return f
-}
-
 // route finds the handler of a request.
 func (s *Server) route(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
--- a/internal/entry/server/streams.go
+++ b/internal/entry/server/streams.go
@@ -14,7 +14,10 @@
 		View: s.store.View, Place: s.placer.Place, Hold: s.hold,
 		Engine: s.engineClient, Owner: owner, IDKey: s.cfg.PeerKey,
 	}, s.metrics.scope, logger)
-	s.orphans = orphan.NewCollector(orphan.Seams{Self: owner, Engines: s.orphanEngines, Serving: s.openai.Streams}, s.metrics.scope, logger)
+	s.orphans = orphan.NewCollector(orphan.Seams{
+		Self: owner, Engines: s.orphanEngines, Serving: s.openai.Streams,
+		Owns: s.peers.Owns, OwnerGone: s.peers.OwnerGone,
+	}, s.metrics.scope, logger)
 	s.orphans.Run()
 }
 
--- a/internal/entry/server/streams_test.go
+++ b/internal/entry/server/streams_test.go
@@ -15,6 +15,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/client"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/engine"
@@ -71,7 +72,7 @@
 func newBench(t *testing.T, entries int, cfgs []engine.Config) *bench {
 	t.Helper()
 	t.Parallel() // it waits for sockets more than it computes
-	w, err := world.Start(cfgs, 0)
+	w, err := world.Start(world.SameHost(netio.TCP()), cfgs, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -89,7 +90,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := client.New("http://"+b.entries[0].Addr(), testToken)
+	c := client.New(netio.TCP(), "http://"+b.entries[0].Addr(), testToken)
 	for _, o := range list {
 		if _, err := c.Put(t.Context(), o); err != nil {
 			t.Fatal(err)
@@ -106,7 +107,7 @@
 	s, err := New(Config{
 		VM: vm, FailureDomain: "a", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
 		PeerKey: "peer-key-1", LogURL: b.LogURL(), VMListURL: b.VMListURL(), WeightStoreURL: b.WeightStoreURL(),
-		OperatorToken: testToken, MaxBodyBytes: MaxBody, Drain: testDrain,
+		Network: netio.TCP(), OperatorToken: testToken, MaxBodyBytes: MaxBody, Drain: testDrain,
 	}, log.New(io.Discard))
 	if err != nil {
 		b.t.Fatal(err)
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -5,10 +5,10 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/engine"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/logservice"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/orderdesk"
@@ -41,8 +41,17 @@
 	weights  string
 }
 
+// Hosts returns the network as a host sees it. The hosts are named like the
+// engines, "desk", "registry" and "platform".
+type Hosts func(host string) *netio.Network
+
+// SameHost returns the hosts of a world that runs on one machine.
+func SameHost(network *netio.Network) Hosts {
+	return func(string) *netio.Network { return network }
+}
+
 // Start starts an engine for each configuration and the rest.
-func Start(engines []engine.Config, listLag time.Duration) (*World, error) {
+func Start(hosts Hosts, engines []engine.Config, listLag time.Duration) (*World, error) {
 	w := &World{
 		Desk:     orderdesk.NewDesk(),
 		Registry: registry.New(),
@@ -51,21 +60,21 @@
 		Weights:  weightstore.New(weightRate, weightWait),
 	}
 	var errList []error
-	serve := func(srv *http.Server) string {
-		addr, err := w.serve(srv)
+	serve := func(host string, srv *http.Server) string {
+		addr, err := w.serve(hosts(host), srv)
 		errList = append(errList, err)
 		return addr
 	}
 	for _, cfg := range engines {
 		e := engine.New(cfg)
 		w.Engines = append(w.Engines, e)
-		w.engines = append(w.engines, serve(e.Server()))
+		w.engines = append(w.engines, serve(cfg.Name, e.Server()))
 	}
-	w.desk = serve(plain(w.Desk.Handler()))
-	w.registry = serve(plain(w.Registry.Handler()))
-	w.log = serve(plain(w.Log.Handler()))
-	w.vms = serve(plain(w.VMs.Handler()))
-	w.weights = serve(plain(w.Weights.Handler()))
+	w.desk = serve("desk", plain(w.Desk.Handler()))
+	w.registry = serve("registry", plain(w.Registry.Handler()))
+	w.log = serve("platform", plain(w.Log.Handler()))
+	w.vms = serve("platform", plain(w.VMs.Handler()))
+	w.weights = serve("platform", plain(w.Weights.Handler()))
 	if err := errors.Join(errList...); err != nil {
 		w.Close()
 		return nil, err
@@ -108,8 +117,8 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 }
 
-func (w *World) serve(srv *http.Server) (string, error) {
-	ln, err := net.Listen("tcp", host+":0")
+func (w *World) serve(network *netio.Network, srv *http.Server) (string, error) {
+	ln, err := network.Listen(host + ":0")
 	if err != nil {
 		return "", err
 	}
