--- a/internal/command/cli/cli_test.go
+++ b/internal/command/cli/cli_test.go
@@ -248,7 +248,7 @@
 }
 
 var changing = []*regexp.Regexp{
-	regexp.MustCompile(`("(?:incarnation|uptimeMs|reportAgeMs|slowReads)": )-?\d+`),
+	regexp.MustCompile(`("(?:incarnation|uptimeMs|reportAgeMs|slowReads|viaPeers)": )-?\d+`),
 	regexp.MustCompile(`("(?:address|time)": )"[^"]*"`),
 }
 
--- a/internal/command/cli/dev.go
+++ b/internal/command/cli/dev.go
@@ -31,6 +31,7 @@
 	devMaxBody     = 32 << 20 // bytes
 	devDrain       = 10 * time.Second
 	devListLag     = 2 * time.Second
+	devRetention   = 24 * time.Hour
 	devReadyWait   = 10 * time.Second
 )
 
@@ -91,6 +92,7 @@
 		PeerKey:        devPeerKey,
 		Seeds:          seeds,
 		LogURL:         w.LogURL(),
+		LogRetention:   devRetention,
 		VMListURL:      w.VMListURL(),
 		WeightStoreURL: w.WeightStoreURL(),
 		OperatorToken:  devToken,
--- a/internal/command/cli/entry.go
+++ b/internal/command/cli/entry.go
@@ -24,6 +24,7 @@
 		PeerKey:        o.PeerKey,
 		Seeds:          o.Seeds,
 		LogURL:         o.LogURL,
+		LogRetention:   o.LogRetention,
 		VMListURL:      o.VMListURL,
 		WeightStoreURL: o.WeightStoreURL,
 		OperatorToken:  o.OperatorToken,
--- a/internal/command/cli/options.go
+++ b/internal/command/cli/options.go
@@ -60,6 +60,7 @@
 	PeerKey        string        `help:"Key that all entries share; at least 8 characters." required:"true"`
 	Seeds          []string      `help:"Peer addresses of some entries, host:port; none starts alone."`
 	LogURL         string        `help:"Platform's log service, http://host:port." required:"true"`
+	LogRetention   time.Duration `help:"How long the log keeps a record; snapshots of the configuration are written well before." default:"24h"`
 	VMListURL      string        `help:"Platform's VM list, http://host:port." required:"true"`
 	WeightStoreURL string        `help:"Platform's weight store, http://host:port." required:"true"`
 	OperatorToken  string        `help:"Token that operators send; at least 8 characters." required:"true"`
--- a/internal/entry/server/config.go
+++ b/internal/entry/server/config.go
@@ -6,6 +6,8 @@
 	"net/url"
 	"time"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
+
 	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 )
 
@@ -26,6 +28,7 @@
 	PeerKey        string   // shared by all entries
 	Seeds          []string // host:port of the peer addresses of some entries
 	LogURL         string
+	LogRetention   time.Duration // how long the log keeps a record
 	VMListURL      string
 	WeightStoreURL string
 	OperatorToken  string
@@ -64,6 +67,9 @@
 			return setting(f.flag, "(hidden)", fmt.Sprintf("at least %d characters", minSecrets))
 		}
 	}
+	if c.LogRetention < config.MinRetention || c.LogRetention > config.MaxRetention {
+		return setting("--log-retention", c.LogRetention, fmt.Sprintf("%s to %s", config.MinRetention, config.MaxRetention))
+	}
 	if c.MaxBodyBytes < 1 || c.MaxBodyBytes > MaxBody {
 		return setting("--max-body-bytes", c.MaxBodyBytes, fmt.Sprintf("1 to %d", MaxBody))
 	}
--- a/internal/entry/server/configlog.go
+++ b/internal/entry/server/configlog.go
@@ -1,25 +1,80 @@
 package server
 
 import (
+	"context"
+
 	"github.com/charmbracelet/log"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/configrelay"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/configwire"
 	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
 )
 
+// snapshotPage is the number of records of the snapshots' stream read at once.
+const snapshotPage = 16
+
+// configLog is what joins the configuration to the log and to other entries.
+type configLog struct {
+	client    *logservice.Client
+	limiter   *logservice.Limiter // shared by all appenders of the entry
+	changes   *logservice.Appender
+	snapshots *logservice.Appender
+	relay     *configrelay.Relay
+}
+
+// ConfigLogState is the part of the state dump about the ways to the log.
+type ConfigLogState struct {
+	Changes   logservice.AppenderState `json:"changes"`
+	Snapshots logservice.AppenderState `json:"snapshots"`
+	Relay     configrelay.State        `json:"relay"`
+}
+
 // startConfig starts what follows and changes the configuration.
 func (s *Server) startConfig(logger *log.Logger) {
-	s.logClient = logservice.NewClient(s.cfg.Network, s.cfg.LogURL)
-	s.logLimiter = logservice.NewLimiter(logservice.DefaultEntryAppends)
-	s.configLog = logservice.NewAppender(logservice.AppenderConfig{
-		Append:  s.logClient.Appends(resource.Stream),
-		Limiter: s.logLimiter,
+	c := &s.configLog
+	c.client = logservice.NewClient(s.cfg.Network, s.cfg.LogURL)
+	c.limiter = logservice.NewLimiter(logservice.DefaultEntryAppends)
+	c.changes = logservice.NewAppender(logservice.AppenderConfig{Append: c.client.Appends(resource.Stream), Limiter: c.limiter})
+	c.snapshots = logservice.NewAppender(logservice.AppenderConfig{Append: c.client.Appends(config.SnapshotStream), Limiter: c.limiter})
+	c.relay = configrelay.New(configrelay.Seams{
+		Read:   c.client.Reads(resource.Stream),
+		Append: c.changes.Append,
+		Peers:  s.configPeers,
+		Do:     s.link.Do,
 	})
-	s.store = config.NewStore(config.Seams{Read: s.logClient.Reads(resource.Stream), Append: s.configLog.Append}, logger)
+	s.store = config.NewStore(config.Seams{
+		Read:           c.relay.Read,
+		Append:         c.relay.Append,
+		ReadSnapshots:  c.client.ReadsFew(config.SnapshotStream, snapshotPage),
+		AppendSnapshot: c.snapshots.Append,
+		PeerState:      c.relay.PeerState,
+	}, config.Settings{Retention: s.cfg.LogRetention}, logger)
+	s.link.Handle(configwire.ConfigRelayPathPrefix, configrelay.NewServer(configrelay.ServerSeams{
+		Records: s.store.Records,
+		State:   s.store.Encoded,
+		Append:  func(ctx context.Context, rec []byte) (uint64, error) { return c.changes.Append(ctx, rec) },
+		Source:  func() (int, bool) { return c.relay.Hops(), s.store.Healthy() },
+	}))
+}
+
+// configPeers returns the entries that the configuration can be had from.
+func (s *Server) configPeers() []configrelay.Peer {
+	var out []configrelay.Peer
+	for _, addr := range s.cfg.Seeds {
+		out = append(out, configrelay.Peer{VM: addr, Address: addr})
+	}
+	return out
 }
 
 func (s *Server) stopConfig() {
-	s.configLog.Close()
+	s.configLog.changes.Close()
+	s.configLog.snapshots.Close()
 	s.store.Close()
+	s.configLog.relay.Close()
+}
+
+func (c *configLog) state() ConfigLogState {
+	return ConfigLogState{Changes: c.changes.State(), Snapshots: c.snapshots.State(), Relay: c.relay.State()}
 }
--- a/internal/entry/server/process.go
+++ b/internal/entry/server/process.go
@@ -21,6 +21,7 @@
 	Leaving       bool                 `json:"leaving"`
 	Busy          int64                `json:"busy"` // requests in progress
 	Config        config.State         `json:"config"`
+	ConfigLog     ConfigLogState       `json:"configLog"`
 	Placement     placement.State      `json:"placement"`
 	Engines       []fleet.EngineState  `json:"engines"`
 	Streams       []openai.StreamState `json:"streams"`
@@ -36,6 +37,7 @@
 		Leaving:       s.leaving.Load(),
 		Busy:          s.busy.Load(),
 		Config:        s.store.State(),
+		ConfigLog:     s.configLog.state(),
 		Placement:     s.placer.State(),
 		Engines:       s.fleet.State(),
 		Streams:       s.openai.State(),
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -23,7 +23,6 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/link"
-	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
@@ -44,10 +43,8 @@
 	incarnation uint64
 	started     time.Time
 	metrics     *metrics
-	logClient   *logservice.Client
-	logLimiter  *logservice.Limiter // shared by all appenders of the entry
+	configLog   configLog
 	store       *config.Store
-	configLog   *logservice.Appender
 	fleet       *fleet.Fleet
 	placer      *placement.Placer
 	openai      *openai.Handler
--- a/internal/operator/api/handler.go
+++ b/internal/operator/api/handler.go
@@ -36,6 +36,8 @@
 	Allowed  string `json:"allowed,omitempty"`
 	Current  uint64 `json:"current,omitempty"`  // version
 	ChangeID string `json:"changeId,omitempty"` // of a change whose fate is not known
+	Base     uint64 `json:"base,omitempty"`     // offset that settling the change needs
+	Earliest uint64 `json:"earliest,omitempty"` // offset that a watch can start from
 }
 
 // ErrorBody wraps an Error.
@@ -50,8 +52,16 @@
 	Items  []resource.Object `json:"items"`
 }
 
-// Event is a line of a watch. Type is "put", "delete" or "alive", which only
-// tells that the connection works and how far the entry has read.
+// The types of an event. EventAlive only tells that the connection works and how
+// far the entry has read. EventGone ends a watch that fell behind what is kept.
+const (
+	EventPut    = "put"
+	EventDelete = "delete"
+	EventAlive  = "alive"
+	EventGone   = "gone"
+)
+
+// Event is a line of a watch.
 type Event struct {
 	Type   string           `json:"type"`
 	Offset uint64           `json:"offset"`
@@ -87,6 +97,10 @@
 		return
 	}
 	kindName, name, _ := strings.Cut(strings.TrimPrefix(string(ctx.Path()), Prefix), "/")
+	if kindName == changesPath {
+		h.serveChange(ctx, name)
+		return
+	}
 	kind, err := resource.ParseType(kindName)
 	if err != nil || string(kind) != kindName {
 		write(ctx, fasthttp.StatusNotFound, Error{Code: "unknown_kind", Message: fmt.Sprintf("There is no kind %q.", kindName)})
@@ -153,29 +167,37 @@
 		err = o.Check()
 	}
 	if err != nil {
-		writeError(ctx, "", resource.Outcome{}, err)
+		writeError(ctx, resource.Change{}, resource.Outcome{}, err)
 		return
 	}
-	cur, exists := h.store.View().Object(kind, name)
-	if exists && resource.SameSpec(cur.Spec, o.Spec) && (o.Metadata.Version == 0 || o.Metadata.Version == cur.Metadata.Version) {
-		reply.JSON(ctx, fasthttp.StatusOK, h.withStatus(cur))
-		return
-	}
-	status := fasthttp.StatusOK
-	if o.Metadata.Version == 0 {
-		status = fasthttp.StatusCreated
-	}
 	c := resource.Change{
 		ID: o.Metadata.ChangeID, Op: resource.OpPut, Kind: kind, Name: name,
 		Replaces: o.Metadata.Version, Spec: o.Spec,
 	}
 	out, err := h.submit(ctx, &c)
 	if err != nil {
-		writeError(ctx, c.ID, out, err)
+		writeError(ctx, c, out, err)
 		return
 	}
-	o.Metadata = resource.Metadata{Name: name, Version: out.Offset(), ChangeID: c.ID}
-	reply.JSON(ctx, status, h.withStatus(o))
+	status := fasthttp.StatusOK
+	if o.Metadata.Version == 0 && out.Current() == out.Offset() {
+		status = fasthttp.StatusCreated
+	}
+	reply.JSON(ctx, status, h.withStatus(h.result(o, c, out)))
+}
+
+// result returns the object that an accepted change left. One that changed
+// nothing left the object that was there.
+func (h *Handler) result(o resource.Object, c resource.Change, out resource.Outcome) resource.Object {
+	o.Metadata = resource.Metadata{Name: c.Name, Version: out.Offset(), ChangeID: c.ID}
+	if out.Current() == 0 || out.Current() == out.Offset() {
+		return o
+	}
+	if cur, ok := h.store.View().Object(c.Kind, c.Name); ok && cur.Metadata.Version == out.Current() {
+		return cur
+	}
+	o.Metadata.Version, o.Metadata.ChangeID = out.Current(), ""
+	return o
 }
 
 // identify fills in the kind and the name of an object from its path.
@@ -199,23 +221,27 @@
 
 func (h *Handler) delete(ctx *fasthttp.RequestCtx, kind resource.Type, name string) {
 	o, ok := h.store.View().Object(kind, name)
-	if !ok {
+	if _, retried := h.store.Fate(string(ctx.QueryArgs().Peek("changeId"))); !ok && !retried {
 		notFound(ctx, kind, name)
 		return
 	}
+	o.Kind, o.Metadata.Name = kind, name
 	version := o.Metadata.Version
 	if ctx.QueryArgs().Has("version") {
 		v, err := ctx.QueryArgs().GetUint("version")
 		if err != nil {
-			writeError(ctx, "", resource.Outcome{}, resource.Invalid("version", string(ctx.QueryArgs().Peek("version")), "a version"))
+			writeError(ctx, resource.Change{}, resource.Outcome{}, resource.Invalid("version", string(ctx.QueryArgs().Peek("version")), "a version"))
 			return
 		}
 		version = uint64(v)
 	}
-	c := resource.Change{Op: resource.OpDelete, Kind: kind, Name: name, Replaces: version}
+	c := resource.Change{
+		ID: string(ctx.QueryArgs().Peek("changeId")),
+		Op: resource.OpDelete, Kind: kind, Name: name, Replaces: version,
+	}
 	out, err := h.submit(ctx, &c)
 	if err != nil {
-		writeError(ctx, c.ID, out, err)
+		writeError(ctx, c, out, err)
 		return
 	}
 	o.Metadata.ChangeID = c.ID
@@ -226,8 +252,9 @@
 // submit gives the change an id where it has none and waits for its outcome.
 func (h *Handler) submit(ctx *fasthttp.RequestCtx, c *resource.Change) (resource.Outcome, error) {
 	if c.ID == "" {
-		c.ID = uuid.NewString()
+		c.ID = uuid.Must(uuid.NewV7()).String()
 	}
+	c.Base = h.store.View().Offset()
 	out, err := h.store.Submit(ctx, *c)
 	if err != nil {
 		h.log.Info("A change was not accepted.", "change", c.ID, "op", c.Op, "kind", c.Kind, "name", c.Name, "err", err)
@@ -237,40 +264,74 @@
 	return out, nil
 }
 
-func writeError(ctx *fasthttp.RequestCtx, changeID string, out resource.Outcome, err error) {
+func writeError(ctx *fasthttp.RequestCtx, c resource.Change, out resource.Outcome, err error) {
 	var v *resource.Violation
 	switch {
 	case errors.As(err, &v):
 		write(ctx, fasthttp.StatusUnprocessableEntity, Error{Code: "invalid", Message: v.Error(), Field: v.Field, Value: v.Value, Allowed: v.Allowed})
-	case fault.Is(err, resource.KindConflict):
-		write(ctx, fasthttp.StatusConflict, Error{
-			Code: "conflict", Current: out.Current(),
-			Message: fmt.Sprintf("Another version is current: %d.", out.Current()),
+	case fault.Is(err, config.KindReused):
+		write(ctx, fasthttp.StatusUnprocessableEntity, Error{
+			Code: "invalid", Field: "metadata.changeId", Value: c.ID, Allowed: "an id that no other change has",
+			Message: "Another change has this id; nothing was changed.", ChangeID: c.ID,
 		})
 	case fault.Is(err, resource.KindInUse):
-		write(ctx, fasthttp.StatusConflict, Error{Code: "in_use", Message: err.Error(), Current: out.Current()})
+		write(ctx, fasthttp.StatusConflict, Error{
+			Code: "in_use", Current: out.Current(),
+			Message: fmt.Sprintf("%s/%s is in use: %s.", c.Kind, c.Name, cause(err)),
+		})
+	case fault.Is(err, resource.KindConflict):
+		write(ctx, fasthttp.StatusConflict, Error{Code: "conflict", Current: out.Current(), Message: conflictMessage(out.Current())})
+	case fault.Is(err, resource.KindInvalid):
+		write(ctx, fasthttp.StatusUnprocessableEntity, Error{Code: "invalid", Message: err.Error(), ChangeID: c.ID})
 	case fault.Is(err, config.KindUnknown):
 		write(ctx, fasthttp.StatusGatewayTimeout, Error{
-			Code: "unknown", ChangeID: changeID,
-			Message: "The log gave no answer; the change may yet take effect.",
+			Code: "unknown", ChangeID: c.ID, Base: c.Base,
+			Message: "The log gave no answer; the change may yet take effect. " + settleHint(c),
 		})
+	case fault.Is(err, config.KindExpired):
+		write(ctx, fasthttp.StatusGone, Error{Code: "expired", Message: err.Error(), ChangeID: c.ID})
 	default:
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, "2")
 		write(ctx, fasthttp.StatusServiceUnavailable, Error{Code: "log_unavailable", Message: "The log can't be reached; nothing was changed."})
 	}
 }
 
+// cause returns the innermost reason of an error of the fold.
+func cause(err error) string {
+	var e *resource.Error
+	if !errors.As(err, &e) {
+		return err.Error()
+	}
+	causes := e.Unwrap()
+	return causes[len(causes)-1].Error()
+}
+
+func conflictMessage(current uint64) string {
+	if current == 0 {
+		return "There is no such object now."
+	}
+	return fmt.Sprintf("Another version is current: %d.", current)
+}
+
 // watch streams the accepted changes after an offset, a JSON object a line.
 func (h *Handler) watch(ctx *fasthttp.RequestCtx, kind resource.Type, name string) {
 	from := h.store.View().Offset()
 	if ctx.QueryArgs().Has("from") {
 		n, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("from")), 10, 64)
 		if err != nil {
-			writeError(ctx, "", resource.Outcome{}, resource.Invalid("from", string(ctx.QueryArgs().Peek("from")), "an offset"))
+			writeError(ctx, resource.Change{}, resource.Outcome{}, resource.Invalid("from", string(ctx.QueryArgs().Peek("from")), "an offset"))
 			return
 		}
 		from = n
 	}
+	if _, _, kept := h.store.Since(from); !kept {
+		earliest := h.store.Earliest()
+		write(ctx, fasthttp.StatusGone, Error{
+			Code: "offset_gone", Earliest: earliest,
+			Message: fmt.Sprintf("Changes are kept after offset %d only. List the kind and watch from the list's offset.", earliest),
+		})
+		return
+	}
 	ctx.SetContentType("application/x-ndjson")
 	ctx.Response.ImmediateHeaderFlush = true
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) { h.writeEvents(w, kind, name, from) })
@@ -279,7 +340,12 @@
 func (h *Handler) writeEvents(w *bufio.Writer, kind resource.Type, name string, from uint64) {
 	enc := json.NewEncoder(w)
 	for {
-		outs, grown := h.store.Since(from)
+		outs, grown, kept := h.store.Since(from)
+		if !kept {
+			_ = enc.Encode(Event{Type: EventGone, Offset: h.store.Earliest()}) // the watch ends with it
+			_ = w.Flush()
+			return
+		}
 		for _, out := range outs {
 			from = out.Offset()
 			if ev, ok := event(out, kind, name); ok && enc.Encode(ev) != nil {
@@ -287,7 +353,7 @@
 			}
 		}
 		if len(outs) == 0 {
-			_ = enc.Encode(Event{Type: "alive", Offset: from}) // Flush returns the error
+			_ = enc.Encode(Event{Type: EventAlive, Offset: from}) // Flush returns the error
 		}
 		if w.Flush() != nil {
 			return
--- a/internal/operator/config/errors.go
+++ b/internal/operator/config/errors.go
@@ -16,6 +16,14 @@
 	KindUnknown Kind = "unknown"
 	// KindRejected is the kind of a change that the fold rejected. The cause says why.
 	KindRejected Kind = "rejected"
+	// KindReused is the kind of a change whose id an earlier, other change has.
+	KindReused Kind = "change id used"
+	// KindExpired is the kind of a question about a change whose fate is kept no more.
+	KindExpired Kind = "fate expired"
+	// KindSnapshot is the kind of a snapshot that can't be used.
+	KindSnapshot Kind = "bad snapshot"
+	// KindNoSnapshot is the kind of a stream without a whole snapshot.
+	KindNoSnapshot Kind = "no snapshot"
 )
 
 // Error is the error type of this package.
--- a/internal/operator/config/store_test.go
+++ b/internal/operator/config/store_test.go
@@ -21,6 +21,21 @@
 
 var logClass = errs.Class("log service")
 
+// translate gives the errors of the stand-in the kinds of the client.
+func translate(err error) error {
+	for from, to := range map[standin.Kind]logservice.Kind{
+		standin.KindUnavailable: logservice.KindUnavailable,
+		standin.KindRateLimited: logservice.KindRateLimited,
+		standin.KindGone:        logservice.KindGone,
+		standin.KindAnswerLost:  logservice.KindUnknown,
+	} {
+		if fault.Is(err, from) {
+			return fault.New(&logClass, "call", to, err)
+		}
+	}
+	return err
+}
+
 // seams connects a store to a stand-in without sockets.
 func seams(l *standin.Log) config.Seams {
 	return config.Seams{
@@ -30,14 +45,11 @@
 			for _, r := range recs {
 				out = append(out, logservice.Record(r))
 			}
-			return out, logservice.Bounds(b), err
+			return out, logservice.Bounds(b), translate(err)
 		},
 		Append: func(ctx context.Context, rec []byte) (uint64, error) {
 			first, _, err := l.Append(ctx, resource.Stream, [][]byte{rec})
-			if fault.Is(err, standin.KindAnswerLost) {
-				err = fault.New(&logClass, "append", logservice.KindUnknown, err)
-			}
-			return first, err
+			return first, translate(err)
 		},
 	}
 }
@@ -45,7 +57,7 @@
 func change(id string, replaces uint64) resource.Change {
 	return resource.Change{
 		ID: id, Op: resource.OpPut, Kind: resource.TypeDeployment, Name: "d", Replaces: replaces,
-		Spec: json.RawMessage(`{"model":"m","contextTokens":10}`),
+		Spec: json.RawMessage(`{"model":"m` + id + `","contextTokens":10}`),
 	}
 }
 
@@ -53,7 +65,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := standin.NewLog()
 		f(is.New(t), l, func() *config.Store {
-			s := config.NewStore(seams(l), log.New(io.Discard))
+			s := config.NewStore(seams(l), config.Settings{}, log.New(io.Discard))
 			t.Cleanup(s.Close)
 			return s
 		})
--- a/internal/operator/resource/errors.go
+++ b/internal/operator/resource/errors.go
@@ -18,10 +18,28 @@
 	KindConflict Kind = "conflict"
 	// KindInUse is the kind of a delete of an object that others refer to.
 	KindInUse Kind = "in use"
+	// KindSettled is the kind of a change whose id has a fate already.
+	KindSettled Kind = "settled"
+	// KindSnapshot is the kind of a snapshot that can't be used.
+	KindSnapshot Kind = "bad snapshot"
 	// KindRecord is the kind of a log record that can't be decoded.
 	KindRecord Kind = "bad record"
 )
 
+// resultOf returns the result that an error of the fold stands for.
+func resultOf(err error) Result {
+	switch {
+	case err == nil:
+		return ResultAccepted
+	case fault.Is(err, KindInUse):
+		return ResultInUse
+	case fault.Is(err, KindInvalid):
+		return ResultInvalid
+	default:
+		return ResultConflict
+	}
+}
+
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
--- a/internal/operator/resource/fold.go
+++ b/internal/operator/resource/fold.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
+	"strings"
 )
 
 // Outcome is what the fold made of a change.
@@ -32,16 +32,24 @@
 // Fold is the state that all changes up to an offset make. Every fold that has
 // applied the same offsets is the same. It belongs to one goroutine.
 type Fold struct {
-	offset  uint64
-	objects map[Type]map[string]Object
-	settled map[string]uint64 // change ids that took effect or were voided, by offset
+	offset uint64
+	tables map[Type]*table
+	users  map[key]map[key]struct{} // who refers to an object
+	owners map[string]string        // workspace of a key's hash
+	fates  *fates
+	last   *View
 }
 
 // NewFold returns the fold of an empty log.
 func NewFold() *Fold {
-	f := &Fold{objects: map[Type]map[string]Object{}, settled: map[string]uint64{}}
+	f := &Fold{
+		tables: map[Type]*table{},
+		users:  map[key]map[key]struct{}{},
+		owners: map[string]string{},
+		fates:  newFates(),
+	}
 	for _, t := range Types() {
-		f.objects[t] = map[string]Object{}
+		f.tables[t] = &table{}
 	}
 	return f
 }
@@ -49,7 +57,17 @@
 // Offset returns the last offset applied.
 func (f *Fold) Offset() uint64 { return f.offset }
 
-var errSettled = errors.New("the change is in the log already, or was voided")
+// Fate returns what became of a change, where that is known.
+func (f *Fold) Fate(id string) (Fate, bool) {
+	t, ok := f.fates.byID[id]
+	return t, ok
+}
+
+var (
+	errSettled = errors.New("the change is in the log already, or was voided")
+	errExpired = errors.New("the change reached the log too late")
+	errOp      = errors.New("the operation is not known")
+)
 
 // Apply applies the record at the offset. A record at or below the last offset
 // changes nothing and reports false.
@@ -58,55 +76,165 @@
 		return Outcome{}, false
 	}
 	f.offset = offset
+	c.Spec = canonical(c.Spec)
 	out := Outcome{offset: offset, change: c}
-	out.err = f.apply(offset, c)
-	out.current = f.objects[c.Kind][c.Name].Metadata.Version
+	out.err = f.settle(offset, c)
+	if it := f.get(key{c.Kind, c.Name}); it != nil {
+		out.current = it.object.Metadata.Version
+	}
+	f.fates.prune(offset)
 	return out, true
 }
 
-func (f *Fold) apply(offset uint64, c Change) error {
-	if _, ok := f.settled[c.ID]; ok {
-		return fail("apply", KindConflict, errSettled)
+// Skip passes over a record that is no change.
+func (f *Fold) Skip(offset uint64) {
+	if offset > f.offset {
+		f.offset = offset
+		f.fates.prune(offset)
+	}
+}
+
+// settle applies a change whose id is new and keeps its fate.
+func (f *Fold) settle(offset uint64, c Change) error {
+	if _, ok := f.fates.byID[c.ID]; ok || c.ID == "" {
+		return fail("apply", KindSettled, errSettled)
 	}
-	if c.Op == OpVoid {
+	err, result := error(nil), ResultExpired
+	if offset > c.Base+Window {
+		err = fail("apply", KindConflict, errExpired)
+	} else {
+		err = f.apply(offset, c)
+		result = resultOf(err)
+	}
+	f.fates.add(Fate{ID: c.ID, Offset: offset, Result: result, Fingerprint: c.Fingerprint()})
+	return err
+}
+
+func (f *Fold) apply(offset uint64, c Change) error {
+	switch c.Op {
+	case OpVoid:
 		return f.void(offset, c)
+	case OpPut:
+		return f.put(offset, c)
+	case OpDelete:
+		return f.remove(c)
+	default:
+		return fail("apply", KindInvalid, errOp)
+	}
+}
+
+func (f *Fold) void(offset uint64, c Change) error {
+	if _, ok := f.fates.byID[c.Voids]; ok || c.Voids == c.ID || c.Voids == "" {
+		return fail("void", KindConflict, errSettled)
+	}
+	f.fates.add(Fate{ID: c.Voids, Offset: offset, Result: ResultVoided})
+	return nil
+}
+
+func (f *Fold) get(k key) *item {
+	t := f.tables[k.kind]
+	if t == nil {
+		return nil
 	}
-	f.settled[c.ID] = offset
-	cur, exists := f.objects[c.Kind][c.Name]
-	if cur.Metadata.Version != c.Replaces {
-		return fail("apply", KindConflict, fmt.Errorf("version %d is current, not %d", cur.Metadata.Version, c.Replaces))
+	return lookup(t.items, k.name)
+}
+
+func (f *Fold) put(offset uint64, c Change) error {
+	k := key{c.Kind, c.Name}
+	if f.unchanged(k, c) {
+		return nil
 	}
-	if c.Op == OpDelete {
-		return f.remove(c, exists)
+	if err := f.checkVersion(k, c.Replaces); err != nil {
+		return err
 	}
-	o := Object{Kind: c.Kind, Metadata: Metadata{Name: c.Name, Version: offset, ChangeID: c.ID}, Spec: c.Spec}
-	if err := o.Check(); err != nil {
+	it, err := newItem(Object{Kind: c.Kind, Metadata: Metadata{Name: c.Name, Version: offset, ChangeID: c.ID}, Spec: c.Spec})
+	if err != nil {
 		return err
 	}
-	if err := f.checkReferences(o); err != nil {
+	if err := f.checkItem(it); err != nil {
 		return err
 	}
-	f.objects[c.Kind][c.Name] = o
+	f.unlink(k)
+	f.link(k, it)
 	return nil
 }
 
-func (f *Fold) void(offset uint64, c Change) error {
-	f.settled[c.ID] = offset
-	if _, ok := f.settled[c.Voids]; ok {
-		return fail("void", KindConflict, errSettled)
+// unchanged reports whether the object is already as the change wants it: it is
+// accepted and the object keeps its version.
+func (f *Fold) unchanged(k key, c Change) bool {
+	it := f.get(k)
+	return it != nil && (c.Replaces == 0 || c.Replaces == it.object.Metadata.Version) &&
+		bytes.Equal(it.object.Spec, c.Spec)
+}
+
+func newItem(o Object) (*item, error) {
+	if !namePattern.MatchString(o.Metadata.Name) {
+		return nil, Invalid("metadata.name", o.Metadata.Name, nameAllowed)
+	}
+	spec, err := DecodeSpec(o.Kind, o.Spec)
+	if err != nil {
+		return nil, err
+	}
+	return &item{object: o, spec: spec, refs: references(spec)}, nil
+}
+
+func (f *Fold) checkVersion(k key, replaces uint64) error {
+	current := uint64(0)
+	if it := f.get(k); it != nil {
+		current = it.object.Metadata.Version
+	}
+	if current != replaces {
+		return fail("apply", KindConflict, fmt.Errorf("version %d is current, not %d", current, replaces))
 	}
-	f.settled[c.Voids] = offset
 	return nil
 }
 
-func (f *Fold) remove(c Change, exists bool) error {
-	if !exists {
+// link adds an item and its references.
+func (f *Fold) link(k key, it *item) {
+	f.tables[k.kind].set(it)
+	for _, r := range it.refs {
+		target := key{r.kind, r.name}
+		if f.users[target] == nil {
+			f.users[target] = map[key]struct{}{}
+		}
+		f.users[target][k] = struct{}{}
+	}
+	for _, h := range keysOf(it) {
+		f.owners[h] = k.name
+	}
+}
+
+// unlink forgets the references of an item, which stays in its table.
+func (f *Fold) unlink(k key) {
+	it := f.get(k)
+	if it == nil {
+		return
+	}
+	for _, r := range it.refs {
+		target := key{r.kind, r.name}
+		delete(f.users[target], k)
+		if len(f.users[target]) == 0 {
+			delete(f.users, target)
+		}
+	}
+	for _, h := range keysOf(it) {
+		delete(f.owners, h)
+	}
+}
+
+func (f *Fold) remove(c Change) error {
+	k := key{c.Kind, c.Name}
+	if f.get(k) == nil {
 		return fail("delete", KindConflict, errors.New("there is no such object"))
 	}
-	if by := f.usedBy(c.Kind, c.Name); by != "" {
+	if err := f.checkVersion(k, c.Replaces); err != nil {
+		return err
+	}
+	if by := f.usedBy(k); by != "" {
 		return fail("delete", KindInUse, fmt.Errorf("%s refers to it", by))
 	}
-	delete(f.objects[c.Kind], c.Name)
+	f.unlink(k)
+	f.tables[k.kind].remove(k.name)
 	return nil
 }
 
@@ -119,57 +247,75 @@
 
 func references(spec Spec) []reference {
 	var refs []reference
-	add := func(field string, kind Type, names ...string) {
-		for _, n := range names {
-			if n != "" {
-				refs = append(refs, reference{field, kind, n})
-			}
+	add := func(field string, kind Type, name string) {
+		if name != "" {
+			refs = append(refs, reference{field, kind, name})
+		}
+	}
+	addAll := func(field string, kind Type, names []string) {
+		for i, n := range names {
+			add(fmt.Sprintf("%s[%d]", field, i), kind, n)
 		}
 	}
 	switch s := spec.(type) {
 	case *WorkspaceSpec:
-		add("spec.deployments", TypeDeployment, s.Deployments...)
+		addAll("spec.deployments", TypeDeployment, s.Deployments)
 	case *VersionSpec:
 		add("spec.deployment", TypeDeployment, s.Deployment)
 	case *RuleSpec:
 		add("spec.workspace", TypeWorkspace, s.Workspace)
 		add("spec.deployment", TypeDeployment, s.Deployment)
 	case *UpstreamSpec:
-		add("spec.deployments", TypeDeployment, s.Deployments...)
+		addAll("spec.deployments", TypeDeployment, s.Deployments)
 		add("spec.service", TypeService, s.Service)
 	}
 	return refs
 }
 
-func (f *Fold) checkReferences(o Object) error {
-	spec, err := DecodeSpec(o.Kind, o.Spec)
-	if err != nil {
-		return err
+// keysOf returns the hashes of a workspace's keys.
+func keysOf(it *item) []string {
+	s, ok := it.spec.(*WorkspaceSpec)
+	if !ok {
+		return nil
 	}
-	for _, r := range references(spec) {
-		if _, ok := f.objects[r.kind][r.name]; !ok {
+	out := make([]string, len(s.Keys))
+	for i, k := range s.Keys {
+		out[i] = strings.TrimPrefix(k, "sha256:")
+	}
+	return out
+}
+
+// checkItem checks what a spec alone can't tell: the references, and that a key
+// belongs to one workspace.
+func (f *Fold) checkItem(it *item) error {
+	for _, r := range it.refs {
+		if f.get(key{r.kind, r.name}) == nil {
 			return Invalid(r.field, r.name, "the name of one of the "+string(r.kind))
 		}
 	}
+	for i, h := range keysOf(it) {
+		if owner, ok := f.owners[h]; ok && owner != it.object.Metadata.Name {
+			return Invalid(fmt.Sprintf("spec.keys[%d]", i), "the given text", "a key of no other workspace; "+owner+" has it")
+		}
+	}
 	return nil
 }
 
-func (f *Fold) usedBy(kind Type, name string) string {
-	for _, t := range Types() {
-		for _, n := range slices.Sorted(maps.Keys(f.objects[t])) {
-			spec, err := DecodeSpec(t, f.objects[t][n].Spec)
-			if err != nil {
-				continue
-			}
-			for _, r := range references(spec) {
-				if r.kind == kind && r.name == name {
-					return string(t) + "/" + n
-				}
-			}
-		}
+// usedBy returns the first object that refers to another one, and how many do.
+func (f *Fold) usedBy(k key) string {
+	users := make([]string, 0, len(f.users[k]))
+	for u := range f.users[k] {
+		users = append(users, u.String())
+	}
+	switch len(users) {
+	case 0:
+		return ""
+	case 1:
+		return users[0]
+	default:
+		return fmt.Sprintf("%s, with %d more,", slices.Min(users), len(users)-1)
 	}
-	return ""
 }
 
 // SameSpec reports whether two specs are the same apart from space.
-func SameSpec(a, b json.RawMessage) bool { return bytes.Equal(compact(a), compact(b)) }
+func SameSpec(a, b json.RawMessage) bool { return bytes.Equal(canonical(a), canonical(b)) }
--- a/internal/operator/resource/resource_test.go
+++ b/internal/operator/resource/resource_test.go
@@ -27,13 +27,59 @@
 	is.NoErr(out.Err())
 	is.Equal(out.Current(), uint64(1))
 
-	first, _ := f.Apply(2, put("b", resource.TypeDeployment, "d", 1, deployment))
-	second, _ := f.Apply(3, put("c", resource.TypeDeployment, "d", 1, deployment))
+	first, _ := f.Apply(2, put("b", resource.TypeDeployment, "d", 1, `{"model":"m","contextTokens":1001}`))
+	second, _ := f.Apply(3, put("c", resource.TypeDeployment, "d", 1, `{"model":"m","contextTokens":1002}`))
 	is.NoErr(first.Err())
 	is.True(fault.Is(second.Err(), resource.KindConflict))
 	is.Equal(second.Current(), uint64(2))
 }
 
+func TestEqualSpecIsAcceptedAndKeepsTheVersion(t *testing.T) {
+	is := is.New(t)
+	f := resource.NewFold()
+	_, _ = f.Apply(1, put("a", resource.TypeDeployment, "d", 0, deployment))
+	for offset, replaces := range map[uint64]uint64{2: 0, 3: 1} {
+		out, _ := f.Apply(offset, put(fmt.Sprint(offset), resource.TypeDeployment, "d", replaces, ` {"model": "m", "contextTokens": 1000} `))
+		if offset == f.Offset() {
+			is.NoErr(out.Err())
+		}
+		is.Equal(f.View().Deployment("d").Version(), uint64(1))
+	}
+	out, _ := f.Apply(9, put("other", resource.TypeDeployment, "d", 7, deployment))
+	is.True(fault.Is(out.Err(), resource.KindConflict)) // a wrong version is a conflict all the same
+}
+
+func TestKeyBelongsToOneWorkspace(t *testing.T) {
+	is := is.New(t)
+	f := resource.NewFold()
+	spec := fmt.Sprintf(`{"keys":[%q]}`, resource.HashKey("k"))
+	_, _ = f.Apply(1, put("a", resource.TypeWorkspace, "guild", 0, spec))
+	out, _ := f.Apply(2, put("b", resource.TypeWorkspace, "loomwire", 0, `{"keys":["sha256:`+resource.HashKey("k")+`"]}`))
+	var v *resource.Violation
+	is.True(errors.As(out.Err(), &v))
+	is.Equal(v.Field, "spec.keys[0]")
+	_, _ = f.Apply(3, resource.Change{ID: "c", Op: resource.OpDelete, Kind: resource.TypeWorkspace, Name: "guild", Replaces: 1})
+	out, _ = f.Apply(4, put("d", resource.TypeWorkspace, "loomwire", 0, spec))
+	is.NoErr(out.Err())
+	is.Equal(f.View().WorkspaceOf("k").Name(), "loomwire")
+}
+
+func TestChangeFromBeforeTheWindowIsRejected(t *testing.T) {
+	is := is.New(t)
+	f := resource.NewFold()
+	_, _ = f.Apply(1, resource.Change{ID: "v", Op: resource.OpVoid, Voids: "late"})
+	f.Skip(resource.Window + 10)
+	_, ok := f.Fate("late")
+	is.True(!ok) // forgotten
+	out, _ := f.Apply(resource.Window+11, put("late", resource.TypeDeployment, "d", 0, deployment))
+	is.True(out.Err() != nil) // and it takes no effect all the same
+	is.True(f.View().Deployment("d") == nil)
+	c := put("new", resource.TypeDeployment, "d", 0, deployment)
+	c.Base = resource.Window
+	out, _ = f.Apply(resource.Window+12, c)
+	is.NoErr(out.Err())
+}
+
 func TestFoldIgnoresOffsetsItHas(t *testing.T) {
 	is := is.New(t)
 	f := resource.NewFold()
--- a/internal/operator/resource/view.go
+++ b/internal/operator/resource/view.go
@@ -1,26 +1,25 @@
 package resource
 
 import (
-	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
-	"maps"
 	"slices"
 	"strings"
 )
 
 // View is the configuration at an offset. It never changes and may be read from
-// any goroutine.
+// any goroutine. A view shares with the one before it all that did not change.
 type View struct {
 	offset      uint64
-	objects     map[Type]map[string]Object
-	workspaces  map[string]*Workspace
+	items       map[Type][]*item
 	byKey       map[string]*Workspace
-	deployments map[string]*Deployment
-	services    map[string]*Service
+	workspaces  []*Workspace
+	deployments []*Deployment
+	versions    []*Version
+	services    []*Service
 	rules       []*Rule
-	upstreams   map[string]*Upstream
+	upstreams   []*Upstream
 }
 
 // Workspace is a workspace in force.
@@ -109,59 +108,102 @@
 // Spec returns the upstream's spec.
 func (u *Upstream) Spec() UpstreamSpec { return u.spec }
 
+// Version is a version of a deployment's model in force.
+type Version struct {
+	name string
+	spec VersionSpec
+}
+
+// Name returns the version's name.
+func (v *Version) Name() string { return v.name }
+
+// Spec returns the version's spec.
+func (v *Version) Spec() VersionSpec { return v.spec }
+
 // View returns the view of the fold as it is now.
 func (f *Fold) View() *View {
-	v := &View{
-		offset:      f.offset,
-		objects:     map[Type]map[string]Object{},
-		workspaces:  map[string]*Workspace{},
-		byKey:       map[string]*Workspace{},
-		deployments: map[string]*Deployment{},
-		services:    map[string]*Service{},
-		upstreams:   map[string]*Upstream{},
+	last := f.last
+	if last != nil && last.offset == f.offset {
+		return last
+	}
+	if last == nil {
+		last = &View{items: map[Type][]*item{}}
 	}
+	v := *last
+	v.offset = f.offset
+	v.items = map[Type][]*item{}
+	changed := map[Type]bool{}
 	for _, t := range Types() {
-		v.objects[t] = maps.Clone(f.objects[t])
-		for _, name := range slices.Sorted(maps.Keys(f.objects[t])) {
-			v.add(f.objects[t][name])
-		}
+		changed[t] = f.last == nil || !f.tables[t].shared
+		v.items[t] = f.tables[t].share()
+	}
+	v.update(changed)
+	f.last = &v
+	return &v
+}
+
+// update builds anew what depends on the kinds that changed.
+func (v *View) update(changed map[Type]bool) {
+	if changed[TypeWorkspace] {
+		v.workspaces = derive(v.items[TypeWorkspace], func(n string, s *WorkspaceSpec, _ *item) *Workspace { return &Workspace{n, *s} })
+		v.indexKeys()
+	}
+	if changed[TypeVersion] {
+		v.versions = derive(v.items[TypeVersion], func(n string, s *VersionSpec, _ *item) *Version { return &Version{n, *s} })
+	}
+	if changed[TypeRule] {
+		v.rules = derive(v.items[TypeRule], func(n string, s *RuleSpec, _ *item) *Rule { return &Rule{n, *s} })
+	}
+	if changed[TypeUpstream] {
+		v.upstreams = derive(v.items[TypeUpstream], func(n string, s *UpstreamSpec, _ *item) *Upstream { return &Upstream{n, *s} })
+	}
+	if changed[TypeDeployment] || changed[TypeUpstream] {
+		v.deployments = derive(v.items[TypeDeployment], func(n string, s *DeploymentSpec, it *item) *Deployment {
+			return &Deployment{name: n, version: it.object.Metadata.Version, spec: *s}
+		})
+		v.assignEngines()
+	}
+	if changed[TypeService] || changed[TypeUpstream] {
+		v.services = derive(v.items[TypeService], func(n string, s *ServiceSpec, _ *item) *Service { return &Service{name: n, spec: *s} })
+		v.assignServers()
 	}
-	return v
 }
 
-func (v *View) add(o Object) {
-	spec, err := DecodeSpec(o.Kind, o.Spec)
-	if err != nil {
-		return // the fold accepts no such object
+// derive makes what a view shows of each item.
+func derive[S, T any](items []*item, f func(name string, spec S, it *item) T) []T {
+	out := make([]T, 0, len(items))
+	for _, it := range items {
+		if s, ok := it.spec.(S); ok {
+			out = append(out, f(it.object.Metadata.Name, s, it))
+		}
 	}
-	name := o.Metadata.Name
-	switch s := spec.(type) {
-	case *WorkspaceSpec:
-		w := &Workspace{name: name, spec: *s}
-		v.workspaces[name] = w
-		for _, k := range s.Keys {
+	return out
+}
+
+func (v *View) indexKeys() {
+	v.byKey = make(map[string]*Workspace, len(v.workspaces))
+	for _, w := range v.workspaces {
+		for _, k := range w.spec.Keys {
 			v.byKey[strings.TrimPrefix(k, "sha256:")] = w
 		}
-	case *DeploymentSpec:
-		v.deployments[name] = &Deployment{name: name, version: o.Metadata.Version, spec: *s}
-	case *ServiceSpec:
-		v.services[name] = &Service{name: name, spec: *s}
-	case *RuleSpec:
-		v.rules = append(v.rules, &Rule{name: name, spec: *s})
-	case *UpstreamSpec:
-		v.addUpstream(&Upstream{name: name, spec: *s})
-	}
-}
-
-func (v *View) addUpstream(u *Upstream) {
-	v.upstreams[u.name] = u
-	for _, d := range u.spec.Deployments {
-		if dep := v.deployments[d]; dep != nil {
-			dep.engines = append(dep.engines, u)
+	}
+}
+
+func (v *View) assignEngines() {
+	for _, u := range v.upstreams {
+		for _, name := range u.spec.Deployments {
+			if d := v.Deployment(name); d != nil {
+				d.engines = append(d.engines, u)
+			}
 		}
 	}
-	if s := v.services[u.spec.Service]; s != nil {
-		s.servers = append(s.servers, u)
+}
+
+func (v *View) assignServers() {
+	for _, u := range v.upstreams {
+		if s := v.Service(u.spec.Service); s != nil {
+			s.servers = append(s.servers, u)
+		}
 	}
 }
 
@@ -178,50 +220,64 @@
 func (v *View) WorkspaceOf(key string) *Workspace { return v.byKey[HashKey(key)] }
 
 // Workspace returns the workspace of the name, or nil.
-func (v *View) Workspace(name string) *Workspace { return v.workspaces[name] }
+func (v *View) Workspace(name string) *Workspace {
+	return named(v.workspaces, name, (*Workspace).Name)
+}
 
 // Workspaces returns the workspaces by name.
-func (v *View) Workspaces() []*Workspace { return sorted(v.workspaces) }
+func (v *View) Workspaces() []*Workspace { return v.workspaces }
 
 // Deployment returns the deployment of the name, or nil.
-func (v *View) Deployment(name string) *Deployment { return v.deployments[name] }
+func (v *View) Deployment(name string) *Deployment {
+	return named(v.deployments, name, (*Deployment).Name)
+}
 
 // Deployments returns the deployments by name.
-func (v *View) Deployments() []*Deployment { return sorted(v.deployments) }
+func (v *View) Deployments() []*Deployment { return v.deployments }
+
+// Version returns the version of the name, or nil.
+func (v *View) Version(name string) *Version { return named(v.versions, name, (*Version).Name) }
+
+// Versions returns the versions by name.
+func (v *View) Versions() []*Version { return v.versions }
 
 // Service returns the service of the name, or nil.
-func (v *View) Service(name string) *Service { return v.services[name] }
+func (v *View) Service(name string) *Service { return named(v.services, name, (*Service).Name) }
+
+// Services returns the services by name.
+func (v *View) Services() []*Service { return v.services }
 
 // Rules returns the rules by name.
 func (v *View) Rules() []*Rule { return v.rules }
 
 // Upstream returns the upstream of the name, or nil.
-func (v *View) Upstream(name string) *Upstream { return v.upstreams[name] }
+func (v *View) Upstream(name string) *Upstream { return named(v.upstreams, name, (*Upstream).Name) }
 
 // Upstreams returns the upstreams by name.
-func (v *View) Upstreams() []*Upstream { return sorted(v.upstreams) }
+func (v *View) Upstreams() []*Upstream { return v.upstreams }
 
 // Object returns the object of the kind and name.
 func (v *View) Object(t Type, name string) (Object, bool) {
-	o, ok := v.objects[t][name]
-	return o, ok
+	if it := lookup(v.items[t], name); it != nil {
+		return it.object, true
+	}
+	return Object{}, false
 }
 
 // Objects returns the objects of the kind by name.
-func (v *View) Objects(t Type) []Object { return sorted(v.objects[t]) }
-
-func sorted[T any](m map[string]T) []T {
-	out := make([]T, 0, len(m))
-	for _, name := range slices.Sorted(maps.Keys(m)) {
-		out = append(out, m[name])
+func (v *View) Objects(t Type) []Object {
+	out := make([]Object, 0, len(v.items[t]))
+	for _, it := range v.items[t] {
+		out = append(out, it.object)
 	}
 	return out
 }
 
-func compact(raw []byte) []byte {
-	var b bytes.Buffer
-	if err := json.Compact(&b, raw); err != nil {
-		return raw
+// named finds one of a sorted list by its name.
+func named[T any](list []*T, name string, of func(*T) string) *T {
+	i, ok := slices.BinarySearchFunc(list, name, func(e *T, n string) int { return cmp.Compare(of(e), n) })
+	if !ok {
+		return nil
 	}
-	return b.Bytes()
+	return list[i]
 }
--- /dev/null
+++ b/internal/peer/configrelay/fleet_test.go
@@ -0,0 +1,293 @@
+package configrelay_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/zeebo/errs"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
+	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/configrelay"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/configwire"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/link"
+	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
+	standin "github.com/dogwoodmill/dogwoodmill/internal/standin/logservice"
+)
+
+const (
+	peerKey   = "peer-key-1"
+	hop       = 500 * time.Microsecond // one way between entries
+	logHop    = 2 * time.Millisecond   // one way to the log
+	retention = 4 * time.Hour
+)
+
+var class = errs.Class("test")
+
+// fleet is entries with their configuration, joined by a carrier in memory that
+// partitions can cut.
+type fleet struct {
+	log     *standin.Log
+	entries []*entry
+	cutLog  map[string]cut     // failure domain: its way to the log
+	cutPeer map[[2]string]bool // pairs of failure domains
+	loseIn  map[string]int     // failure domain: answers of entries there that get lost
+	next    int
+}
+
+// cut is how a way fails.
+type cut int
+
+const (
+	cutNot    cut = iota
+	cutRefuse     // calls fail at once
+	cutSilent     // calls get no answer
+)
+
+// entry is one entry's configuration.
+type entry struct {
+	vm, domain string
+	link       *link.Link
+	relay      *configrelay.Relay
+	store      *config.Store
+	changes    *logservice.Appender
+	snapshots  *logservice.Appender
+}
+
+func newFleet() *fleet {
+	f := &fleet{
+		log: standin.NewLog(), cutLog: map[string]cut{}, cutPeer: map[[2]string]bool{},
+		loseIn: map[string]int{},
+	}
+	f.log.SetRetention(retention)
+	return f
+}
+
+// add starts an entry in the failure domain.
+func (f *fleet) add(domain string) *entry {
+	f.next++
+	e := &entry{vm: fmt.Sprintf("%s%d", domain, f.next), domain: domain}
+	lim := logservice.NewLimiter(logservice.DefaultEntryAppends)
+	appends := func(stream string) *logservice.Appender {
+		return logservice.NewAppender(logservice.AppenderConfig{Limiter: lim, Append: f.appends(domain, stream)})
+	}
+	e.changes, e.snapshots = appends(resource.Stream), appends(config.SnapshotStream)
+	e.link = link.NewOver(e.vm, peerKey, func(r *http.Request) (*http.Response, error) { return f.carry(e, r) })
+	e.relay = configrelay.New(configrelay.Seams{
+		Read:   f.reads(domain, resource.Stream),
+		Append: e.changes.Append,
+		Peers:  func() []configrelay.Peer { return f.peers(e) },
+		Rank:   func() (int, int) { return f.rank(e) },
+		Do:     e.link.Do,
+	})
+	f.entries = append(f.entries, e)
+	e.store = config.NewStore(config.Seams{
+		Read:           e.relay.Read,
+		Append:         e.relay.Append,
+		ReadSnapshots:  f.reads(domain, config.SnapshotStream),
+		AppendSnapshot: e.snapshots.Append,
+		PeerState:      e.relay.PeerState,
+		Rank:           func() (int, int) { return slices.Index(f.entries, e), len(f.entries) },
+	}, config.Settings{Retention: retention}, log.New(io.Discard))
+	e.link.Handle(configwire.ConfigRelayPathPrefix, configrelay.NewServer(configrelay.ServerSeams{
+		Records: e.store.Records, State: e.store.Encoded, Append: e.changes.Append,
+		Source: func() (int, bool) { return e.relay.Hops(), e.store.Healthy() },
+	}))
+	return e
+}
+
+// remove ends an entry, as the loss of its VM does.
+func (f *fleet) remove(e *entry) {
+	f.entries = slices.DeleteFunc(slices.Clone(f.entries), func(o *entry) bool { return o == e })
+	e.changes.Close()
+	e.snapshots.Close()
+	e.store.Close()
+	e.relay.Close()
+}
+
+func (f *fleet) close() {
+	for len(f.entries) > 0 {
+		f.remove(f.entries[0])
+	}
+}
+
+func (f *fleet) peers(e *entry) []configrelay.Peer {
+	var out []configrelay.Peer
+	for _, o := range f.entries {
+		if o != e {
+			out = append(out, configrelay.Peer{VM: o.vm, Address: o.vm, Own: o.domain == e.domain})
+		}
+	}
+	return out
+}
+
+func (f *fleet) rank(e *entry) (int, int) {
+	rank, of := 0, 0
+	for _, o := range f.entries {
+		if o == e {
+			rank = of
+		}
+		if o.domain == e.domain {
+			of++
+		}
+	}
+	return rank, of
+}
+
+// carry carries a call between entries.
+func (f *fleet) carry(from *entry, r *http.Request) (*http.Response, error) {
+	var to *entry
+	for _, o := range f.entries {
+		if o.vm == r.URL.Host {
+			to = o
+		}
+	}
+	if to == nil {
+		return nil, errors.New("no such host")
+	}
+	if f.cutPeer[[2]string{from.domain, to.domain}] || f.cutPeer[[2]string{to.domain, from.domain}] {
+		<-r.Context().Done() // a partition drops packets
+		return nil, r.Context().Err()
+	}
+	time.Sleep(hop)
+	rec := httptest.NewRecorder()
+	to.link.ServeHTTP(rec, r)
+	time.Sleep(hop)
+	if f.loseIn[to.domain] > 0 {
+		f.loseIn[to.domain]--
+		return nil, errors.New("connection reset")
+	}
+	return rec.Result(), r.Context().Err()
+}
+
+// reach passes the way between a failure domain and the log.
+func (f *fleet) reach(ctx context.Context, domain string) error {
+	time.Sleep(logHop)
+	switch f.cutLog[domain] {
+	case cutRefuse:
+		return fault.New(&class, "call", logservice.KindUnavailable, nil)
+	case cutSilent:
+		<-ctx.Done()
+		return fault.New(&class, "call", logservice.KindUnknown, ctx.Err())
+	default:
+		return nil
+	}
+}
+
+func (f *fleet) appends(domain, stream string) func(context.Context, [][]byte) (uint64, error) {
+	return func(ctx context.Context, recs [][]byte) (uint64, error) {
+		if err := f.reach(ctx, domain); err != nil {
+			return 0, err
+		}
+		first, _, err := f.log.Append(ctx, stream, recs)
+		if err := translate(err); err != nil {
+			return 0, err
+		}
+		return first, f.reach(ctx, domain)
+	}
+}
+
+func (f *fleet) reads(domain, stream string) func(context.Context, uint64, time.Duration) ([]logservice.Record, logservice.Bounds, error) {
+	return func(ctx context.Context, from uint64, wait time.Duration) ([]logservice.Record, logservice.Bounds, error) {
+		ctx, cancel := context.WithTimeout(ctx, wait+2*time.Second)
+		defer cancel()
+		if err := f.reach(ctx, domain); err != nil {
+			return nil, logservice.Bounds{}, err
+		}
+		recs, b, err := f.log.Read(ctx, stream, from, 100, wait)
+		out := make([]logservice.Record, 0, len(recs))
+		for _, r := range recs {
+			out = append(out, logservice.Record(r))
+		}
+		if err := translate(err); err != nil {
+			return nil, logservice.Bounds(b), err
+		}
+		return out, logservice.Bounds(b), f.reach(ctx, domain)
+	}
+}
+
+// translate gives the errors of the stand-in the kinds of the client.
+func translate(err error) error {
+	for from, to := range map[standin.Kind]logservice.Kind{
+		standin.KindUnavailable: logservice.KindUnavailable,
+		standin.KindRateLimited: logservice.KindRateLimited,
+		standin.KindGone:        logservice.KindGone,
+		standin.KindAnswerLost:  logservice.KindUnknown,
+	} {
+		if fault.Is(err, from) {
+			return fault.New(&class, "call", to, err)
+		}
+	}
+	return err
+}
+
+// put returns a change of a deployment.
+func put(id, name string, replaces uint64, model string) resource.Change {
+	spec, err := json.Marshal(resource.DeploymentSpec{Model: model, ContextTokens: 1000})
+	if err != nil {
+		panic(err)
+	}
+	return resource.Change{ID: id, Op: resource.OpPut, Kind: resource.TypeDeployment, Name: name, Replaces: replaces, Spec: spec}
+}
+
+// withFleet runs a test over domains of entries, such as "a", "a", "b".
+func withFleet(t *testing.T, domains []string, test func(is *is.I, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		defer f.close()
+		for _, d := range domains {
+			f.add(d)
+		}
+		time.Sleep(10 * time.Second) // all have started
+		test(is.New(t), f)
+	})
+}
+
+// allHave reports whether every entry has folded the offset.
+func (f *fleet) allHave(offset uint64) bool {
+	for _, e := range f.entries {
+		if e.store.View().Offset() < offset {
+			return false
+		}
+	}
+	return true
+}
+
+// settled waits until every entry has folded the offset and returns how long it took.
+func (f *fleet) settled(offset uint64, limit time.Duration) time.Duration {
+	start := time.Now()
+	for !f.allHave(offset) && time.Since(start) < limit {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// agree fails where two entries at the same offset have different state.
+func (f *fleet) agree() error {
+	states := map[uint64][]byte{}
+	for _, e := range f.entries {
+		p, err := e.store.Encoded(0)
+		if err != nil {
+			return err
+		}
+		if other, ok := states[p.Offset]; ok && !bytes.Equal(other, p.State) {
+			return fmt.Errorf("%s has another state at offset %d", e.vm, p.Offset)
+		}
+		states[p.Offset] = p.State
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/configrelay/server.go
@@ -0,0 +1,89 @@
+package configrelay
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/configwire"
+	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
+)
+
+const (
+	// maxWait bounds how long a read waits for a record. It is below the time in
+	// which a link expects the head of an answer.
+	maxWait = 3 * time.Second
+	// maxAnswerBytes bounds the records of one answer.
+	maxAnswerBytes = 4 << 20
+)
+
+// ServerSeams are what the server asks of its entry.
+type ServerSeams struct {
+	Records func(ctx context.Context, from uint64, wait time.Duration) ([]logservice.Record, logservice.Bounds, error)
+	State   func(beyond uint64) (config.PeerState, error)
+	// Append appends to the log without the help of another entry.
+	Append func(ctx context.Context, record []byte) (uint64, error)
+	// Source returns the number of entries between this one and the log, and
+	// whether its source of records works.
+	Source func() (hops int, healthy bool)
+}
+
+// Server serves the relay to other entries.
+type Server struct {
+	seams ServerSeams
+}
+
+// NewServer returns a server for link.Handle.
+func NewServer(seams ServerSeams) configwire.TwirpServer {
+	return configwire.NewConfigRelayServer(&Server{seams})
+}
+
+// Read returns records that this entry has folded.
+func (s *Server) Read(ctx context.Context, req *configwire.ReadRequest) (*configwire.ReadAnswer, error) {
+	wait := min(time.Duration(req.WaitMs)*time.Millisecond, maxWait)
+	recs, b, err := s.seams.Records(ctx, req.From, wait)
+	hops, healthy := s.seams.Source()
+	out := &configwire.ReadAnswer{Epoch: b.Epoch, Earliest: b.Earliest, Next: b.Next, Hops: uint32(hops), Reaches: healthy}
+	if fault.Is(err, config.KindExpired) {
+		out.Gone = true
+		return out, nil
+	}
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	size := 0
+	for _, r := range recs {
+		if size += len(r.Data); size > maxAnswerBytes && len(out.Records) > 0 {
+			break
+		}
+		out.Records = append(out.Records, &configwire.Record{Offset: r.Offset, TimeUnixNs: r.Time.UnixNano(), Data: r.Data})
+	}
+	return out, nil
+}
+
+// State returns this entry's configuration.
+func (s *Server) State(_ context.Context, req *configwire.StateRequest) (*configwire.StateAnswer, error) {
+	p, err := s.seams.State(req.Beyond)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &configwire.StateAnswer{Epoch: p.Epoch, Offset: p.Offset, State: p.State}, nil
+}
+
+// Append appends a record to the log and tells what is known of its effect.
+func (s *Server) Append(ctx context.Context, req *configwire.AppendRequest) (*configwire.AppendAnswer, error) {
+	offset, err := s.seams.Append(ctx, req.Record)
+	switch {
+	case err == nil:
+		return &configwire.AppendAnswer{Result: configwire.AppendAnswer_APPENDED, Offset: offset}, nil
+	case fault.Is(err, logservice.KindRateLimited):
+		return &configwire.AppendAnswer{Result: configwire.AppendAnswer_RATE_LIMITED, Reason: err.Error()}, nil
+	case logservice.NoEffect(err):
+		return &configwire.AppendAnswer{Result: configwire.AppendAnswer_NO_EFFECT, Reason: err.Error()}, nil
+	default:
+		return &configwire.AppendAnswer{Result: configwire.AppendAnswer_UNKNOWN, Reason: err.Error()}, nil
+	}
+}
--- a/internal/platform/logservice/client.go
+++ b/internal/platform/logservice/client.go
@@ -104,9 +104,13 @@
 // Read returns the records from the offset on. With none there it waits up to
 // wait for one and may then return none.
 func (c *Client) Read(ctx context.Context, stream string, from uint64, wait time.Duration) ([]Record, Bounds, error) {
+	return c.read(ctx, stream, from, MaxRecords, wait)
+}
+
+func (c *Client) read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) ([]Record, Bounds, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
 	defer cancel()
-	path := fmt.Sprintf("%s?from=%d&max=%d&wait_ms=%d", recordsPath(stream), from, MaxRecords, wait.Milliseconds())
+	path := fmt.Sprintf("%s?from=%d&max=%d&wait_ms=%d", recordsPath(stream), from, limit, wait.Milliseconds())
 	var out readAnswer
 	err := rest.Call[struct{}](ctx, c.rc, http.MethodGet, path, nil, &out)
 	if rest.Status(err) == http.StatusGone {
@@ -150,6 +154,14 @@
 	}
 }
 
+// ReadsFew returns a seam that reads at most limit records at once, for streams
+// whose records are large.
+func (c *Client) ReadsFew(stream string, limit int) func(ctx context.Context, from uint64, wait time.Duration) ([]Record, Bounds, error) {
+	return func(ctx context.Context, from uint64, wait time.Duration) ([]Record, Bounds, error) {
+		return c.read(ctx, stream, from, limit, wait)
+	}
+}
+
 func recordsPath(stream string) string { return "/v1/streams/" + url.PathEscape(stream) + "/records" }
 
 // classify says what an error means for the caller. Only the service itself says
--- a/internal/platform/logservice/follower.go
+++ b/internal/platform/logservice/follower.go
@@ -28,6 +28,9 @@
 	Stream string // for log lines
 	From   uint64 // last offset that the state at hand contains
 	Epoch  string // of the log that the state came from; "" where not known
+	// Start, where it is set, supplies state before the first read: its offset and
+	// the epoch of its log, or zero values where there is none.
+	Start func(ctx context.Context) (offset uint64, epoch string)
 	// Read returns the records from the offset on and waits for one if none is there.
 	Read func(ctx context.Context, from uint64, wait time.Duration) ([]Record, Bounds, error)
 	// Fold takes records in order of offset, each once, on the follower's goroutine.
@@ -111,6 +114,7 @@
 
 func (f *Follower) run(ctx context.Context) {
 	defer close(f.done)
+	f.start(ctx)
 	retry, wait := newBackoff(followFirstWait, followMaxWait), FollowWait
 	for ctx.Err() == nil {
 		err := f.step(ctx, wait)
@@ -128,6 +132,19 @@
 	}
 }
 
+func (f *Follower) start(ctx context.Context) {
+	if f.cfg.Start == nil {
+		return
+	}
+	offset, epoch := f.cfg.Start(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if offset > f.state.Offset {
+		f.state.Offset, f.state.Epoch = offset, epoch
+		f.state.End = max(f.state.End, offset)
+	}
+}
+
 // step reads once and folds what came.
 func (f *Follower) step(ctx context.Context, wait time.Duration) error {
 	applied, start := f.Offset(), time.Now()
