--- a/internal/command/cli/dev.go
+++ b/internal/command/cli/dev.go
@@ -15,6 +15,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/client"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/engine"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/vmlist"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/world"
 )
 
@@ -23,6 +24,7 @@
 	devHost        = "127.0.0.1"
 	devEntries     = 2
 	devEngines     = 3
+	devDomain      = "a"
 	devModel       = "assistant-1"
 	devPeerKey     = "peer-dev-key"
 	devToken       = "operator-dev-token"
@@ -64,7 +66,7 @@
 }
 
 func startDev(port int, engines []engine.Config, logger *log.Logger) (*devWorld, error) {
-	standins, err := world.Start(netio.TCP(), engines, devListLag)
+	standins, err := world.Start(world.SameHost(netio.TCP()), engines, devListLag)
 	if err != nil {
 		return nil, err
 	}
@@ -86,7 +88,7 @@
 	s, err := server.New(server.Config{
 		Network:        netio.TCP(),
 		VM:             fmt.Sprintf("entry-%d", i+1),
-		FailureDomain:  "a",
+		FailureDomain:  devDomain,
 		Listen:         fmt.Sprintf("%s:%d", devHost, port),
 		PeerListen:     devHost + ":0",
 		PeerKey:        devPeerKey,
@@ -103,6 +105,7 @@
 		return fmt.Errorf("port %d can't be used (--port moves it): %w", port, err)
 	}
 	w.entries = append(w.entries, s)
+	w.VMs.Put(vmlist.VM{Name: s.VM(), Address: s.PeerAddr(), FailureDomain: devDomain, State: vmlist.StateLive})
 	return nil
 }
 
@@ -133,12 +136,14 @@
 	return w.awaitInForce(ctx)
 }
 
-// awaitInForce waits until both entries have the objects and have seen the engines.
+// awaitInForce waits until both entries have the objects, have seen the engines and
+// know each other and that the objects are in force.
 func (w *devWorld) awaitInForce(ctx context.Context) error {
 	for _, s := range w.entries {
 		for {
 			st := s.State()
-			if st.Config.Offset >= w.entries[0].State().Config.Offset && len(st.Engines) == devEngines {
+			offset := w.entries[0].State().Config.Offset
+			if st.Config.Offset >= offset && len(st.Engines) == devEngines && s.InForce(offset) == devEntries {
 				break
 			}
 			select {
--- a/internal/entry/server/process.go
+++ b/internal/entry/server/process.go
@@ -8,6 +8,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/openai"
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/reply"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/membership"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
 )
@@ -24,6 +25,7 @@
 	ConfigLog     ConfigLogState       `json:"configLog"`
 	Placement     placement.State      `json:"placement"`
 	Engines       []fleet.EngineState  `json:"engines"`
+	Peers         membership.Dump      `json:"peers"`
 	Streams       []openai.StreamState `json:"streams"`
 }
 
@@ -40,6 +42,7 @@
 		ConfigLog:     s.configLog.state(),
 		Placement:     s.placer.State(),
 		Engines:       s.fleet.State(),
+		Peers:         s.peers.node.Dump(),
 		Streams:       s.openai.State(),
 	}
 }
--- a/internal/operator/config/submit.go
+++ b/internal/operator/config/submit.go
@@ -68,14 +68,11 @@
 		if logservice.NoEffect(err) && !lost {
 			return resource.Outcome{}, fail("submit", KindUnavailable, err)
 		}
-		wait := ctx
+		limit := submitWait
 		if err != nil {
-			var cancel context.CancelFunc
-			wait, cancel = context.WithTimeout(ctx, resendAfter)
-			defer cancel() // few: the time limit of a change bounds the rounds
-			lost = true
+			limit, lost = resendAfter, true
 		}
-		out, err := s.await(wait, from, c)
+		out, err := s.await(ctx, limit, from, c)
 		if err == nil {
 			return out, decided(out, c)
 		}
@@ -97,8 +94,10 @@
 	}
 }
 
-// await waits until the change has a fate here.
-func (s *Store) await(ctx context.Context, from uint64, c resource.Change) (resource.Outcome, error) {
+// await waits, up to the limit, until the change has a fate here.
+func (s *Store) await(ctx context.Context, limit time.Duration, from uint64, c resource.Change) (resource.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	for {
 		outs, grown, _ := s.Since(from)
 		for _, out := range outs {
