--- a/internal/entry/server/process.go
+++ b/internal/entry/server/process.go
@@ -23,6 +23,7 @@
 	Leaving       bool                `json:"leaving"`
 	Busy          int64               `json:"busy"` // requests in progress
 	Config        config.State        `json:"config"`
+	ConfigLog     ConfigLogState      `json:"configLog"`
 	Placement     placement.State     `json:"placement"`
 	Engines       []fleet.EngineState `json:"engines"`
 	Peers         membership.Dump     `json:"peers"`
@@ -40,6 +41,7 @@
 		Leaving:       s.leaving.Load(),
 		Busy:          s.busy.Load(),
 		Config:        s.store.State(),
+		ConfigLog:     s.configLog.state(),
 		Placement:     s.placer.State(),
 		Engines:       s.fleet.State(),
 		Peers:         s.peers.node.Dump(),
