--- a/internal/prompt/bench/bench_test.go
+++ b/internal/prompt/bench/bench_test.go
@@ -4,10 +4,18 @@
 	"fmt"
 	"os"
 	"testing"
+	"time"
 )
 
-// TestBenchPolicies prints a line for each scenario and policy. BENCH_FULL=1 adds
-// the second deployment.
+// Bounds of the target.
+const (
+	maxShortFirst = 1900 * time.Millisecond
+	maxGap        = 78 * time.Millisecond
+	maxSlowdown   = 1.2
+)
+
+// TestBenchPolicies prints a line for each scenario and policy and checks the
+// target's bounds. BENCH_FULL=1 adds the second deployment.
 func TestBenchPolicies(t *testing.T) {
 	deps := []deployment{guild}
 	if os.Getenv("BENCH_FULL") != "" {
@@ -15,11 +23,52 @@
 	}
 	for _, d := range deps {
 		for _, sc := range scenarios(d) {
-			for _, m := range baselines {
-				p := both(sc, newBaseline(m))
-				fmt.Println(p.line(m.name))
+			t.Run(sc.name, func(t *testing.T) {
+				p := both(sc, newOurs)
+				fmt.Println(p.line("dogwoodmill"))
 				checkEnds(t, sc, p.with)
-			}
+				checkTarget(t, sc, p)
+				checkBaselines(t, sc, p)
+			})
+		}
+	}
+}
+
+// checkTarget checks what holds whatever the baselines do.
+func checkTarget(t *testing.T, sc scenario, p pair) {
+	t.Helper()
+	if sc.whole && p.with.late > 0 {
+		t.Errorf("%d admitted requests were not answered in time", p.with.late)
+	}
+	if !sc.fits {
+		return
+	}
+	if d := p.with.firstToken(0, 0.95); d > maxShortFirst {
+		t.Errorf("first token of short prompts: p95 %v, want at most %v", d, maxShortFirst)
+	}
+	if d := p.with.gapQuantile(0.95); d > maxGap {
+		t.Errorf("between tokens: p95 %v, want at most %v", d, maxGap)
+	}
+	if x := p.with.slowdown(p.without); x > maxSlowdown {
+		t.Errorf("short slowdown %.2f, want at most %.2f", x, maxSlowdown)
+	}
+}
+
+// checkBaselines runs the baselines and compares.
+func checkBaselines(t *testing.T, sc scenario, ours pair) {
+	t.Helper()
+	for _, m := range baselines {
+		p := both(sc, newBaseline(m))
+		fmt.Println(p.line(m.name))
+		checkEnds(t, sc, p.with)
+		if p.with.goodput() > ours.with.goodput() {
+			t.Errorf("goodput %.4f, with %s %.4f", ours.with.goodput(), m.name, p.with.goodput())
+		}
+		if x, y := ours.with.slowdown(ours.without), p.with.slowdown(p.without); sc.times == 10 && y < x {
+			t.Errorf("short slowdown %.4f, with %s %.4f", x, m.name, y)
+		}
+		if sc.times == 10 && p.with.firstToken(0, 0.95) < ours.with.firstToken(0, 0.95) {
+			t.Errorf("%s has the faster first token of short prompts", m.name)
 		}
 	}
 }
--- a/internal/prompt/bench/engine.go
+++ b/internal/prompt/bench/engine.go
@@ -169,16 +169,14 @@
 }
 
 func (e *engine) endStep(took time.Duration) {
-	e.stepping = false
-	decoders, chunks := slices.Clone(e.decoders), slices.Clone(e.chunks)
-	for _, p := range decoders {
+	for _, p := range e.decoders {
 		if p.req.state != stateSent {
 			continue
 		}
 		e.sim.res.gap(took)
 		e.sim.token(p.req)
 	}
-	for _, c := range chunks {
+	for _, c := range e.chunks {
 		p := c.part
 		if p.req.state != stateSent {
 			continue
@@ -187,9 +185,11 @@
 			e.store(p.req)
 			if p.req.left--; p.req.left == 0 {
 				e.sim.token(p.req)
+				p.req.engines[0].kick() // a leader that waited for the others decodes now
 			}
 		}
 	}
+	e.stepping = false
 	e.kick()
 }
 
