--- a/internal/entry/server/process.go
+++ b/internal/entry/server/process.go
@@ -8,6 +8,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/openai"
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/reply"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/membership"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
 )
@@ -21,8 +22,10 @@
 	Leaving       bool                 `json:"leaving"`
 	Busy          int64                `json:"busy"` // requests in progress
 	Config        config.State         `json:"config"`
+	ConfigLog     ConfigLogState       `json:"configLog"`
 	Placement     placement.State      `json:"placement"`
 	Engines       []fleet.EngineState  `json:"engines"`
+	Peers         membership.Dump      `json:"peers"`
 	Streams       []openai.StreamState `json:"streams"`
 }
 
@@ -36,8 +39,10 @@
 		Leaving:       s.leaving.Load(),
 		Busy:          s.busy.Load(),
 		Config:        s.store.State(),
+		ConfigLog:     s.configLog.state(),
 		Placement:     s.placer.State(),
 		Engines:       s.fleet.State(),
+		Peers:         s.peers.node.Dump(),
 		Streams:       s.openai.State(),
 	}
 }
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -14,6 +14,7 @@
 const (
 	minAnswerTokens    = 16
 	answerTokensSpread = 112
+	maxOpened          = 16_384
 )
 
 // Owner names the entry that opened a stream or a hold.
@@ -64,6 +65,23 @@
 	Finish   string `json:"finish,omitempty"`
 }
 
+// Opening is a request for a stream that reached an engine, whatever became of it.
+type Opening struct {
+	Stream  string
+	Owner   Owner
+	Time    time.Time
+	Taken   bool // the engine ran it or a part of it
+	Leaving bool // the engine was leaving
+}
+
+// Opened lists the last maxOpened requests for a stream, in order. It outlives a
+// restart.
+func (e *Engine) Opened() []Opening {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.opened)
+}
+
 type stream struct {
 	req        StreamRequest
 	arrival    uint64
@@ -146,15 +164,14 @@
 func (e *Engine) Open(req StreamRequest) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if err := e.check(req); err != nil {
-		return err
-	}
 	s := newStream(req)
-	if s.reserve > e.cfg.Memory {
-		return fail("open", KindInvalid, fmt.Errorf("%d tokens exceed the memory of %d", s.reserve, e.cfg.Memory))
+	err := e.check(s)
+	e.remember(Opening{Stream: req.Stream, Owner: req.Owner, Time: time.Now(), Taken: err == nil, Leaving: e.leaving})
+	if err != nil {
+		return err
 	}
-	if req.Hold != "" && !e.release(req.Hold) {
-		return fail("open", KindNotFound, fmt.Errorf("hold %q", req.Hold))
+	if req.Hold != "" {
+		e.release(req.Hold)
 	}
 	e.arrivals++
 	s.arrival = e.arrivals
@@ -168,7 +185,15 @@
 	return nil
 }
 
-func (e *Engine) check(req StreamRequest) error {
+func (e *Engine) remember(o Opening) {
+	if len(e.opened) == maxOpened {
+		e.opened = e.opened[1:]
+	}
+	e.opened = append(e.opened, o)
+}
+
+func (e *Engine) check(s *stream) error {
+	req := s.req
 	switch {
 	case e.dead:
 		return fail("open", KindDead, nil)
@@ -182,6 +207,10 @@
 		return fail("open", KindConflict, fmt.Errorf("stream %q", req.Stream))
 	case len(e.queue) >= MaxQueue:
 		return fail("open", KindFull, fmt.Errorf("queue has %d streams", len(e.queue)))
+	case s.reserve > e.cfg.Memory:
+		return fail("open", KindInvalid, fmt.Errorf("%d tokens exceed the memory of %d", s.reserve, e.cfg.Memory))
+	case req.Hold != "" && e.holds[req.Hold] == nil:
+		return fail("open", KindNotFound, fmt.Errorf("hold %q", req.Hold))
 	}
 	return nil
 }
