--- a/internal/entry/server/streams_test.go
+++ b/internal/entry/server/streams_test.go
@@ -106,7 +106,7 @@
 	b.t.Helper()
 	s, err := New(Config{
 		VM: vm, FailureDomain: "a", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
-		PeerKey: "peer-key-1", LogURL: b.LogURL(), VMListURL: b.VMListURL(), WeightStoreURL: b.WeightStoreURL(),
+		PeerKey: "peer-key-1", LogURL: b.LogURL(), LogRetention: time.Hour, VMListURL: b.VMListURL(), WeightStoreURL: b.WeightStoreURL(),
 		Network: netio.TCP(), OperatorToken: testToken, MaxBodyBytes: MaxBody, Drain: testDrain,
 	}, log.New(io.Discard))
 	if err != nil {
