Let tests of the daemon take ports that the machine chooses

Cause: a test looked for two free ports in a row and listened on them later; on a busy machine another process had taken one meanwhile (address already in use).

Change: the network that tests give to dev listens on port 0 for every entry.

--- a/internal/command/cli/cli_test.go
+++ b/internal/command/cli/cli_test.go
@@ -21,6 +21,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/golden"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/engine"
 )
 
@@ -36,7 +37,7 @@
 	for i := range engines {
 		engines[i].PrefillRate, engines[i].Step = testPrefillRate, testStep
 	}
-	w, err := startDev(freePorts(t), engines, log.New(io.Discard))
+	w, err := startDev(freePorts(), DefaultPort, engines, log.New(io.Discard))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -59,24 +60,13 @@
 	return w
 }
 
-// freePorts returns the first of two free ports in a row.
-func freePorts(t *testing.T) int {
-	t.Helper()
-	for range 100 {
-		a, err := net.Listen("tcp", devHost+":0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		port := a.Addr().(*net.TCPAddr).Port
-		b, err := net.Listen("tcp", fmt.Sprintf("%s:%d", devHost, port+1))
-		_ = a.Close()
-		if err == nil {
-			_ = b.Close()
-			return port
-		}
-	}
-	t.Fatal("no two free ports in a row")
-	return 0
+// freePorts returns a network in which the ports of the entries are always free:
+// each listens on a port that the machine chose.
+func freePorts() *netio.Network {
+	tcp := netio.TCP()
+	return netio.New(tcp.Dial, func(string) (net.Listener, error) {
+		return tcp.Listen(devHost + ":0")
+	})
 }
 
 type answer struct {
--- a/internal/command/cli/dev.go
+++ b/internal/command/cli/dev.go
@@ -43,12 +43,13 @@
 // devWorld is everything that dev runs in the process.
 type devWorld struct {
 	*world.World
+	network *netio.Network
 	entries []*server.Server
 }
 
 // Run runs everything until a signal.
 func (o *DevOptions) Run(env *environment) error {
-	w, err := startDev(o.Port, devEngineConfigs(), env.log)
+	w, err := startDev(netio.TCP(), o.Port, devEngineConfigs(), env.log)
 	if err != nil {
 		return err
 	}
@@ -65,12 +66,12 @@
 	return out
 }
 
-func startDev(port int, engines []engine.Config, logger *log.Logger) (*devWorld, error) {
-	standins, err := world.Start(world.SameHost(netio.TCP()), engines, devListLag)
+func startDev(network *netio.Network, port int, engines []engine.Config, logger *log.Logger) (*devWorld, error) {
+	standins, err := world.Start(world.SameHost(network), engines, devListLag)
 	if err != nil {
 		return nil, err
 	}
-	w := &devWorld{World: standins}
+	w := &devWorld{World: standins, network: network}
 	for i := range devEntries {
 		if err := w.startEntry(i, port+i, logger); err != nil {
 			w.Close()
@@ -86,7 +87,7 @@
 		seeds = append(seeds, e.PeerAddr())
 	}
 	s, err := server.New(server.Config{
-		Network:        netio.TCP(),
+		Network:        w.network,
 		VM:             fmt.Sprintf("entry-%d", i+1),
 		FailureDomain:  devDomain,
 		Listen:         fmt.Sprintf("%s:%d", devHost, port),
@@ -127,7 +128,7 @@
 	if err != nil {
 		return err
 	}
-	c := client.New(netio.TCP(), "http://"+w.entries[0].Addr(), devToken)
+	c := client.New(w.network, "http://"+w.entries[0].Addr(), devToken)
 	for _, o := range objects {
 		if _, err := c.Put(ctx, o); err != nil {
 			return err
