Hand streams over when an entry leaves, and test the collection of orphans

Cause: past the drain limit, or at a second signal, answers in progress were cut without a word, and a stream that a collector cancelled by mistake in a partition ended its answer.

Change: a leaving entry closes its callers' connections after each answer, and past the limit ends each stream with an explicit error that names the id to resume by; the engine goes on meanwhile. Exit code 5 says that something was left. A caller's cancel leaves a mark at the engine; a stream that ends as cancelled without the mark goes on at another engine.

--- a/internal/caller/openai/budget.go
+++ b/internal/caller/openai/budget.go
@@ -4,16 +4,20 @@
 
 // budget bounds the bytes of the prompts that the entry holds at once.
 type budget struct {
-	limit   int64
+	limit   atomic.Int64 // bytes
 	used    atomic.Int64
 	refused atomic.Int64
 }
 
-func newBudget(limit int64) *budget { return &budget{limit: limit} }
+func newBudget(limit int64) *budget {
+	b := &budget{}
+	b.limit.Store(limit)
+	return b
+}
 
 // take reports whether n bytes more fit, and takes them.
 func (b *budget) take(n int64) bool {
-	if b.used.Add(n) <= b.limit {
+	if b.used.Add(n) <= b.limit.Load() {
 		return true
 	}
 	b.used.Add(-n)
--- a/internal/caller/openai/call.go
+++ b/internal/caller/openai/call.go
@@ -148,12 +148,12 @@
 	switch {
 	case cause == nil && c.headed && fault.Is(err, engine.KindUnknownStream):
 		return unknownResponse()
+	case errors.Is(cause, errCancelled) || cause == nil && errors.Is(err, errCancelled):
+		return cancelled(reply.RanUnknown)
 	case cause == nil:
 		return errorFor(c.src.sent, err)
 	case errors.Is(cause, errGone):
 		return gone(ranBefore(c.src.sent, err))
-	case errors.Is(cause, errCancelled):
-		return cancelled(reply.RanUnknown)
 	case errors.Is(cause, errHandover), errors.Is(cause, errTaken):
 		return leaving(c.id(), ranBefore(c.src.sent, err))
 	default:
--- a/internal/caller/openai/handler.go
+++ b/internal/caller/openai/handler.go
@@ -264,9 +264,6 @@
 		text.WriteString(p.Text)
 		p, err = c.src.next(c.ctx)
 	}
-	if err == nil && p.Finish == finishCancelled {
-		err = errCancelled
-	}
 	if err != nil {
 		apiErr := c.cut(err)
 		h.end(c, nil, c.blame(err))
@@ -302,12 +299,17 @@
 	h.prompts.giveBack(c.held)
 }
 
-// Handover tells the callers of all answers in progress to resume elsewhere. What
-// an engine runs for them goes on.
-func (h *Handler) Handover() {
-	for _, c := range h.streams.all() {
+// LimitPrompts sets the bound on the bytes of the prompts that are held at once.
+func (h *Handler) LimitPrompts(bytes int64) { h.prompts.limit.Store(bytes) }
+
+// Handover tells the callers of all answers in progress to resume elsewhere, and
+// returns their number. What an engine runs for them goes on.
+func (h *Handler) Handover() int {
+	calls := h.streams.all()
+	for _, c := range calls {
 		c.cancel(errHandover)
 	}
+	return len(calls)
 }
 
 // prefillTime estimates how long an engine of the deployment takes for a prompt.
--- a/internal/caller/openai/registry.go
+++ b/internal/caller/openai/registry.go
@@ -94,7 +94,7 @@
 	st := State{
 		WaitingBytes:   h.pending.Load(),
 		PromptBytes:    h.prompts.used.Load(),
-		PromptLimit:    h.prompts.limit,
+		PromptLimit:    h.prompts.limit.Load(),
 		PromptsRefused: h.prompts.refused.Load(),
 		Cancels:        h.cancels.state(),
 		List:           []StreamState{},
--- a/internal/caller/openai/relay.go
+++ b/internal/caller/openai/relay.go
@@ -51,9 +51,6 @@
 	event := func(b []byte) ([]byte, error) { return enc.piece(b, &p) }
 	c.phase.Store(int32(phaseTokens))
 	for {
-		if p.Finish == finishCancelled {
-			return p, errCancelled
-		}
 		if err := o.send(event); err != nil {
 			return p, &callerError{err}
 		}
--- a/internal/caller/openai/responses.go
+++ b/internal/caller/openai/responses.go
@@ -27,6 +27,7 @@
 	servingRenew  = servingTTL / 3
 	servingTokens = 1
 	cancelWait    = 2 * time.Second
+	markTTL       = 3 * time.Second
 )
 
 // Responses serves GET (resume) and DELETE (cancel) of /v1/responses/{id}.
@@ -109,6 +110,8 @@
 	h.cancels.add(&cancelJob{
 		engine: client.Name(), stream: rid.stream(), done: func() {},
 		call: func(ctx context.Context) error {
+			// An engine short of memory takes no mark: the cancel may then look like a lost engine.
+			_ = client.Hold(ctx, engine.HoldRequest{Hold: orphan.MarkID(rid.stream()), Owner: h.seams.Owner, Tokens: servingTokens, TTL: markTTL})
 			err := client.Cancel(ctx, rid.stream())
 			if err == nil {
 				close(confirmed)
--- a/internal/caller/openai/source.go
+++ b/internal/caller/openai/source.go
@@ -8,6 +8,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/orphan"
 )
 
 const (
@@ -85,6 +86,12 @@
 			}
 		}
 		p, err := s.stream.Next(s.limit())
+		if err == nil && p.Finish == finishCancelled {
+			if err = s.cancelled(ctx); err != nil {
+				return engine.Piece{}, err
+			}
+			continue
+		}
 		if err == nil {
 			s.accept(&p)
 			return p, nil
@@ -153,6 +160,22 @@
 	if err == nil || ctx.Err() != nil {
 		return err
 	}
+	return s.lost(ctx, err)
+}
+
+// cancelled goes on at another engine where nobody who may has cancelled the
+// stream: a collector that could not reach this entry took it for an orphan.
+func (s *source) cancelled(ctx context.Context) error {
+	s.disconnect()
+	holds, err := s.run.holds(ctx)
+	if err != nil || orphan.Marked(holds, s.run.stream) {
+		return errCancelled
+	}
+	return s.lost(ctx, errEnded)
+}
+
+// lost gives the run up and goes on at another engine.
+func (s *source) lost(ctx context.Context, err error) error {
 	s.seams.cancel(s.run, err)
 	s.run = nil
 	if s.at.Pos > 0 && !s.replay || s.replays == maxReplays {
@@ -233,7 +256,10 @@
 	}
 }
 
-var errCancelled = errors.New("the stream was cancelled")
+var (
+	errCancelled = errors.New("the caller cancelled the answer")
+	errEnded     = errors.New("the engine ended the stream for somebody else")
+)
 
 func sleep(ctx context.Context, d time.Duration) {
 	select {
--- a/internal/command/cli/entry.go
+++ b/internal/command/cli/entry.go
@@ -71,5 +71,9 @@
 	for range servers {
 		errList = append(errList, <-ended)
 	}
-	return errors.Join(errList...)
+	err := errors.Join(errList...)
+	if fault.Is(err, server.KindDrain) {
+		return &codedError{code: exitLeft, err: err}
+	}
+	return err
 }
--- a/internal/command/cli/options.go
+++ b/internal/command/cli/options.go
@@ -33,6 +33,7 @@
 	exitUsage    = 2 // the command line or a file is wrong; nothing was done
 	exitConflict = 3 // another version is current
 	exitUnknown  = 4 // the change may yet take effect
+	exitLeft     = 5 // the entry stopped with requests in progress
 )
 
 // Options is the whole command line. Each flag can be set by an environment
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -31,9 +31,6 @@
 const (
 	idleTimeout  = 2 * time.Minute
 	writeTimeout = 30 * time.Second
-	// acceptWhileLeaving is how long a leaving entry takes new work, until callers know.
-	acceptWhileLeaving = 2 * time.Second
-	drainPoll          = 50 * time.Millisecond
 )
 
 // Server is an entry.
@@ -128,30 +125,6 @@
 	return s.http.Serve(s.ln)
 }
 
-// Shutdown leaves: it takes new work for a little longer, then refuses it,
-// finishes what runs within the drain limit, and stops. It returns an error of
-// KindDrain where requests were still in progress.
-func (s *Server) Shutdown(ctx context.Context) error {
-	s.leaving.Store(true)
-	s.peers.leave()
-	s.log.Info("Leaving.", "in_progress", s.busy.Load())
-	wait(ctx, acceptWhileLeaving)
-	s.refusing.Store(true)
-	drain, cancel := context.WithTimeout(ctx, s.cfg.Drain)
-	defer cancel()
-	for s.busy.Load() > 0 && drain.Err() == nil {
-		wait(drain, drainPoll)
-	}
-	left := s.busy.Load()
-	s.stop()
-	if left > 0 {
-		s.log.Warn("Stopped with requests in progress.", "left", left)
-		return fail("shutdown", KindDrain, fmt.Errorf("%d requests in progress", left))
-	}
-	s.log.Info("Stopped with nothing in progress.")
-	return nil
-}
-
 func (s *Server) stop() {
 	s.api.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -171,13 +144,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (s *Server) authorized(token string) bool {
 	return subtle.ConstantTimeCompare([]byte(token), []byte(s.cfg.OperatorToken)) == 1
 }
@@ -194,6 +160,9 @@
 		reply.Overloaded("leaving", "This entry is leaving; another one serves.", time.Second).Write(ctx)
 		return
 	}
+	if s.leaving.Load() {
+		ctx.SetConnectionClose() // the caller's next request goes to another entry
+	}
 	release := s.hold()
 	defer release()
 	switch {
--- a/internal/entry/server/streams_test.go
+++ b/internal/entry/server/streams_test.go
@@ -15,6 +15,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/client"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
@@ -79,7 +80,7 @@
 	b := &bench{World: w, t: t}
 	t.Cleanup(b.close)
 	for i := range entries {
-		b.startEntry(fmt.Sprintf("entry-%d", i+1))
+		b.startEntry(fmt.Sprintf("entry-%d", i+1), testDrain)
 	}
 	text := fmt.Sprintf(objects, resource.HashKey(guildKey), resource.HashKey(otherKey))
 	for i, cfg := range cfgs {
@@ -102,12 +103,12 @@
 	return b
 }
 
-func (b *bench) startEntry(vm string) *Server {
+func (b *bench) startEntry(vm string, drain time.Duration) *Server {
 	b.t.Helper()
 	s, err := New(Config{
 		VM: vm, FailureDomain: "a", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
 		PeerKey: "peer-key-1", LogURL: b.LogURL(), LogRetention: time.Hour, VMListURL: b.VMListURL(), WeightStoreURL: b.WeightStoreURL(),
-		Network: netio.TCP(), OperatorToken: testToken, MaxBodyBytes: MaxBody, Drain: testDrain,
+		Network: netio.TCP(), OperatorToken: testToken, MaxBodyBytes: MaxBody, Drain: drain,
 	}, log.New(io.Discard))
 	if err != nil {
 		b.t.Fatal(err)
@@ -522,3 +523,121 @@
 	s.readAll().isPart(prompt, "cancelled")
 	b.awaitFree()
 }
+
+func TestStreamTakenForAnOrphanGoesOn(t *testing.T) {
+	b := newBench(t, 1, engines(2, nil))
+	prompt := promptOf(100)
+	s := b.open(b.entries[0], "exact", prompt).read(3)
+	e := b.running()
+	list, err := e.Streams()
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(e.Cancel(list[0].Stream)) // a collector that could not reach the entry
+	s.readAll().isWhole(prompt)
+	b.awaitFree()
+}
+
+func TestSlowReaderDoesNotHoldTheEngine(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, engines(1, func(cfg *engine.Config) { cfg.Step = time.Millisecond }))
+	conn, err := net.Dial("tcp", b.entries[0].Addr())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	is.NoErr(conn.(*net.TCPConn).SetReadBuffer(2 << 10))
+	prompt := promptOf(120)
+	body := fmt.Sprintf(`{"model":"exact","stream":true,"prompt":%q}`, prompt)
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", guildKey, len(body), body)
+	is.NoErr(err)
+	b.running()
+	b.awaitFree() // the answer was produced though its caller has read nothing
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	s := &stream{b: b, res: res, sc: bufio.NewScanner(res.Body)}
+	s.readAll().isWhole(prompt)
+}
+
+func TestLeavingEntry(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, engines(1, nil))
+	last := b.startEntry("leaver", time.Hour)
+	b.entries = b.entries[:1] // it is shut down here
+	b.await("the engines are known", func() bool { return len(last.State().Engines) == 1 })
+	b.Engines[0].SetSlow(40)
+	prompt := promptOf(100)
+	s := b.open(last, "exact", prompt).read(3)
+	ended := make(chan error, 1)
+	go func() { ended <- last.Shutdown(t.Context()) }()
+	b.await("it says that it leaves", func() bool {
+		return b.do(last, "GET", "/readyz", "", "").res.StatusCode == http.StatusServiceUnavailable
+	})
+	b.await("it refuses new work", func() bool {
+		r := b.do(last, "POST", "/v1/completions", guildKey, `{"model":"exact","prompt":"x","max_tokens":1}`)
+		return r.res.StatusCode == http.StatusServiceUnavailable && r.res.Header.Get("Retry-After") != ""
+	})
+	b.Engines[0].SetSlow(1)
+	s.readAll().isWhole(prompt) // nothing is cut
+	is.NoErr(<-ended)
+}
+
+func TestCallersResumeWhenTheDrainLimitPasses(t *testing.T) {
+	for name, stop := range map[string]func(context.Context, *Server) error{
+		"drain limit": func(ctx context.Context, s *Server) error { return s.Shutdown(ctx) },
+		"second signal": func(ctx context.Context, s *Server) error {
+			ctx, cancel := context.WithCancel(ctx)
+			cancel()
+			return s.Shutdown(ctx)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, 1, engines(1, nil))
+			leaver := b.startEntry("leaver", 50*time.Millisecond)
+			b.entries = b.entries[:1] // it is shut down here
+			b.await("the engines are known", func() bool { return len(leaver.State().Engines) == 1 })
+			b.Engines[0].SetSlow(20)
+			prompt := promptOf(100)
+			s := b.open(leaver, "exact", prompt).read(3)
+			ended := make(chan error, 1)
+			go func() { ended <- stop(t.Context(), leaver) }()
+			s.readAll().isPart(prompt, "entry_leaving")
+			is.True(fault.Is(<-ended, KindDrain))
+			b.Engines[0].SetSlow(1)
+			next := b.resume(b.entries[0], guildKey, s.id, s.last)
+			next.text.WriteString(s.text.String())
+			next.readAll().isWhole(prompt)
+			b.awaitFree()
+		})
+	}
+}
+
+func TestPromptsOverTheBoundAreRefused(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, engines(1, nil))
+	b.Engines[0].Pause(true)
+	const n = 8 // prompts of a quarter of the bound at once
+	body := fmt.Sprintf(`{"model":"exact","prompt":%q}`, strings.Repeat("word", 300_000))
+	codes := make(chan int, n)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	b.entries[0].openai.LimitPrompts(3 * int64(len(body)))
+	for range n {
+		go func() {
+			req, err := http.NewRequestWithContext(ctx, "POST", "http://"+b.entries[0].Addr()+"/v1/completions", strings.NewReader(body))
+			if err != nil {
+				return
+			}
+			req.Header.Set("Authorization", "Bearer "+guildKey)
+			res, err := http.DefaultClient.Do(req)
+			if err != nil {
+				return // the test is over
+			}
+			_ = res.Body.Close()
+			codes <- res.StatusCode
+		}()
+	}
+	for range n - 3 {
+		is.Equal(<-codes, http.StatusServiceUnavailable)
+	}
+	is.Equal(b.entries[0].State().Streams.PromptsRefused, int64(n-3))
+	cancel()
+	b.await("the bytes are given back", func() bool { return b.entries[0].State().Streams.PromptBytes == 0 })
+}
--- a/internal/upstream/orphan/collector.go
+++ b/internal/upstream/orphan/collector.go
@@ -7,16 +7,17 @@
 	"sync"
 	"time"
 
-	"github.com/alitto/pond/v2"
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/work"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
 )
 
 const (
 	collectEvery   = 2 * time.Second
 	collectWorkers = 8
+	collectQueue   = 4096
 	collectTimeout = 10 * time.Second // for one engine
 	// Grace is how long a stream without an entry goes on, so that its caller can
 	// resume it at another entry.
@@ -62,6 +63,7 @@
 	seams   Seams
 	log     *log.Logger
 	metrics tally.Scope
+	pool    *work.Pool
 	stop    context.CancelFunc
 	done    chan struct{}
 
@@ -92,7 +94,7 @@
 	}
 	return &Collector{
 		seams: seams, log: logger.WithPrefix("orphan"), metrics: metrics.SubScope("orphan"),
-		done: make(chan struct{}), suspects: map[string]map[string]time.Time{},
+		pool: work.New(collectWorkers, collectQueue), done: make(chan struct{}), suspects: map[string]map[string]time.Time{},
 	}
 }
 
@@ -117,11 +119,12 @@
 func (c *Collector) Close() {
 	c.stop()
 	<-c.done
+	c.pool.Close()
 }
 
 // Round looks at each engine once.
 func (c *Collector) Round(ctx context.Context) {
-	pool := pond.NewPool(collectWorkers)
+	var running sync.WaitGroup
 	n := 0
 	named := map[string]bool{}
 	for _, e := range c.seams.Engines() {
@@ -130,9 +133,17 @@
 		}
 		n++
 		named[e.Name] = true
-		pool.Submit(func() { c.collect(ctx, e) })
+		running.Add(1)
+		err := c.pool.Go(func() {
+			defer running.Done()
+			c.collect(ctx, e)
+		})
+		if err != nil { // the next round tries again
+			running.Done()
+			c.fail()
+		}
 	}
-	pool.StopAndWait()
+	running.Wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state.Owned = n
--- a/internal/upstream/orphan/stream.go
+++ b/internal/upstream/orphan/stream.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -21,6 +22,7 @@
 
 	separator = "."
 	holdStart = "resume" + separator
+	markStart = "cancel" + separator
 )
 
 // StreamID returns the id of a stream at an engine. It tells every entry when the
@@ -45,6 +47,16 @@
 	return time.Unix(sec, nsec).Add(time.Duration(secs) * time.Second), true
 }
 
+// MarkID returns the id of the hold that tells the entry which reads a stream that
+// its caller has cancelled it through another entry. A stream that ends as
+// cancelled without it was taken for an orphan, and goes on at another engine.
+func MarkID(stream string) string { return markStart + stream }
+
+// Marked reports whether the stream's mark is among the holds.
+func Marked(holds []engine.HoldInfo, stream string) bool {
+	return slices.ContainsFunc(holds, func(h engine.HoldInfo) bool { return h.Hold == MarkID(stream) })
+}
+
 // HoldID returns the id of the hold by which an entry that did not open a stream
 // tells all others that it serves it.
 func HoldID(stream string, by engine.Owner) string {
