Summarise a failure domain whose only entry is leaving

Cause: the offsets of no live entry were indexed, and the call of the other domain's entry panicked (index out of range [0] with length 0); found by the state machine over the whole product when the one entry of a domain left.

Change: no offsets where nobody is live, with a test.

Measured: the test panics without the change and passes with it.

--- a/internal/peer/membership/bridge.go
+++ b/internal/peer/membership/bridge.go
@@ -85,6 +85,9 @@
 	for _, name := range live {
 		all = append(all, n.offsetOf(name))
 	}
+	if len(all) == 0 {
+		return nil // the only entry of the domain is leaving
+	}
 	slices.Sort(all)
 	var out []*memberwire.OffsetCount
 	for i := range maxOffsets {
--- a/internal/peer/membership/membership_test.go
+++ b/internal/peer/membership/membership_test.go
@@ -236,3 +236,12 @@
 		is.True(a[0].Owns("engine-b", "b") != a[1].Owns("engine-b", "b")) // another domain looks after it
 	})
 }
+
+func TestSummaryOfADomainWhoseOnlyEntryLeaves(t *testing.T) {
+	inMesh(t, func(is *is.I, m *mesh) {
+		nodes := m.fleet(1)
+		nodes[0].Leave()
+		is.Equal(nodes[0].Summary().GetLive(), uint32(0))
+		is.Equal(len(nodes[0].Summary().GetOffsets()), 0)
+	})
+}
