--- a/internal/entry/server/process.go
+++ b/internal/entry/server/process.go
@@ -11,22 +11,24 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/membership"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/orphan"
 )
 
 // State is the state dump of an entry.
 type State struct {
-	VM            string               `json:"vm"`
-	FailureDomain string               `json:"failureDomain"`
-	Incarnation   uint64               `json:"incarnation"`
-	UptimeMS      int64                `json:"uptimeMs"`
-	Leaving       bool                 `json:"leaving"`
-	Busy          int64                `json:"busy"` // requests in progress
-	Config        config.State         `json:"config"`
-	ConfigLog     ConfigLogState       `json:"configLog"`
-	Placement     placement.State      `json:"placement"`
-	Engines       []fleet.EngineState  `json:"engines"`
-	Peers         membership.Dump      `json:"peers"`
-	Streams       []openai.StreamState `json:"streams"`
+	VM            string              `json:"vm"`
+	FailureDomain string              `json:"failureDomain"`
+	Incarnation   uint64              `json:"incarnation"`
+	UptimeMS      int64               `json:"uptimeMs"`
+	Leaving       bool                `json:"leaving"`
+	Busy          int64               `json:"busy"` // requests in progress
+	Config        config.State        `json:"config"`
+	ConfigLog     ConfigLogState      `json:"configLog"`
+	Placement     placement.State     `json:"placement"`
+	Engines       []fleet.EngineState `json:"engines"`
+	Peers         membership.Dump     `json:"peers"`
+	Streams       openai.State        `json:"streams"`
+	Orphans       orphan.State        `json:"orphans"`
 }
 
 // State returns the entry's state.
@@ -44,6 +46,7 @@
 		Engines:       s.fleet.State(),
 		Peers:         s.peers.node.Dump(),
 		Streams:       s.openai.State(),
+		Orphans:       s.orphans.State(),
 	}
 }
 
