Bound the collector's pool and watch connections that have no socket

Cause: each round of the orphan collection made a pond pool and stopped it, which goes through a pool of the whole process; and a caller over the in-memory network could not be watched, so that the state machine over the product did not see what happens when a caller leaves.

Change: the collector uses internal/base/work; a connection that tells when its other end is gone is watched through that.

Measured: before, the state machine over the product ended in its first plan with a fatal error of the runtime; after, it runs.

--- a/internal/caller/openai/watch.go
+++ b/internal/caller/openai/watch.go
@@ -38,6 +38,9 @@
 // watch starts a watcher that calls gone once. It returns nil where the
 // connection can't be watched. No other reader may use the connection meanwhile.
 func watch(conn net.Conn, gone func()) *watcher {
+	if t, ok := conn.(teller); ok {
+		return watchTeller(conn, t, gone)
+	}
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
 		return nil
@@ -53,6 +56,24 @@
 	return w
 }
 
+// teller is a connection without a socket that tells when its other end is gone.
+type teller interface {
+	Gone() <-chan struct{}
+}
+
+func watchTeller(conn net.Conn, t teller, gone func()) *watcher {
+	w := &watcher{conn: conn, quit: make(chan struct{}), done: make(chan struct{})}
+	go func() {
+		defer close(w.done)
+		select {
+		case <-t.Gone():
+			gone()
+		case <-w.quit:
+		}
+	}()
+	return w
+}
+
 // probe lets the kernel notice a caller whose VM vanished.
 func probe(conn net.Conn, raw syscall.RawConn) {
 	if c, ok := conn.(*net.TCPConn); ok {
--- a/internal/upstream/orphan/collector.go
+++ b/internal/upstream/orphan/collector.go
@@ -7,10 +7,10 @@
 	"sync"
 	"time"
 
-	"github.com/alitto/pond/v2"
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/work"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
 )
 
@@ -121,18 +121,19 @@
 
 // Round looks at each engine once.
 func (c *Collector) Round(ctx context.Context) {
-	pool := pond.NewPool(collectWorkers)
+	engines := c.seams.Engines()
+	pool := work.New(collectWorkers, len(engines))
 	n := 0
 	named := map[string]bool{}
-	for _, e := range c.seams.Engines() {
+	for _, e := range engines {
 		if !c.seams.Owns(e.Name) {
 			continue
 		}
 		n++
 		named[e.Name] = true
-		pool.Submit(func() { c.collect(ctx, e) })
+		_ = pool.Go(func() { c.collect(ctx, e) }) // the queue has a place for each
 	}
-	pool.StopAndWait()
+	pool.Close()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state.Owned = n
