--- a/internal/upstream/orphan/collector.go
+++ b/internal/upstream/orphan/collector.go
@@ -17,7 +17,6 @@
 const (
 	collectEvery   = 2 * time.Second
 	collectWorkers = 8
-	collectQueue   = 4096
 	collectTimeout = 10 * time.Second // for one engine
 	// Grace is how long a stream without an entry goes on, so that its caller can
 	// resume it at another entry.
@@ -63,7 +62,6 @@
 	seams   Seams
 	log     *log.Logger
 	metrics tally.Scope
-	pool    *work.Pool
 	stop    context.CancelFunc
 	done    chan struct{}
 
@@ -94,7 +92,7 @@
 	}
 	return &Collector{
 		seams: seams, log: logger.WithPrefix("orphan"), metrics: metrics.SubScope("orphan"),
-		pool: work.New(collectWorkers, collectQueue), done: make(chan struct{}), suspects: map[string]map[string]time.Time{},
+		done: make(chan struct{}), suspects: map[string]map[string]time.Time{},
 	}
 }
 
@@ -119,31 +117,23 @@
 func (c *Collector) Close() {
 	c.stop()
 	<-c.done
-	c.pool.Close()
 }
 
 // Round looks at each engine once.
 func (c *Collector) Round(ctx context.Context) {
-	var running sync.WaitGroup
+	engines := c.seams.Engines()
+	pool := work.New(collectWorkers, len(engines))
 	n := 0
 	named := map[string]bool{}
-	for _, e := range c.seams.Engines() {
+	for _, e := range engines {
 		if !c.seams.Owns(e.Name) {
 			continue
 		}
 		n++
 		named[e.Name] = true
-		running.Add(1)
-		err := c.pool.Go(func() {
-			defer running.Done()
-			c.collect(ctx, e)
-		})
-		if err != nil { // the next round tries again
-			running.Done()
-			c.fail()
-		}
+		_ = pool.Go(func() { c.collect(ctx, e) }) // the queue has a place for each
 	}
-	running.Wait()
+	pool.Close()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state.Owned = n
