--- a/internal/caller/openai/handler.go
+++ b/internal/caller/openai/handler.go
@@ -278,13 +278,19 @@
 // the memory of its request, and its connection serves no further one.
 func (h *Handler) writeStream(ctx *fasthttp.RequestCtx, c *call) {
 	release := h.seams.Hold()
-	conn := ctx.Conn()
-	chunked := ctx.Request.Header.IsHTTP11()
+	p, err := h.prepare(c, ctx.Conn(), ctx.Request.Header.IsHTTP11())
+	if err != nil {
+		h.end(c, nil, err)
+		release()
+		ctx.SetConnectionClose()
+		return
+	}
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(net.Conn) {
+		c.watcher.consume()
 		go func() {
 			defer release()
-			h.relay(c, conn, chunked)
+			h.relay(p)
 		}()
 	})
 }
--- a/internal/caller/openai/output.go
+++ b/internal/caller/openai/output.go
@@ -72,6 +72,14 @@
 
 // send sends what the function appends as one chunk of the body.
 func (o *output) send(event func(b []byte) ([]byte, error)) error {
+	if err := o.add(event); err != nil {
+		return err
+	}
+	return o.write()
+}
+
+// add appends what the function appends as one chunk of the body.
+func (o *output) add(event func(b []byte) ([]byte, error)) error {
 	start := len(o.buf)
 	b := o.buf
 	if o.chunked {
@@ -90,7 +98,7 @@
 		b = append(b, "\r\n"...)
 	}
 	o.buf = b
-	return o.write()
+	return nil
 }
 
 // head appends bytes that are no part of the body, such as its head.
--- a/internal/standin/engine/switches.go
+++ b/internal/standin/engine/switches.go
@@ -83,6 +83,9 @@
 	if e.misdeliverNext == 0 || p.Finish != "" {
 		return []Piece{p}
 	}
+	if s := e.streams[p.Stream]; e.misdelivery == Late && s != nil && p.Pos == s.req.From {
+		return []Piece{p} // an earlier incarnation can't have known a stream that has just begun
+	}
 	e.misdeliverNext--
 	wrong := p
 	switch e.misdelivery {
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -24,6 +25,8 @@
 	// to send the prompt at uploadRate.
 	headTimeout = 2 * time.Second
 	uploadRate  = 4 << 20 // bytes a second
+	// streamBuffer is what each open stream reads into, in bytes.
+	streamBuffer = 2 << 10
 )
 
 // Owner names the entry that opened a stream or a hold.
@@ -106,6 +109,7 @@
 	addr    string
 	network *netio.Network
 	rc      *rest.Client
+	newest  atomic.Uint64 // incarnation of the engine that was seen
 }
 
 // NewClient returns a client of the engine at host:port.
@@ -122,6 +126,15 @@
 // Drop closes the idle connections to the engine, which may be silent for good.
 func (c *Client) Drop() { c.rc.Drop() }
 
+// saw notes an incarnation of the engine. What an earlier one sent is late.
+func (c *Client) saw(incarnation uint64) {
+	for old := c.newest.Load(); incarnation > old; old = c.newest.Load() {
+		if c.newest.CompareAndSwap(old, incarnation) {
+			return
+		}
+	}
+}
+
 // Open opens a stream.
 func (c *Client) Open(ctx context.Context, r Request) (*Stream, error) {
 	body, err := json.Marshal(r)
@@ -147,7 +160,7 @@
 }
 
 func (c *Client) stream(ctx context.Context, op string, req *fasthttp.Request, first time.Duration, id string, at Position) (*Stream, error) {
-	x, err := httpconn.Do(ctx, c.network, c.addr, req, httpconn.Limits{First: first, Read: headTimeout})
+	x, err := httpconn.Do(ctx, c.network, c.addr, req, httpconn.Limits{First: first, Read: headTimeout, Buffer: streamBuffer})
 	switch {
 	case fault.Is(err, httpconn.KindUnsent):
 		return nil, fail(op, KindUnsent, err)
@@ -155,7 +168,9 @@
 		return nil, fail(op, KindLost, err)
 	}
 	if x.Status() == http.StatusOK {
-		return NewStream(Carrier{Read: x.ReadWithin, Close: x.Close}, id, at), nil
+		s := NewStream(Carrier{Read: x.ReadWithin, Close: x.Close}, id, at)
+		s.oldest, s.saw = c.newest.Load(), c.saw
+		return s, nil
 	}
 	defer x.Close()
 	kind := KindRefused
@@ -196,6 +211,9 @@
 func (c *Client) Load(ctx context.Context) (Load, error) {
 	var l Load
 	err := call[struct{}](ctx, c, "load", http.MethodGet, "/v1/load", nil, &l)
+	if err == nil {
+		c.saw(l.Incarnation)
+	}
 	return l, err
 }
 
--- a/internal/upstream/engine/stream.go
+++ b/internal/upstream/engine/stream.go
@@ -56,11 +56,13 @@
 	buf     []byte
 	r, w    int // bounds of what was read into buf and not yet used
 	counts  Counts
+	oldest  uint64                   // incarnation of the engine that a first piece may be of
+	saw     func(incarnation uint64) // notes the incarnation of the first piece
 }
 
 // NewStream returns a stream that reads server-sent events from the carrier.
 func NewStream(c Carrier, id string, at Position) *Stream {
-	return &Stream{carrier: c, id: id, at: at, buf: make([]byte, firstLine)}
+	return &Stream{carrier: c, id: id, at: at, buf: make([]byte, firstLine), saw: func(uint64) {}}
 }
 
 // ID returns the stream's id.
@@ -101,8 +103,13 @@
 // match reports whether the piece is the next one. It returns an error where the
 // connection can't be trusted to bring the next one.
 func (s *Stream) match(p *Piece) (bool, error) {
-	if s.at.Incarnation == 0 && p.Stream == s.id {
+	if s.at.Incarnation == 0 && p.Stream == s.id && p.Incarnation >= s.oldest {
 		s.at.Incarnation = p.Incarnation
+		s.saw(p.Incarnation)
+	}
+	if s.at.Incarnation == 0 && p.Stream == s.id {
+		s.counts.Late++
+		return false, s.dropped()
 	}
 	switch {
 	case p.Stream != s.id || p.Incarnation > s.at.Incarnation:
--- a/internal/upstream/httpconn/conn.go
+++ b/internal/upstream/httpconn/conn.go
@@ -26,6 +26,9 @@
 type Limits struct {
 	First time.Duration // to write the request and read the head of the answer
 	Read  time.Duration // on each read of the body
+	// Buffer is the size of the read buffer in bytes, which has to hold the head of
+	// the answer; 4 KiB where it is 0.
+	Buffer int
 }
 
 // Exchange is a request and its answer.
@@ -68,7 +71,11 @@
 		return err
 	}
 	x.resp.StreamBody = true
-	br := bufio.NewReaderSize(x.conn, readBuffer)
+	size := x.limits.Buffer
+	if size == 0 {
+		size = readBuffer
+	}
+	br := bufio.NewReaderSize(x.conn, size)
 	if err := x.resp.ReadLimitBody(br, maxBuffered); err != nil {
 		return err
 	}
