--- a/internal/peer/membership/budget.go
+++ b/internal/peer/membership/budget.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	// budgetRate is what an entry may spend on the calls between entries.
-	budgetRate  = 4096 // bytes a second, sent and received
+	// budgetRate is what an entry may spend on the calls between entries. It leaves
+	// an eighth of the target of 4 KB a second for bursts of what is urgent.
+	budgetRate  = 3584 // bytes a second, sent and received
 	budgetBurst = 3 * budgetRate
 )
 
--- a/internal/peer/membership/exchange.go
+++ b/internal/peer/membership/exchange.go
@@ -24,6 +24,7 @@
 type cursor struct {
 	incarnation uint64 // of the other entry
 	fresh       bool   // it has not been told of this entry yet
+	saving      bool   // its budget is spent
 	full        bool   // it was asked for all its records
 	sent, got   positions
 }
@@ -64,7 +65,8 @@
 }
 
 // compose returns what the other entry has not confirmed, and the positions that
-// it reaches. Reports wait while the budget is spent.
+// it reaches. Reports wait while the budget of one of the
+// two is spent.
 func (n *Node) compose(c *cursor, reader string) (*memberwire.Message, positions) {
 	m := &memberwire.Message{Vm: n.cfg.VM, Domain: n.cfg.Domain, Incarnation: n.cfg.Incarnation}
 	to := c.sent
@@ -72,7 +74,9 @@
 	if c.fresh {
 		m.Peers = append(m.Peers, n.table.self)
 	}
-	if left := n.budgetLeft(); left > 0 {
+	left := n.budgetLeft()
+	m.Saving = left <= 0
+	if !m.GetSaving() && !c.saving {
 		m.Reports, to.reports = n.reports.after(c.sent.reports, reader, min(left, reportBytes))
 		m.Summaries, to.summaries = n.summaries.after(c.sent.summaries, reader, min(left, summaryBytes))
 	}
@@ -137,6 +141,7 @@
 	if m.GetFull() {
 		c.sent = positions{}
 	}
+	c.saving = m.GetSaving()
 	n.take(m)
 	reply, to := n.compose(c, m.GetVm())
 	c.fresh = false
@@ -186,7 +191,7 @@
 		return nil // a seed that is this entry
 	}
 	c := n.cursorOf(reply.GetVm(), reply.GetIncarnation())
-	c.fresh = false
+	c.fresh, c.saving = false, reply.GetSaving()
 	c.full = c.full || m.GetFull()
 	c.sent, c.got = reached, fromWire(reply.GetTo())
 	n.take(reply)
--- a/internal/peer/membership/feed.go
+++ b/internal/peer/membership/feed.go
@@ -14,6 +14,7 @@
 type feed[T proto.Message] struct {
 	items map[string]*item[T]
 	pos   uint64
+	gen   uint64 // counts all changes
 }
 
 type item[T proto.Message] struct {
@@ -40,6 +41,7 @@
 // put records the value that the VM told.
 func (f *feed[T]) put(key string, val T, from string, now time.Time) {
 	f.pos++
+	f.gen++
 	f.items[key] = &item[T]{key: key, val: val, pos: f.pos, size: proto.Size(val) + 2, from: from, at: now}
 }
 
@@ -48,6 +50,7 @@
 	for key, it := range f.items {
 		if old(it) {
 			delete(f.items, key)
+			f.gen++
 		}
 	}
 }
--- a/internal/peer/membership/mesh_test.go
+++ b/internal/peer/membership/mesh_test.go
@@ -36,12 +36,14 @@
 	inc    uint64
 	offset uint64
 	spare  map[string][]*memberwire.Spare // by failure domain
+	report func(*memberwire.Report, int)
 }
 
 func newMesh(t testing.TB, seed uint64) *mesh {
 	return &mesh{
 		t: t, seed: seed, rands: map[string]*rand.Rand{}, nodes: map[string]*Node{},
-		cuts: map[[2]string]bool{}, paused: map[string]chan struct{}{}, spare: map[string][]*memberwire.Spare{},
+		report: func(*memberwire.Report, int) {},
+		cuts:   map[[2]string]bool{}, paused: map[string]chan struct{}{}, spare: map[string][]*memberwire.Spare{},
 	}
 }
 
@@ -68,7 +70,7 @@
 			defer m.mu.Unlock()
 			return m.offset
 		},
-		Report: func(*memberwire.Report, int) {},
+		Report: m.report,
 		Spare:  func() []*memberwire.Spare { return m.spare[domain] },
 		Log:    log.New(io.Discard), Scope: tally.NoopScope,
 	})
--- a/internal/peer/membership/node.go
+++ b/internal/peer/membership/node.go
@@ -34,7 +34,8 @@
 	// An entry reports at most once in reportPerEntry for each live entry of its
 	// failure domain, so that the bytes do not grow with it.
 	reportPerEntry = 100 * time.Millisecond
-	reportLeast    = 200 * time.Millisecond
+	reportLeast    = time.Second
+	offsetEvery    = 200 * time.Millisecond
 	// In a small failure domain a new offset is told at once.
 	pushOffsets   = 8 // entries
 	reportRefresh = 30 * time.Second
@@ -92,8 +93,8 @@
 	reported  time.Time
 	suspected int64
 
-	settled    []string // entries that own duties, at a position of the table and a time
-	settledPos uint64
+	settled    []string // entries that own duties, of a state of the table and a time
+	settledGen uint64
 	settledAt  time.Time
 }
 
@@ -393,22 +394,25 @@
 	return len(n.table.live()) >= isolatedMin && n.now().Sub(n.contacted) >= isolatedAfter
 }
 
-// report publishes what this entry tells about itself.
+// report publishes what this entry tells about itself: a new offset soon, all else
+// at its pace.
 func (n *Node) report(ctx context.Context) {
+	var due time.Time
+	offset := n.cfg.Offset()
 	for {
-		n.publish()
-		n.mu.Lock()
-		every := max(reportLeast, reportPerEntry*time.Duration(len(n.table.live())))
-		n.table.forget()
-		n.measure()
-		n.mu.Unlock()
-		if !wait(ctx, n.jitter(every)) {
+		if next := n.cfg.Offset(); next != offset || !n.now().Before(due) {
+			offset = next
+			due = n.now().Add(n.jitter(n.publish()))
+		}
+		if !wait(ctx, n.jitter(offsetEvery)) {
 			return
 		}
 	}
 }
 
-func (n *Node) publish() {
+// publish puts out a report where it differs from the last one or that is old. It
+// returns the time until the next one.
+func (n *Node) publish() time.Duration {
 	n.mu.Lock()
 	left := n.budgetLeft()
 	n.mu.Unlock()
@@ -416,10 +420,13 @@
 	n.cfg.Report(r, left)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.table.forget()
+	n.measure()
+	every := max(reportLeast, reportPerEntry*time.Duration(len(n.table.live())))
 	old, known := n.reports.get(n.cfg.VM)
 	r.Version = old.GetVersion()
 	if known && proto.Equal(old, r) && n.now().Sub(n.reported) < reportRefresh {
-		return
+		return every
 	}
 	if r.GetOffset() != old.GetOffset() && len(n.table.live()) <= pushOffsets {
 		n.urgent()
@@ -427,6 +434,7 @@
 	r.Version++
 	n.reported = n.now()
 	n.reports.put(n.cfg.VM, r, n.cfg.VM, n.now())
+	return every
 }
 
 func (n *Node) measure() {
--- a/internal/peer/membership/table.go
+++ b/internal/peer/membership/table.go
@@ -48,6 +48,10 @@
 	since      map[string]time.Time // when the record's state became known
 	joined     map[string]time.Time // since when an entry is live but for short suspicions
 	superseded bool                 // a newer incarnation of this VM exists
+
+	gen    uint64 // of the feed that the lists below are of
+	listed []*memberwire.Peer
+	alive  []string
 }
 
 func newTable(now func() time.Time, self *memberwire.Peer) *table {
@@ -174,9 +178,19 @@
 	return state == StateGone
 }
 
-// entries returns the records of entries by name.
+// entries returns the records of entries by name. They are not to be changed.
 func (t *table) entries() []*memberwire.Peer {
-	return t.records(func(p *memberwire.Peer) bool { return !p.GetUpstream() })
+	if t.gen == t.feed.gen {
+		return t.listed
+	}
+	t.gen, t.alive = t.feed.gen, nil
+	t.listed = t.records(func(p *memberwire.Peer) bool { return !p.GetUpstream() })
+	for _, p := range t.listed {
+		if p.GetState() == memberwire.State_LIVE {
+			t.alive = append(t.alive, p.GetName())
+		}
+	}
+	return t.listed
 }
 
 // upstreams returns the records of upstreams that are not simply live, by name.
@@ -194,15 +208,11 @@
 	return out
 }
 
-// live returns the names of the entries that are live, in order.
+// live returns the names of the entries that are live, in order. They are not to
+// be changed.
 func (t *table) live() []string {
-	var out []string
-	for _, p := range t.entries() {
-		if p.GetState() == memberwire.State_LIVE {
-			out = append(out, p.GetName())
-		}
-	}
-	return out
+	t.entries()
+	return t.alive
 }
 
 // settled returns the names of the entries that own duties. A newcomer owns after
--- a/internal/peer/membership/view.go
+++ b/internal/peer/membership/view.go
@@ -123,8 +123,8 @@
 	if n.isolated() {
 		return n.cfg.VM
 	}
-	if now := n.now(); n.settledPos != n.table.feed.pos || now.Sub(n.settledAt) >= settledFor {
-		n.settled, n.settledPos, n.settledAt = n.table.settled(), n.table.feed.pos, now
+	if now := n.now(); n.settledGen != n.table.feed.gen || now.Sub(n.settledAt) >= settledFor {
+		n.settled, n.settledGen, n.settledAt = n.table.settled(), n.table.feed.gen, now
 	}
 	return owner(n.settled, upstream)
 }
