Keep the limits of workspaces across entries by shares

Cause: limits of a workspace were not kept at all; with a limit at each entry a fleet would let through as many times the limit as it has entries.

Change: a share of each limit follows the demand that entries report. Entries that are cut off keep their part; it comes back when they are known to have ended.

--- a/internal/peer/membership/view.go
+++ b/internal/peer/membership/view.go
@@ -250,3 +250,41 @@
 	defer n.mu.Unlock()
 	return len(n.table.live()) - len(n.live()) + n.table.cutOff()
 }
+
+// Shares returns how many entries can be reached, this one included, and how many
+// may be serving in all failure domains, those that are cut off included.
+func (n *Node) Shares() (reach, known int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	reach = len(n.live())
+	known = len(n.table.live()) + n.table.cutOff()
+	for _, it := range n.summaries.items {
+		if n.now().Sub(it.at) < forgetAfter {
+			known += int(it.val.GetKnown())
+		}
+	}
+	return reach, max(known, reach, n.expected())
+}
+
+// expected returns how many entries there are at least, by the settings, until
+// another one was met.
+func (n *Node) expected() int {
+	if len(n.cursors) > 0 {
+		return 1
+	}
+	return len(n.cfg.Seeds) + 1
+}
+
+// Reports returns the newest reports of the other live entries of the failure domain.
+func (n *Node) Reports() []*memberwire.Report {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []*memberwire.Report
+	for _, name := range n.live() {
+		p, _ := n.table.feed.get(name)
+		if r, known := n.reports.get(name); known && name != n.cfg.VM && r.GetIncarnation() == p.GetIncarnation() {
+			out = append(out, r)
+		}
+	}
+	return out
+}
