Refuse what is over a workspace's limits before it is placed

Cause: the shares of limits were kept but nothing asked for them.

Change: the completion APIs take a request's tokens, prompt and max_tokens, from the workspace's limits and answer 429 with Retry-After and ran "no" where they are used up. The entry publishes its demand with its reports and shows its shares in the state dump.

--- a/internal/caller/openai/call.go
+++ b/internal/caller/openai/call.go
@@ -45,8 +45,9 @@
 	src     *source
 	piece   engine.Piece // the first
 	watcher *watcher
-	held    int64 // bytes of the prompt
-	headed  bool  // the caller has the id
+	held    int64  // bytes of the prompt
+	release func() // gives back what was taken of the workspace's limits; nil for a resumed call
+	headed  bool   // the caller has the id
 	pos     atomic.Int64
 	phase   atomic.Int32
 
--- a/internal/caller/openai/handler.go
+++ b/internal/caller/openai/handler.go
@@ -42,7 +42,9 @@
 	Engine func(name string) *engine.Client // nil where no such engine is configured
 	Owner  engine.Owner                     // this entry
 	IDKey  string                           // shared by all entries
-	now    func() time.Time
+	// Limit takes tokens from the workspace's limits, or tells when to retry. Nil sets none.
+	Limit func(workspace string, spec resource.Limits, tokens int) (release func(), retryAfter time.Duration, ok bool)
+	now   func() time.Time
 }
 
 // Handler serves the APIs. Its methods may be called from any goroutine.
@@ -176,14 +178,31 @@
 	if !h.prompts.take(int64(len(r.prompt))) {
 		return nil, reply.Overloaded("prompt_memory", "This entry holds as many prompts as it can.", promptRetryAfter)
 	}
+	release, apiErr := h.limit(ws, estimate(r.prompt)+r.maxTokens)
+	if apiErr != nil {
+		h.prompts.giveBack(int64(len(r.prompt)))
+		return nil, apiErr
+	}
 	rid.shape, rid.usage, rid.deployment = sh, r.includeUsage, r.model
 	rid.patience = time.Duration(math.Ceil(patience.Seconds())) * time.Second
 	c := newCall(h, r, rid, ws, patience)
-	c.held = int64(len(r.prompt))
+	c.held, c.release = int64(len(r.prompt)), release
 	c.src = newSource(sourceSeams{place: h.placer(c, dep), cancel: c.cancelRun, opened: c.setRun}, !dep.Spec().Sampled, prefillTime(dep, estimate(r.prompt)))
 	return c, nil
 }
 
+// limit takes a request from the workspace's limits.
+func (h *Handler) limit(ws *resource.Workspace, tokens int) (release func(), apiErr *reply.Error) {
+	if h.seams.Limit == nil {
+		return func() {}, nil
+	}
+	release, retryAfter, ok := h.seams.Limit(ws.Name(), ws.Spec().Limits, tokens)
+	if !ok {
+		return nil, reply.RateLimited("rate_limit_exceeded", "This workspace has used up its limits.", retryAfter)
+	}
+	return release, nil
+}
+
 // bound sets max_tokens and refuses what is longer than the deployment's context.
 func bound(r *request, spec resource.DeploymentSpec) *reply.Error {
 	limit := orElse(spec.MaxOutputTokens, defaultMaxTokens)
@@ -300,6 +319,9 @@
 	c.watcher.stop()
 	c.cancel(nil)
 	h.prompts.giveBack(c.held)
+	if c.release != nil {
+		c.release()
+	}
 }
 
 // Handover tells the callers of all answers in progress to resume elsewhere. What
--- a/internal/caller/reply/reply.go
+++ b/internal/caller/reply/reply.go
@@ -108,6 +108,14 @@
 	}
 }
 
+// RateLimited returns a 429 error that tells when to come back.
+func RateLimited(code, message string, retryAfter time.Duration) *Error {
+	return &Error{
+		Status: fasthttp.StatusTooManyRequests, Type: "rate_limit_error", Code: code,
+		Message: message, Ran: RanNo, RetryAfter: retryAfter,
+	}
+}
+
 // Bearer returns the bearer key of a request, or "".
 func Bearer(ctx *fasthttp.RequestCtx) string {
 	scheme, key, ok := strings.Cut(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), " ")
--- a/internal/command/cli/cli_test.go
+++ b/internal/command/cli/cli_test.go
@@ -238,7 +238,7 @@
 }
 
 var changing = []*regexp.Regexp{
-	regexp.MustCompile(`("(?:incarnation|uptimeMs|reportAgeMs|slowReads|viaPeers|sinceMs|bytesSent|bytesReceived|budgetLeftBytes|suspicions)": )-?\d+`),
+	regexp.MustCompile(`("(?:incarnation|uptimeMs|reportAgeMs|slowReads|viaPeers|sinceMs|bytesSent|bytesReceived|budgetLeftBytes|suspicions|reach|known)": )-?\d+`),
 	regexp.MustCompile(`("owned": )\d+`),
 	regexp.MustCompile(`("(?:address|time)": )"[^"]*"`),
 }
--- a/internal/entry/server/peers.go
+++ b/internal/entry/server/peers.go
@@ -1,9 +1,12 @@
 package server
 
 import (
+	"time"
+
 	"github.com/charmbracelet/log"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/limits"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/membership"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/memberwire"
 	"github.com/dogwoodmill/dogwoodmill/internal/platform/vmlist"
@@ -11,14 +14,25 @@
 
 // peers is what the entry knows of the other ones. Other parts plug in its methods.
 type peers struct {
-	node  *membership.Node
-	owner func(upstream string) *resource.Upstream
+	node     *membership.Node
+	limiter  *limits.Limiter
+	upstream func(name string) *resource.Upstream
+	domain   string
 }
 
 // startPeers starts the membership among the entries.
 func (s *Server) startPeers(logger *log.Logger) {
-	s.peers = &peers{owner: func(name string) *resource.Upstream { return s.store.View().Upstream(name) }}
-	s.peers.node = membership.New(membership.Config{
+	p := &peers{
+		domain:   s.cfg.FailureDomain,
+		upstream: func(name string) *resource.Upstream { return s.store.View().Upstream(name) },
+	}
+	s.peers = p
+	p.limiter = limits.New(limits.Seams{
+		Shares:  func() (reach, known int) { return p.node.Shares() },
+		Reports: func() []*memberwire.Report { return p.node.Reports() },
+		Turn:    func(key string) bool { return p.node.Owns(key, p.domain) },
+	})
+	p.node = membership.New(membership.Config{
 		VM:          s.cfg.VM,
 		Domain:      s.cfg.FailureDomain,
 		Address:     s.PeerAddr(),
@@ -27,12 +41,13 @@
 		Link:        s.link,
 		List:        vmlist.NewClient(s.cfg.Network, s.cfg.VMListURL).VMs,
 		Offset:      func() uint64 { return s.store.View().Offset() },
-		Report:      func(*memberwire.Report, int) {},
+		Report:      func(r *memberwire.Report, _ int) { p.limiter.Report(r) },
 		Spare:       func() []*memberwire.Spare { return nil },
 		Rand:        s.incarnation,
 		Log:         logger,
 		Scope:       s.metrics.scope,
 	})
+	p.node.Start()
 }
 
 // VM returns the name of the entry's VM.
@@ -49,7 +64,7 @@
 
 // Owns reports whether this entry is the owner of an upstream in force.
 func (p *peers) Owns(upstream string) bool {
-	u := p.owner(upstream)
+	u := p.upstream(upstream)
 	return u != nil && p.node.Owns(upstream, u.Spec().FailureDomain)
 }
 
@@ -66,3 +81,9 @@
 
 // Peers returns the entries that this one knows.
 func (p *peers) Peers() []membership.Peer { return p.node.Peers() }
+
+// Limit takes a request of so many tokens from this entry's shares of the
+// workspace's limits, or returns false and when a retry may succeed.
+func (p *peers) Limit(workspace string, spec resource.Limits, tokens int) (release func(), retryAfter time.Duration, ok bool) {
+	return p.limiter.Limit(workspace, spec, tokens)
+}
--- a/internal/entry/server/process.go
+++ b/internal/entry/server/process.go
@@ -8,6 +8,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/openai"
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/reply"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/limits"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/membership"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
@@ -27,6 +28,7 @@
 	Placement     placement.State     `json:"placement"`
 	Engines       []fleet.EngineState `json:"engines"`
 	Peers         membership.Dump     `json:"peers"`
+	Limits        limits.State        `json:"limits"`
 	Streams       openai.State        `json:"streams"`
 	Orphans       orphan.State        `json:"orphans"`
 }
@@ -45,6 +47,7 @@
 		Placement:     s.placer.State(),
 		Engines:       s.fleet.State(),
 		Peers:         s.peers.node.Dump(),
+		Limits:        s.peers.limiter.State(),
 		Streams:       s.openai.State(),
 		Orphans:       s.orphans.State(),
 	}
--- a/internal/entry/server/streams.go
+++ b/internal/entry/server/streams.go
@@ -13,6 +13,7 @@
 	s.openai = openai.NewHandler(openai.Seams{
 		View: s.store.View, Place: s.placer.Place, Hold: s.hold,
 		Engine: s.engineClient, Owner: owner, IDKey: s.cfg.PeerKey,
+		Limit: s.peers.Limit,
 	}, s.metrics.scope, logger)
 	s.orphans = orphan.NewCollector(orphan.Seams{
 		Self: owner, Engines: s.orphanEngines, Serving: s.openai.Streams,
--- a/internal/peer/membership/mesh_test.go
+++ b/internal/peer/membership/mesh_test.go
@@ -75,8 +75,9 @@
 		Log:    log.New(io.Discard), Scope: tally.NoopScope,
 	})
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.nodes[address] = n
+	m.mu.Unlock()
+	n.Start()
 	return n
 }
 
--- a/internal/peer/membership/node.go
+++ b/internal/peer/membership/node.go
@@ -98,16 +98,14 @@
 	settledAt  time.Time
 }
 
-// New starts a node and serves its calls on the link. Close ends it.
+// New returns a node that serves its calls on the link. Start starts its duties.
 func New(cfg Config) *Node {
-	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		cfg:       cfg,
 		log:       cfg.Log.WithPrefix("peers"),
 		now:       time.Now,
 		kicked:    make(chan struct{}, 1),
 		done:      make(chan struct{}),
-		stop:      cancel,
 		rand:      rand.New(rand.NewPCG(cfg.Rand, cfg.Incarnation)),
 		reports:   newFeed[*memberwire.Report](),
 		summaries: newFeed[*memberwire.Summary](),
@@ -121,10 +119,16 @@
 	n.table = newTable(n.now, &memberwire.Peer{Name: cfg.VM, Address: cfg.Address, Incarnation: cfg.Incarnation})
 	srv := memberwire.NewMemberServer(n)
 	cfg.Link.Handle(srv.PathPrefix(), srv)
-	go n.run(ctx)
 	return n
 }
 
+// Start starts the duties. Close ends them.
+func (n *Node) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	go n.run(ctx)
+}
+
 // run runs the duties and waits for them.
 func (n *Node) run(ctx context.Context) {
 	defer close(n.done)
