--- a/internal/peer/limits/limits_test.go
+++ b/internal/peer/limits/limits_test.go
@@ -85,7 +85,7 @@
 			if i == j {
 				v = truth
 			} else {
-				v = f.settle(v)
+				v = v.now()
 				if v.next == nil { // else it learns of both changes at once
 					v.at = time.Now().Add(time.Duration(f.rand.Int64N(int64(noticeTime))))
 				}
@@ -96,7 +96,8 @@
 	}
 }
 
-func (f *fleet) settle(v view) view {
+// now is what is known at this time.
+func (v view) now() view {
 	if v.next != nil && !time.Now().Before(v.at) {
 		return *v.next
 	}
@@ -105,7 +106,7 @@
 
 func (f *fleet) shares(i int) (reach, known int) {
 	for j := range f.entries {
-		v := f.settle(f.views[[2]int{i, j}])
+		v := f.views[[2]int{i, j}].now()
 		if v.reach {
 			reach++
 		}
@@ -119,7 +120,7 @@
 func (f *fleet) reports(i int) (out []*memberwire.Report) {
 	lag := settleTime(len(f.entries)) / 2
 	for j, e := range f.entries {
-		if j == i || !f.settle(f.views[[2]int{i, j}]).reach {
+		if j == i || !f.views[[2]int{i, j}].now().reach {
 			continue
 		}
 		for n := len(e.told) - 1; n >= 0; n-- {
@@ -376,46 +377,56 @@
 	f.changed()
 }
 
-// TestBenchLimits measures how much of a limit is used where demand is skewed, and
-// by how much shares exceed it under churn.
-func TestBenchLimits(t *testing.T) {
-	const entries, seconds, hot = 16, 60, 3
-	for _, moving := range []bool{false, true} {
-		admitted, fixed := 0, 0.0
-		synctest.Test(t, func(*testing.T) {
-			f := newFleet(5)
-			for range entries {
-				f.add()
+// skewed runs a fleet whose demand is at a few entries, and returns the requests
+// admitted and those that fixed shares would admit.
+func skewed(t *testing.T, entries, seconds int, moving bool) (admitted int, fixed float64) {
+	const hot, warm = 3, 30
+	synctest.Test(t, func(*testing.T) {
+		f := newFleet(5)
+		for range entries {
+			f.add()
+		}
+		for i := range warm + seconds {
+			first := 0
+			if moving {
+				first = i / warm * hot
 			}
-			for i := range seconds + 30 {
-				for j, e := range f.entries {
-					e.rate = 1
-					if first := i / 30 * hot; j >= first && j < first+hot || !moving && j < hot {
-						e.rate = 60
-					}
-				}
-				n := f.step()
-				if i < 30 {
-					continue
-				}
-				admitted += n
-				for _, e := range f.entries {
-					fixed += min(e.rate, limitRate/entries)
-				}
+			n, even := f.skewedStep(first, first+hot)
+			if i >= warm {
+				admitted, fixed = admitted+n, fixed+even
 			}
-		})
-		demand := "skewed"
-		if moving {
-			demand = "skewed_moving_every_30s"
 		}
-		fmt.Printf("limits name=dogwoodmill entries=%d demand=%s admitted_percent=%.1f\n", entries, demand, float64(admitted)/seconds/limitRate*100)
-		fmt.Printf("limits name=fixed_shares entries=%d demand=%s admitted_percent=%.1f\n", entries, demand, fixed/seconds/limitRate*100)
+	})
+	return admitted, fixed
+}
+
+func (f *fleet) skewedStep(first, end int) (admitted int, fixed float64) {
+	for i, e := range f.entries {
+		e.rate = 1
+		if i >= first && i < end {
+			e.rate = 60
+		}
+		fixed += min(e.rate, limitRate/float64(len(f.entries)))
+	}
+	return f.step(), fixed
+}
+
+// TestBenchLimits measures how much of a limit is used where demand is skewed, and
+// by how much shares exceed it under churn.
+func TestBenchLimits(t *testing.T) {
+	const entries, seconds = 16, 60
+	for demand, moving := range []bool{false, true} {
+		admitted, fixed := skewed(t, entries, seconds, moving)
+		name := []string{"skewed", "skewed_moving_every_30s"}[demand]
+		fmt.Printf("limits name=dogwoodmill entries=%d demand=%s admitted_percent=%.1f\n", entries, name, float64(admitted)/seconds/limitRate*100)
+		fmt.Printf("limits name=fixed_shares entries=%d demand=%s admitted_percent=%.1f\n", entries, name, fixed/seconds/limitRate*100)
 		if float64(admitted) > seconds*limitRate*(1+burstTime.Seconds()/seconds) {
 			t.Errorf("%d requests admitted in %d seconds", admitted, seconds)
 		}
 	}
+	const runs = 200
 	worst, r := 0.0, rand.New(rand.NewPCG(9, 9))
-	for seed := range uint64(200) {
+	for seed := range uint64(runs) {
 		var acts []int
 		for range 12 {
 			acts = append(acts, r.IntN(6))
@@ -428,5 +439,5 @@
 			worst = max(worst, f.worst)
 		})
 	}
-	fmt.Printf("limits event=churn runs=200 acts=12 worst_sum_percent=%.1f bound_percent=%.0f\n", worst/limitRate*100, (1+churnBound)*100)
+	fmt.Printf("limits event=churn runs=%d acts=12 worst_sum_percent=%.1f bound_percent=%.0f\n", runs, worst/limitRate*100, (1+churnBound)*100)
 }
