Let the owner of an engine poll it and tell the others

Cause: every entry polled every engine once a second: at 79 entries and 280 engines that is 280 polls a second at each, about 112 KB, against a budget of 4 KB a second.

Change: the owner polls every 2 s and tells load, leaving and death; the others poll only what nobody tells of, at most 4 engines a second. Loads are told in coarse steps so that they change seldom, after demands and before cached prefixes, which are bounded and told only while much of the budget is left. Polls count against the budget. A failure domain's spare capacity is in its summary.

Measured: with 400 bytes a poll an owner of 3.5 engines spends 700 bytes a second (computed); go test ./internal/upstream/fleet passes.

--- a/internal/entry/server/peers.go
+++ b/internal/entry/server/peers.go
@@ -10,6 +10,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/membership"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/memberwire"
 	"github.com/dogwoodmill/dogwoodmill/internal/platform/vmlist"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
 )
 
 // peers is what the entry knows of the other ones. Other parts plug in its methods.
@@ -41,15 +42,25 @@
 		Link:        s.link,
 		List:        vmlist.NewClient(s.cfg.Network, s.cfg.VMListURL).VMs,
 		Offset:      func() uint64 { return s.store.View().Offset() },
-		Report:      func(r *memberwire.Report, _ int) { p.limiter.Report(r) },
-		Spare:       func() []*memberwire.Spare { return nil },
+		Report:      s.report,
+		Spent:       func() int64 { return s.fleet.Spent() },
+		Spare:       func() []*memberwire.Spare { return s.fleet.Spare(s.cfg.FailureDomain) },
 		Rand:        s.incarnation,
 		Log:         logger,
 		Scope:       s.metrics.scope,
 	})
+	s.fleet = fleet.New(s.cfg.Network, fleet.Seams{
+		View: s.store.View, Owns: p.Owns, Reports: p.node.Reports, State: p.node.Upstream, SetState: p.node.SetUpstream,
+	}, logger)
 	p.node.Start()
 }
 
+// report fills in what this entry tells the others: shares of limits go before load.
+func (s *Server) report(r *memberwire.Report, left int) {
+	s.peers.limiter.Report(r)
+	s.fleet.Report(r, left)
+}
+
 // VM returns the name of the entry's VM.
 func (s *Server) VM() string { return s.cfg.VM }
 
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -106,7 +106,6 @@
 	owner := engine.Owner{VM: s.cfg.VM, Incarnation: s.incarnation}
 	s.startConfig(logger)
 	s.startPeers(logger)
-	s.fleet = fleet.New(s.cfg.Network, s.store.View, logger)
 	s.placer = placement.New(owner, s.cfg.FailureDomain, s.fleet, logger)
 	s.startStreams(owner, logger)
 	s.service = service.NewHandler(s.cfg.Network, s.store.View, s.metrics.scope, logger)
--- a/internal/peer/membership/budget.go
+++ b/internal/peer/membership/budget.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// budgetRate is what an entry may spend on the calls between entries. It leaves
+	// budgetRate is what an entry may spend on control. It leaves
 	// an eighth of the target of 4 KB a second for bursts of what is urgent.
 	budgetRate  = 3584 // bytes a second, sent and received
 	budgetBurst = 3 * budgetRate
--- a/internal/peer/membership/mesh_test.go
+++ b/internal/peer/membership/mesh_test.go
@@ -71,6 +71,7 @@
 			return m.offset
 		},
 		Report: m.report,
+		Spent:  func() int64 { return 0 },
 		Spare:  func() []*memberwire.Spare { return m.spare[domain] },
 		Log:    log.New(io.Discard), Scope: tally.NoopScope,
 	})
--- a/internal/peer/membership/node.go
+++ b/internal/peer/membership/node.go
@@ -62,6 +62,8 @@
 	// Report fills in the demands and, while bytes are left, the loads that this
 	// entry reports.
 	Report func(r *memberwire.Report, left int)
+	// Spent returns the bytes that this entry spent on control beside the link.
+	Spent func() int64
 	// Spare tells what the failure domain can take over from others.
 	Spare func() []*memberwire.Spare
 	Rand  uint64 // seed of the jitter
@@ -182,7 +184,7 @@
 
 func (n *Node) budgetLeft() int {
 	c := n.cfg.Link.Counters()
-	return n.budget.left(c.Sent()+c.Received(), n.now())
+	return n.budget.left(c.Sent()+c.Received()+n.cfg.Spent(), n.now())
 }
 
 // jitter returns a time within a tenth of d.
--- /dev/null
+++ b/internal/upstream/fleet/fleet_test.go
@@ -0,0 +1,165 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
+	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/membership"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/memberwire"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
+)
+
+// config returns the view of a deployment with engines in the failure domain a.
+func config(t *testing.T, engines int) *resource.View {
+	t.Helper()
+	f := resource.NewFold()
+	put := func(offset uint64, kind resource.Type, name, spec string) {
+		out, ok := f.Apply(offset, resource.Change{
+			ID: name, Op: resource.OpPut, Kind: kind, Name: name, Spec: json.RawMessage(spec),
+		})
+		if !ok || out.Err() != nil {
+			t.Fatal(out.Err())
+		}
+	}
+	put(1, resource.TypeDeployment, "assistant", `{"model":"m","contextTokens":1000}`)
+	for i := range engines {
+		name := fmt.Sprintf("engine-%d", i)
+		put(uint64(i+2), resource.TypeUpstream, name, `{"address":"127.0.0.1:1","failureDomain":"a","deployments":["assistant"]}`)
+	}
+	return f.View()
+}
+
+// newFleet returns a fleet whose duties don't run.
+func newFleet(t *testing.T, engines int, seams Seams) *Fleet {
+	view := config(t, engines)
+	seams.View = func() *resource.View { return view }
+	f := &Fleet{network: netio.TCP(), seams: seams, engines: map[string]*Engine{}}
+	f.Of(view.Deployment("assistant"))
+	return f
+}
+
+// polled sets what a poll would have brought.
+func (e *Engine) polledAs(l engine.Load) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.load, e.reported, e.polled, e.failures = l, time.Now(), true, 0
+}
+
+func TestOwnerPollsAndOthersListen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		owner := newFleet(t, 2, Seams{Owns: func(name string) bool { return name == "engine-0" }})
+		owner.Engine("engine-0").polledAs(engine.Load{Running: 3, PrefillTokens: 9_000, MemoryUsed: 100_000, MemoryTotal: 480_000})
+		report := &memberwire.Report{Vm: "entry-1", Version: 1}
+		owner.Report(report, 1)
+		is.Equal(len(report.GetLoads()), 1) // of the own engine only
+		is.Equal(len(report.GetPrefixes()), 0)
+
+		state := membership.StateLive
+		other := newFleet(t, 2, Seams{
+			Owns:    func(string) bool { return false },
+			Reports: func() []*memberwire.Report { return []*memberwire.Report{report} },
+			State:   func(string) membership.State { return state },
+		})
+		e := other.Engine("engine-0")
+		is.True(e.ready(false, time.Now())) // nobody has told of it
+		other.listen(other.engines, time.Now())
+		l, _, failures := e.Load()
+		is.Equal(l.Running, 3)
+		is.Equal(l.PrefillTokens, 12_000) // in coarse steps
+		is.Equal(l.MemoryTotal, 480_000)
+		is.Equal(failures, 0)
+		is.True(!e.ready(false, time.Now()))
+
+		time.Sleep(staleAfter)
+		other.listen(other.engines, time.Now()) // the same report again is no news
+		is.True(e.ready(false, time.Now()))
+
+		state = membership.StateLeaving
+		other.listen(other.engines, time.Now())
+		l, _, _ = e.Load()
+		is.True(l.Leaving)
+		state = membership.StateSuspect
+		other.listen(other.engines, time.Now())
+		_, _, failures = e.Load()
+		is.Equal(failures, deadPolls)
+	})
+}
+
+func TestOwnerTellsDeathAndReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newFleet(t, 1, Seams{}).Engine("engine-0")
+		e.polledAs(engine.Load{MemoryTotal: 1000})
+		is.Equal(e.seen(), membership.StateLive)
+		e.plan(true, time.Now())
+		is.True(!e.ready(true, time.Now().Add(ownEvery/2)))
+		is.True(e.ready(true, time.Now().Add(ownEvery)))
+		e.failures = 1
+		e.plan(true, time.Now())
+		is.True(e.ready(true, time.Now().Add(retryEvery))) // soon after a miss
+		e.failures = deadPolls
+		is.Equal(e.seen(), membership.StateSuspect)
+		is.Equal(e.wire(), nil)
+		e.polledAs(engine.Load{MemoryTotal: 1000, Leaving: true})
+		is.Equal(e.seen(), membership.StateLeaving)
+	})
+}
+
+func TestStrangersArePolledAtABoundedRate(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, Seams{})
+	f.strangers = 2
+	is.True(f.mayVisit())
+	is.True(f.mayVisit())
+	is.True(!f.mayVisit())
+}
+
+func TestPrefixesAreBoundedHints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 1, Seams{Owns: func(string) bool { return false }})
+		e := f.Engine("engine-0")
+		for i := range 3 * maxPrefixes {
+			e.Hit(uint32(i))
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(len(e.prefixes.seen), maxPrefixes)
+		is.True(!e.Cached(0) && e.Cached(3*maxPrefixes-1))
+		e.Hit(3*maxPrefixes - 2)
+
+		report := &memberwire.Report{}
+		f.Report(report, prefixLeft) // the budget is low: prefixes come last
+		is.Equal(len(report.GetPrefixes()), 0)
+		f.Report(report, prefixLeft+1)
+		is.Equal(len(report.GetPrefixes()), toldPrefixes)
+		is.Equal(report.GetPrefixes()[0].GetPrefix(), uint32(3*maxPrefixes-2)) // most hits
+
+		e.learn(7, time.Now())
+		is.True(e.Cached(7))
+		time.Sleep(prefixAge)
+		is.True(!e.Cached(7))
+	})
+}
+
+func TestSpare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 3, Seams{})
+		f.Engine("engine-0").polledAs(engine.Load{MemoryUsed: 100_000, MemoryTotal: 400_000, PrefillTokens: 5_000})
+		f.Engine("engine-1").polledAs(engine.Load{MemoryTotal: 400_000, Leaving: true}) // takes nothing over
+		s := f.Spare("a")                                                               // nothing is known of engine-2
+		is.Equal(len(s), 1)
+		is.Equal(s[0].GetEngines(), uint32(1))
+		is.Equal(s[0].GetMemoryK(), uint64(300))
+		is.Equal(s[0].GetPrefillK(), uint64(5))
+		is.Equal(f.Spare("b")[0].GetEngines(), uint32(0))
+	})
+}
