Give out slots for long prefills and bound what spills to other failure domains

Change: the owner of an upstream gives out a slot with a time limit that its holder renews; with no owner in reach it is granted. A spill budget takes half of the spare memory that another failure domain tells, divided among all that may ask, and ramps up over 30 s when it is back. Prompts go to its engines directly: one hop at most, so that there are no loops.

Measured: go test ./internal/peer/slots ./internal/peer/spill: two owners at once admit one long prefill more; a domain that is back gets a tenth of what it can take over at first, all of it after 30 s.

--- a/internal/entry/server/peers.go
+++ b/internal/entry/server/peers.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"context"
+	"fmt"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -9,6 +11,8 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/limits"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/membership"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/memberwire"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/slots"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/spill"
 	"github.com/dogwoodmill/dogwoodmill/internal/platform/vmlist"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
 )
@@ -17,6 +21,8 @@
 type peers struct {
 	node     *membership.Node
 	limiter  *limits.Limiter
+	slots    *slots.Slots
+	spill    *spill.Budget
 	upstream func(name string) *resource.Upstream
 	domain   string
 }
@@ -49,6 +55,13 @@
 		Log:         logger,
 		Scope:       s.metrics.scope,
 	})
+	p.slots = slots.New(slots.Seams{
+		Self: fmt.Sprintf("%s/%d", s.cfg.VM, s.incarnation), Owner: p.slotOwner, Link: s.link,
+	})
+	p.spill = spill.New(spill.Seams{Summaries: p.node.Summaries, Entries: func() int {
+		_, live := p.node.Rank()
+		return live
+	}})
 	s.fleet = fleet.New(s.cfg.Network, fleet.Seams{
 		View: s.store.View, Owns: p.Owns, Reports: p.node.Reports, State: p.node.Upstream, SetState: p.node.SetUpstream,
 	}, logger)
@@ -71,7 +84,22 @@
 // leave tells the other entries that this one gets no new work.
 func (p *peers) leave() { p.node.Leave() }
 
-func (p *peers) stop() { p.node.Close() }
+func (p *peers) stop() {
+	p.slots.Close()
+	p.node.Close()
+}
+
+// slotOwner returns the address of the entry that gives out slots at an upstream.
+func (p *peers) slotOwner(upstream string) (address string, self bool) {
+	if p.Owns(upstream) {
+		return "", true
+	}
+	u := p.upstream(upstream)
+	if u == nil {
+		return "", false
+	}
+	return p.node.Address(p.node.Owner(upstream, u.Spec().FailureDomain)), false
+}
 
 // Owns reports whether this entry is the owner of an upstream in force.
 func (p *peers) Owns(upstream string) bool {
@@ -98,3 +126,31 @@
 func (p *peers) Limit(workspace string, spec resource.Limits, tokens int) (release func(), retryAfter time.Duration, ok bool) {
 	return p.limiter.Limit(workspace, spec, tokens)
 }
+
+// Slot takes a slot for a long prefill at the upstream. It returns an error of
+// slots.KindBusy, with a slots.RetryAfter, where others hold it.
+func (p *peers) Slot(ctx context.Context, upstream string, _ int) (release func(), err error) {
+	return p.slots.Slot(ctx, upstream)
+}
+
+// Spill reports whether a prompt of so many tokens may run at an upstream: always in
+// the own failure domain, and in another one within what that can take over.
+func (p *peers) Spill(upstream, deployment string, tokens int) bool {
+	u := p.upstream(upstream)
+	if u == nil {
+		return false
+	}
+	domain := u.Spec().FailureDomain
+	return domain == p.domain || p.spill.Take(domain, deployment, tokens)
+}
+
+// peersState is the part of the state dump about the other entries.
+type peersState struct {
+	membership.Dump
+	Slots slots.State `json:"slots"`
+	Spill spill.State `json:"spill"`
+}
+
+func (p *peers) state() peersState {
+	return peersState{Dump: p.node.Dump(), Slots: p.slots.State(), Spill: p.spill.State()}
+}
--- a/internal/entry/server/process.go
+++ b/internal/entry/server/process.go
@@ -9,7 +9,6 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/reply"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/limits"
-	"github.com/dogwoodmill/dogwoodmill/internal/peer/membership"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/orphan"
@@ -27,7 +26,7 @@
 	ConfigLog     ConfigLogState      `json:"configLog"`
 	Placement     placement.State     `json:"placement"`
 	Engines       []fleet.EngineState `json:"engines"`
-	Peers         membership.Dump     `json:"peers"`
+	Peers         peersState          `json:"peers"`
 	Limits        limits.State        `json:"limits"`
 	Streams       openai.State        `json:"streams"`
 	Orphans       orphan.State        `json:"orphans"`
@@ -46,7 +45,7 @@
 		ConfigLog:     s.configLog.state(),
 		Placement:     s.placer.State(),
 		Engines:       s.fleet.State(),
-		Peers:         s.peers.node.Dump(),
+		Peers:         s.peers.state(),
 		Limits:        s.peers.limiter.State(),
 		Streams:       s.openai.State(),
 		Orphans:       s.orphans.State(),
--- a/internal/peer/membership/node.go
+++ b/internal/peer/membership/node.go
@@ -45,6 +45,7 @@
 	rejoinEvery   = 30 * time.Second
 	maxContacts   = 8 // of a failure domain
 	settledFor    = 100 * time.Millisecond
+	maxClients    = 1024
 )
 
 // Config holds what a node needs.
@@ -426,7 +427,7 @@
 	n.cfg.Report(r, left)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.table.forget()
+	n.forget()
 	n.measure()
 	every := max(reportLeast, reportPerEntry*time.Duration(len(n.table.live())))
 	old, known := n.reports.get(n.cfg.VM)
@@ -443,6 +444,20 @@
 	return every
 }
 
+// forget drops what is kept of entries that are gone for long.
+func (n *Node) forget() {
+	n.table.forget()
+	for vm := range n.cursors {
+		if _, known := n.table.feed.get(vm); !known {
+			delete(n.cursors, vm)
+		}
+	}
+	n.reports.drop(func(it *item[*memberwire.Report]) bool { return n.now().Sub(it.at) >= forgetAfter })
+	if len(n.clients) > maxClients {
+		clear(n.clients)
+	}
+}
+
 func (n *Node) measure() {
 	c := n.cfg.Link.Counters()
 	n.cfg.Scope.Gauge("peer_bytes_sent").Update(float64(c.Sent()))
--- a/internal/peer/membership/view.go
+++ b/internal/peer/membership/view.go
@@ -129,6 +129,18 @@
 	return owner(n.settled, upstream)
 }
 
+// Address returns the address of an entry of the own failure domain that can be
+// reached, or "".
+func (n *Node) Address(vm string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p, known := n.table.feed.get(vm)
+	if !known || p.GetState() == memberwire.State_SUSPECT || p.GetState() == memberwire.State_GONE {
+		return ""
+	}
+	return p.GetAddress()
+}
+
 // standsIn reports whether the own failure domain looks after the upstream of one
 // that has not been heard of.
 func (n *Node) standsIn(upstream, domain string) bool {
