--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -36,8 +36,8 @@
 	maxIdlePerHost = 2
 	headerTimeout  = 5 * time.Second
 	// requestHead and answerHead are the bytes of a head beside its path and signature.
-	requestHead = 110
-	answerHead  = 115
+	requestHead = 92
+	answerHead  = 75
 )
 
 // Kind classifies the errors of this package.
@@ -160,6 +160,7 @@
 	}
 	r = r.WithContext(context.WithValue(r.Context(), callerKey{}, caller(r)))
 	r.Body = io.NopCloser(bytes.NewReader(body))
+	w.Header()["Date"] = nil // nobody reads it
 	l.counters.sent.Add(answerHead)
 	l.mux.ServeHTTP(&countedWriter{ResponseWriter: w, count: &l.counters.sent}, r)
 }
--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -1,10 +1,14 @@
 package link_test
 
 import (
+	"context"
 	"io"
+	"math"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -21,6 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	req.Header.Set("Content-Type", "application/protobuf")
 	res, err := l.Do(req)
 	if err != nil {
 		t.Fatal(err)
@@ -59,3 +64,45 @@
 	server.ServeHTTP(rec, httptest.NewRequest(http.MethodPost, "/twirp/x", strings.NewReader("hello")))
 	is.Equal(rec.Code, http.StatusUnauthorized)
 }
+
+// wire counts the bytes of a connection.
+type wire struct {
+	net.Conn
+	in, out *atomic.Int64
+}
+
+func (w wire) Read(p []byte) (int, error) {
+	n, err := w.Conn.Read(p)
+	w.in.Add(int64(n))
+	return n, err
+}
+
+func (w wire) Write(p []byte) (int, error) {
+	n, err := w.Conn.Write(p)
+	w.out.Add(int64(n))
+	return n, err
+}
+
+func TestCountersAreNearTheBytesOnTheWire(t *testing.T) {
+	is := is.New(t)
+	server := link.New(netio.TCP(), "entry-02", "shared-key")
+	server.Handle("/twirp/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/protobuf")
+		w.Header().Set("Content-Length", "5")
+		echo(w, r)
+	}))
+	srv := httptest.NewServer(server)
+	defer srv.Close()
+	var in, out atomic.Int64
+	network := netio.New(func(ctx context.Context, addr string) (net.Conn, error) {
+		conn, err := netio.TCP().Dial(ctx, addr)
+		return wire{conn, &in, &out}, err
+	}, nil)
+	a := link.New(network, "entry-01", "shared-key")
+	for range 10 {
+		post(t, a, srv.URL)
+	}
+	is.True(math.Abs(float64(a.Counters().Sent()-out.Load())) <= 0.1*float64(out.Load()))
+	is.True(math.Abs(float64(a.Counters().Received()-in.Load())) <= 0.1*float64(in.Load()))
+	t.Logf("counted %d and %d, on the wire %d and %d", a.Counters().Sent(), a.Counters().Received(), out.Load(), in.Load())
+}
--- a/internal/peer/membership/bridge.go
+++ b/internal/peer/membership/bridge.go
@@ -1,8 +1,9 @@
 package membership
 
 import (
-	"cmp"
 	"context"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -16,26 +17,26 @@
 )
 
 // bridge swaps summaries with the failure domains whose bridge this entry is.
-func (n *Node) bridge(ctx context.Context) {
-	for wait(ctx, n.jitter(bridgeEvery)) {
-		for _, to := range n.bridges() {
+func (n *Node) bridge(ctx context.Context, r *rand.Rand) {
+	for wait(ctx, jitter(r, bridgeEvery)) {
+		for _, to := range n.bridges(r) {
 			n.swap(ctx, to)
 		}
 	}
 }
 
 // bridges returns a contact in each failure domain that this entry has to call.
-func (n *Node) bridges() []target {
+func (n *Node) bridges(r *rand.Rand) []target {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var out []target
 	live := n.live()
-	for domain, contacts := range n.contacts {
+	for _, domain := range slices.Sorted(maps.Keys(n.contacts)) {
+		contacts := n.contacts[domain]
 		if domain != n.cfg.Domain && len(contacts) > 0 && owner(live, "domain/"+domain) == n.cfg.VM {
-			out = append(out, contacts[n.rand.IntN(len(contacts))])
+			out = append(out, contacts[r.IntN(len(contacts))])
 		}
 	}
-	slices.SortFunc(out, func(a, b target) int { return cmp.Compare(a.address, b.address) })
 	return out
 }
 
--- a/internal/peer/membership/exchange.go
+++ b/internal/peer/membership/exchange.go
@@ -27,6 +27,7 @@
 	saving      bool   // its budget is spent
 	full        bool   // it was asked for all its records
 	sent, got   positions
+	touched     time.Time
 }
 
 // positions are those in the feeds of peers, reports and summaries.
@@ -50,17 +51,26 @@
 	incarnation uint64
 }
 
-// cursorOf returns the cursor of an entry. A new incarnation starts anew with the
-// news of the last seconds.
+// cursorOf returns the cursor of an entry. One that is new, or that was not in
+// touch for some seconds, starts with the news of the last seconds: neighbours
+// in the ring ask for all records then.
 func (n *Node) cursorOf(vm string, incarnation uint64) *cursor {
+	now := n.now()
 	c := n.cursors[vm]
 	if c == nil || c.incarnation != incarnation {
-		old := n.now().Add(-newsAge)
-		c = &cursor{incarnation: incarnation, fresh: true, sent: positions{
-			n.table.feed.before(old), n.reports.before(old), n.summaries.before(old),
-		}}
+		c = &cursor{incarnation: incarnation, fresh: true}
 		n.cursors[vm] = c
 	}
+	if now.Sub(c.touched) >= newsAge {
+		old := now.Add(-newsAge)
+		c.full = false
+		c.sent = positions{
+			max(c.sent.peers, n.table.feed.before(old)),
+			max(c.sent.reports, n.reports.before(old)),
+			max(c.sent.summaries, n.summaries.before(old)),
+		}
+	}
+	c.touched = now
 	return c
 }
 
--- a/internal/peer/membership/list.go
+++ b/internal/peer/membership/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/memberwire"
@@ -19,7 +20,7 @@
 )
 
 // follow reads the VM list.
-func (n *Node) follow(ctx context.Context) {
+func (n *Node) follow(ctx context.Context, r *rand.Rand) {
 	for {
 		if vms, err := n.cfg.List(ctx); err == nil {
 			n.hints(vms)
@@ -27,7 +28,7 @@
 		n.mu.Lock()
 		every := listPerEntry * time.Duration(max(1, len(n.table.live())))
 		n.mu.Unlock()
-		if !wait(ctx, n.jitter(every)) {
+		if !wait(ctx, jitter(r, every)) {
 			return
 		}
 	}
--- a/internal/peer/membership/node.go
+++ b/internal/peer/membership/node.go
@@ -27,6 +27,8 @@
 	reachHelpers = 2
 	reachTimeout = 3 * probeTimeout
 	pushFan      = 4
+	spreadTime   = time.Millisecond
+	closeDice    = 100 // number of the random numbers of Close
 	pushGap      = 100 * time.Millisecond
 	// isolatedAfter is how long no call succeeds until all others count as suspect.
 	isolatedAfter = 3 * time.Second
@@ -82,7 +84,6 @@
 	stop   context.CancelFunc
 
 	mu        sync.Mutex
-	rand      *rand.Rand
 	table     *table
 	reports   *feed[*memberwire.Report]
 	summaries *feed[*memberwire.Summary]
@@ -109,7 +110,6 @@
 		now:       time.Now,
 		kicked:    make(chan struct{}, 1),
 		done:      make(chan struct{}),
-		rand:      rand.New(rand.NewPCG(cfg.Rand, cfg.Incarnation)),
 		reports:   newFeed[*memberwire.Report](),
 		summaries: newFeed[*memberwire.Summary](),
 		cursors:   map[string]*cursor{},
@@ -129,20 +129,22 @@
 func (n *Node) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
+	n.publish()
 	go n.run(ctx)
 }
 
 // run runs the duties and waits for them.
 func (n *Node) run(ctx context.Context) {
 	defer close(n.done)
-	duties := []func(context.Context){
-		func(ctx context.Context) { n.watch(ctx, 0) },
-		func(ctx context.Context) { n.watch(ctx, 1) },
+	duties := []func(context.Context, *rand.Rand){
+		func(ctx context.Context, r *rand.Rand) { n.watch(ctx, r, 0) },
+		func(ctx context.Context, r *rand.Rand) { n.watch(ctx, r, 1) },
 		n.wander, n.push, n.join, n.follow, n.report, n.bridge,
 	}
 	var wg sync.WaitGroup
-	for _, duty := range duties {
-		wg.Go(func() { duty(ctx) })
+	for i, duty := range duties {
+		r := n.dice(uint64(i))
+		wg.Go(func() { duty(ctx, r) })
 	}
 	wg.Wait()
 }
@@ -160,7 +162,7 @@
 	n.mu.Lock()
 	n.table.tell(memberwire.State_GONE, n.table.self.GetSeq()+1)
 	n.mu.Unlock()
-	n.tellSome(context.Background())
+	n.tellSome(context.Background(), n.dice(closeDice))
 	n.stop()
 	<-n.done
 }
@@ -188,16 +190,23 @@
 	return n.budget.left(c.Sent()+c.Received()+n.cfg.Spent(), n.now())
 }
 
+// dice returns the random numbers of a duty, which are its own so that a run in
+// virtual time can be repeated.
+func (n *Node) dice(duty uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(n.cfg.Rand+duty, n.cfg.Incarnation))
+}
+
 // jitter returns a time within a tenth of d.
-func (n *Node) jitter(d time.Duration) time.Duration {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return d - d/10 + time.Duration(n.rand.Int64N(int64(d/5)+1))
+func jitter(r *rand.Rand, d time.Duration) time.Duration {
+	return d - d/10 + time.Duration(r.Int64N(int64(d/5)+1))
 }
 
+// spread returns a moment, so that calls made together don't leave at once.
+func spread(r *rand.Rand) time.Duration { return time.Duration(r.Int64N(int64(spreadTime))) }
+
 // watch probes a successor in the ring, again and again.
-func (n *Node) watch(ctx context.Context, slot int) {
-	for wait(ctx, n.jitter(beatEvery)) {
+func (n *Node) watch(ctx context.Context, r *rand.Rand, slot int) {
+	for wait(ctx, jitter(r, beatEvery)) {
 		n.mu.Lock()
 		next := successors(n.table.live(), n.cfg.VM)
 		var p *memberwire.Peer
@@ -206,23 +215,23 @@
 		}
 		n.mu.Unlock()
 		if p != nil {
-			n.check(ctx, targetOf(p), true)
+			n.check(ctx, r, targetOf(p), true)
 		}
 	}
 }
 
 // wander probes entries at random, half of the time such that can't be reached.
-func (n *Node) wander(ctx context.Context) {
-	for wait(ctx, n.jitter(randomEvery)) {
-		if p, live := n.anyone(); p != nil && live {
-			n.check(ctx, targetOf(p), false)
+func (n *Node) wander(ctx context.Context, r *rand.Rand) {
+	for wait(ctx, jitter(r, randomEvery)) {
+		if p, live := n.anyone(r); p != nil && live {
+			n.check(ctx, r, targetOf(p), false)
 		} else if p != nil {
 			_ = n.exchange(ctx, targetOf(p), false) // it was known not to answer
 		}
 	}
 }
 
-func (n *Node) anyone() (p *memberwire.Peer, live bool) {
+func (n *Node) anyone(r *rand.Rand) (p *memberwire.Peer, live bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var up, down []*memberwire.Peer
@@ -235,20 +244,20 @@
 			up = append(up, p)
 		}
 	}
-	if len(down) > 0 && (len(up) == 0 || n.rand.IntN(2) == 0) {
-		return down[n.rand.IntN(len(down))], false
+	if len(down) > 0 && (len(up) == 0 || r.IntN(2) == 0) {
+		return down[r.IntN(len(down))], false
 	}
 	if len(up) > 0 {
-		return up[n.rand.IntN(len(up))], true
+		return up[r.IntN(len(up))], true
 	}
 	return nil, false
 }
 
 // reached reports whether one of several probes succeeds. After the second miss
 // others are asked to probe as well.
-func reached(direct func() bool, ask func() (answer func() bool)) bool {
+func reached(tries int, direct func() bool, ask func() (answer func() bool)) bool {
 	indirect := func() bool { return false }
-	for i := range directTries {
+	for i := range tries {
 		if direct() {
 			return true
 		}
@@ -260,10 +269,11 @@
 }
 
 // check probes an entry and suspects it where nobody reaches it.
-func (n *Node) check(ctx context.Context, to target, full bool) {
+func (n *Node) check(ctx context.Context, r *rand.Rand, to target, full bool) {
 	ok := reached(
+		directTries,
 		func() bool { return n.probe(ctx, to, full) },
-		func() func() bool { return n.askOthers(ctx, to) },
+		func() func() bool { return n.askOthers(ctx, r, to) },
 	)
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -289,12 +299,14 @@
 }
 
 // askOthers has some entries probe another one. The answer waits for them.
-func (n *Node) askOthers(ctx context.Context, to target) (answer func() bool) {
+func (n *Node) askOthers(ctx context.Context, r *rand.Rand, to target) (answer func() bool) {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
-	helpers := n.some(reachHelpers, to.vm)
+	helpers := n.some(r, reachHelpers, to.vm)
 	answers := make(chan bool, len(helpers))
 	for _, h := range helpers {
+		pause := spread(r)
 		go func() {
+			wait(ctx, pause)
 			r, err := n.client(h.address).Reach(ctx, &memberwire.ReachRequest{Vm: to.vm, Address: to.address})
 			answers <- err == nil && r.GetReached()
 		}()
@@ -310,7 +322,7 @@
 }
 
 // some returns up to so many other live entries at random.
-func (n *Node) some(count int, but string) []target {
+func (n *Node) some(r *rand.Rand, count int, but string) []target {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var out []target
@@ -319,38 +331,42 @@
 			out = append(out, targetOf(p))
 		}
 	}
-	n.rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	r.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out[:min(count, len(out))]
 }
 
 // push tells urgent news to some entries at once, and each of them does so in turn.
-func (n *Node) push(ctx context.Context) {
+func (n *Node) push(ctx context.Context, r *rand.Rand) {
 	for {
 		select {
 		case <-n.kicked:
 		case <-ctx.Done():
 			return
 		}
-		wait(ctx, n.jitter(pushGap/5))
-		n.tellSome(ctx)
-		wait(ctx, n.jitter(pushGap))
+		wait(ctx, jitter(r, pushGap/5))
+		n.tellSome(ctx, r)
+		wait(ctx, jitter(r, pushGap))
 	}
 }
 
-func (n *Node) tellSome(ctx context.Context) {
+func (n *Node) tellSome(ctx context.Context, r *rand.Rand) {
 	var wg sync.WaitGroup
-	for _, to := range n.some(pushFan, "") {
-		wg.Go(func() { _ = n.exchange(ctx, to, false) }) // heartbeats repeat what was lost
+	for _, to := range n.some(r, pushFan, "") {
+		pause := spread(r)
+		wg.Go(func() {
+			wait(ctx, pause)
+			_ = n.exchange(ctx, to, false) // heartbeats repeat what was lost
+		})
 	}
 	wg.Wait()
 }
 
 // join contacts seeds and listed entries until another entry is met, and a random
 // one of them from time to time, so that parts that lost each other meet again.
-func (n *Node) join(ctx context.Context) {
+func (n *Node) join(ctx context.Context, r *rand.Rand) {
 	delay := joinFirst
 	for ctx.Err() == nil {
-		for _, to := range n.candidates() {
+		for _, to := range n.candidates(r) {
 			if err := n.exchange(ctx, to, true); err == nil {
 				break
 			}
@@ -360,12 +376,12 @@
 		} else {
 			delay = rejoinEvery
 		}
-		wait(ctx, n.jitter(delay))
+		wait(ctx, jitter(r, delay))
 	}
 }
 
 // candidates returns addresses of entries that are not known as live, in random order.
-func (n *Node) candidates() []target {
+func (n *Node) candidates(r *rand.Rand) []target {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	known := map[string]bool{n.cfg.Address: true}
@@ -385,7 +401,7 @@
 			out = append(out, target{address: c.address})
 		}
 	}
-	n.rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	r.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out
 }
 
@@ -403,15 +419,14 @@
 
 // report publishes what this entry tells about itself: a new offset soon, all else
 // at its pace.
-func (n *Node) report(ctx context.Context) {
-	var due time.Time
-	offset := n.cfg.Offset()
+func (n *Node) report(ctx context.Context, r *rand.Rand) {
+	offset, due := n.cfg.Offset(), n.now().Add(jitter(r, reportLeast))
 	for {
 		if next := n.cfg.Offset(); next != offset || !n.now().Before(due) {
 			offset = next
-			due = n.now().Add(n.jitter(n.publish()))
+			due = n.now().Add(jitter(r, n.publish()))
 		}
-		if !wait(ctx, n.jitter(offsetEvery)) {
+		if !wait(ctx, jitter(r, offsetEvery)) {
 			return
 		}
 	}
