--- a/internal/command/load/load.go
+++ b/internal/command/load/load.go
@@ -20,6 +20,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
 )
 
@@ -109,10 +110,11 @@
 		case <-next.C:
 			j := draw(cfg, r, sent)
 			sent++
-			if rep.begin() > maxInFlight {
-				rep.end(j.tokens, outcome{code: "not_sent"})
+			end, inFlight := rep.begin(j.tokens)
+			if inFlight > maxInFlight {
+				end(outcome{code: "not_sent"})
 			} else {
-				wg.Go(func() { rep.end(j.tokens, send(ctx, cfg, j)) })
+				wg.Go(func() { end(send(ctx, cfg, j)) })
 			}
 			next.Reset(time.Duration(r.ExpFloat64() / cfg.Rate * float64(time.Second)))
 		}
@@ -165,7 +167,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	buildRequest(req, cfg, j)
 	start := time.Now()
-	x, err := httpconn.Do(ctx, string(req.URI().Host()), req, httpconn.Limits{First: limit, Read: limit})
+	x, err := httpconn.Do(ctx, netio.TCP(), string(req.URI().Host()), req, httpconn.Limits{First: limit, Read: limit})
 	if fault.Is(err, httpconn.KindUnsent) && ctx.Err() == nil {
 		return outcome{code: "unreachable"}
 	}
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -8,9 +8,10 @@
 	"sync"
 	"time"
 
-	"github.com/alitto/pond/v2"
 	"github.com/charmbracelet/log"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/work"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
 )
@@ -68,23 +69,25 @@
 
 // Fleet follows the configuration's engines. Its methods may be called from any goroutine.
 type Fleet struct {
-	view func() *resource.View
-	log  *log.Logger
-	pool pond.Pool
-	done chan struct{}
-	stop context.CancelFunc
+	network *netio.Network
+	view    func() *resource.View
+	log     *log.Logger
+	pool    *work.Pool
+	done    chan struct{}
+	stop    context.CancelFunc
 
 	mu      sync.Mutex
 	engines map[string]*Engine
 }
 
 // New starts a fleet over the view. Close ends it.
-func New(view func() *resource.View, logger *log.Logger) *Fleet {
+func New(network *netio.Network, view func() *resource.View, logger *log.Logger) *Fleet {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Fleet{
+		network: network,
 		view:    view,
 		log:     logger.WithPrefix("fleet"),
-		pool:    pond.NewPool(pollWorkers, pond.WithQueueSize(pollQueue), pond.WithNonBlocking(true)),
+		pool:    work.New(pollWorkers, pollQueue),
 		done:    make(chan struct{}),
 		stop:    cancel,
 		engines: map[string]*Engine{},
@@ -97,7 +100,7 @@
 func (f *Fleet) Close() {
 	f.stop()
 	<-f.done
-	f.pool.StopAndWait()
+	f.pool.Close()
 }
 
 // Of returns the engines that serve the deployment in the current view, by name.
@@ -122,7 +125,7 @@
 func (f *Fleet) engine(u *resource.Upstream) *Engine {
 	e := f.engines[u.Name()]
 	if e == nil || e.client.Addr() != u.Spec().Address {
-		e = &Engine{client: engine.NewClient(u.Name(), u.Spec().Address)}
+		e = &Engine{client: engine.NewClient(f.network, u.Name(), u.Spec().Address)}
 		f.engines[u.Name()] = e
 	}
 	e.configure(u)
