Execute orders at most once through intents in the log

Cause: a call that may not be repeated ran as often as it was asked; a caller that retried at another entry, or after a lost answer, placed its order twice.

Change: the ledger folds the orders' streams (the first intent of a key wins for ever), the executor appends an intent, reads it back, sends once and records the outcome, and GET /v1/orders/{key} tells what became of it.

--- a/internal/entry/server/errors.go
+++ b/internal/entry/server/errors.go
@@ -16,6 +16,8 @@
 	KindListen Kind = "can't listen"
 	// KindDrain is the kind of a shutdown that left work behind.
 	KindDrain Kind = "work left"
+	// KindMissing is the kind of a record of the log that is gone.
+	KindMissing Kind = "missing"
 )
 
 // Error is the error type of this package.
--- a/internal/entry/server/process.go
+++ b/internal/entry/server/process.go
@@ -8,6 +8,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/openai"
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/reply"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
+	"github.com/dogwoodmill/dogwoodmill/internal/order/executor"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
 )
@@ -24,6 +25,7 @@
 	Placement     placement.State      `json:"placement"`
 	Engines       []fleet.EngineState  `json:"engines"`
 	Streams       []openai.StreamState `json:"streams"`
+	Orders        executor.State       `json:"orders"`
 }
 
 // State returns the entry's state.
@@ -39,6 +41,7 @@
 		Placement:     s.placer.State(),
 		Engines:       s.fleet.State(),
 		Streams:       s.openai.State(),
+		Orders:        s.orders.executor.State(),
 	}
 }
 
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -51,6 +51,7 @@
 	fleet       *fleet.Fleet
 	placer      *placement.Placer
 	openai      *openai.Handler
+	orders      *orders
 	service     *service.Handler
 	api         *api.Handler
 	http        *fasthttp.Server
@@ -111,7 +112,9 @@
 	s.fleet = fleet.New(s.cfg.Network, s.store.View, logger)
 	s.placer = placement.New(owner, s.cfg.FailureDomain, s.fleet, logger)
 	s.openai = openai.NewHandler(openai.Seams{View: s.store.View, Place: s.placer.Place, Hold: s.hold}, s.metrics.scope, logger)
-	s.service = service.NewHandler(s.cfg.Network, s.store.View, s.metrics.scope, logger)
+	s.startOrders(logger)
+	s.service = service.NewHandler(s.cfg.Network, s.store.View,
+		service.Orders{Run: s.orders.executor.Run, Look: s.orders.executor.Look}, s.metrics.scope, logger)
 	s.api = api.NewHandler(s.store, api.Seams{Authorized: s.authorized, InForce: s.inForce}, logger)
 }
 
@@ -162,6 +165,7 @@
 	}
 	s.openai.Close()
 	s.fleet.Close()
+	s.stopOrders()
 	s.stopConfig()
 	if err := s.metrics.closer.Close(); err != nil {
 		s.log.Warn("Metrics could not be closed.", "err", err)
@@ -209,6 +213,8 @@
 		s.openai.Completions(ctx)
 	case path == "/v1/models" && ctx.IsGet():
 		s.openai.Models(ctx)
+	case strings.HasPrefix(path, service.OrdersPrefix) && ctx.IsGet():
+		s.service.ServeOrder(ctx)
 	case strings.HasPrefix(path, service.Prefix):
 		s.service.Serve(ctx)
 	case strings.HasPrefix(path, api.Prefix):
--- a/internal/order/executor/executor.go
+++ b/internal/order/executor/executor.go
@@ -14,7 +14,6 @@
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 
-	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/order/ledger"
 	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
 )
@@ -285,8 +284,3 @@
 	return x.seams.Now().Sub(st.At()) > pendingLimit ||
 		x.seams.Lost != nil && x.seams.Lost(a.VM, a.Incarnation)
 }
-
-// noEffect reports whether an append took no effect and will take none.
-func noEffect(err error) bool {
-	return fault.Is(err, logservice.KindUnavailable) || fault.Is(err, logservice.KindRateLimited)
-}
--- a/internal/order/executor/rapid_test.go
+++ b/internal/order/executor/rapid_test.go
@@ -186,7 +186,7 @@
 			n.cut, n.deaf, n.pausedUntil = false, false, time.Time{}
 		}
 	})
-	time.Sleep(20 * time.Minute)
+	pass(20 * time.Minute)
 	for _, n := range m.w.nodes {
 		for key := range m.w.byKey {
 			m.look(n, key)
--- a/internal/order/executor/recorder.go
+++ b/internal/order/executor/recorder.go
@@ -28,9 +28,12 @@
 type recorder struct {
 	ctx     context.Context
 	record  func(ctx context.Context, r *ledger.Record) bool
-	wg      sync.WaitGroup
 	waiting atomic.Int64
 	dropped atomic.Uint64
+
+	mu     sync.Mutex // orders adding before closing
+	closed bool
+	wg     sync.WaitGroup
 }
 
 func newRecorder(ctx context.Context, record func(context.Context, *ledger.Record) bool) *recorder {
@@ -40,28 +43,47 @@
 // add appends the record in the background and calls then when the log has it,
 // or when it is given up: then others see the order as unknown.
 func (r *recorder) add(rec *ledger.Record, then func()) {
-	if r.waiting.Add(1) > maxUnrecorded {
-		r.waiting.Add(-1)
+	if !r.start(func() {
+		defer r.waiting.Add(-1)
+		defer then()
+		r.keepTrying(rec)
+	}) {
 		r.dropped.Add(1)
 		then()
-		return
 	}
-	r.wg.Go(func() {
-		defer r.waiting.Add(-1)
-		defer then()
-		delay := recordFirst
-		for !r.record(r.ctx, rec) {
-			select {
-			case <-time.After(delay/2 + rand.N(delay/2+1)):
-			case <-r.ctx.Done():
-				return
-			}
-			delay = min(2*delay, recordMax)
+}
+
+// start reports false where the recorder is full or closed.
+func (r *recorder) start(task func()) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed || r.waiting.Load() >= maxUnrecorded {
+		return false
+	}
+	r.waiting.Add(1)
+	r.wg.Go(task)
+	return true
+}
+
+func (r *recorder) keepTrying(rec *ledger.Record) {
+	delay := recordFirst
+	for !r.record(r.ctx, rec) {
+		select {
+		case <-time.After(delay/2 + rand.N(delay/2+1)):
+		case <-r.ctx.Done():
+			return
 		}
-	})
+		delay = min(2*delay, recordMax)
+	}
 }
 
-func (r *recorder) close() { r.wg.Wait() }
+// close takes no more records and waits for those that wait, whose context ended.
+func (r *recorder) close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.wg.Wait()
+}
 
 // record appends a record and waits until it is folded here. It reports false
 // where it has to be tried again; a record that is there twice changes nothing.
--- a/internal/order/executor/try.go
+++ b/internal/order/executor/try.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/order/ledger"
+	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
 )
 
 // try is one attempt of this entry to execute an order. It belongs to the
@@ -32,7 +33,7 @@
 	t.x.counts.intents.Add(1)
 	offset, err := t.append(ctx, ledger.Intent(t.order.Workspace, t.order.Key, t.attempt, t.order.Fingerprint))
 	switch {
-	case noEffect(err):
+	case logservice.NoEffect(err):
 		return nil, fail("intent", KindUnavailable, err)
 	case err != nil:
 		return t.settle(ctx, err)
--- a/internal/order/executor/world_test.go
+++ b/internal/order/executor/world_test.go
@@ -35,11 +35,11 @@
 	desk    deskMode
 	// deskTime is the time from the execution to the answer.
 	deskTime time.Duration
-	byKey   map[uuid.UUID][]execution
-	nodes   []*node
-	faults  []string
-	made    uint64 // incarnations
-	appends int
+	byKey    map[uuid.UUID][]execution
+	nodes    []*node
+	faults   []string
+	made     uint64 // incarnations
+	appends  int
 }
 
 type logStream struct {
