--- a/internal/command/cli/dev.go
+++ b/internal/command/cli/dev.go
@@ -15,6 +15,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/client"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/engine"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/vmlist"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/world"
 )
 
@@ -23,6 +24,7 @@
 	devHost        = "127.0.0.1"
 	devEntries     = 2
 	devEngines     = 3
+	devDomain      = "a"
 	devModel       = "assistant-1"
 	devPeerKey     = "peer-dev-key"
 	devToken       = "operator-dev-token"
@@ -31,6 +33,7 @@
 	devMaxBody     = 32 << 20 // bytes
 	devDrain       = 10 * time.Second
 	devListLag     = 2 * time.Second
+	devRetention   = 24 * time.Hour
 	devReadyWait   = 10 * time.Second
 )
 
@@ -40,12 +43,13 @@
 // devWorld is everything that dev runs in the process.
 type devWorld struct {
 	*world.World
+	network *netio.Network
 	entries []*server.Server
 }
 
 // Run runs everything until a signal.
 func (o *DevOptions) Run(env *environment) error {
-	w, err := startDev(o.Port, devEngineConfigs(), env.log)
+	w, err := startDev(netio.TCP(), o.Port, devEngineConfigs(), env.log)
 	if err != nil {
 		return err
 	}
@@ -62,12 +66,12 @@
 	return out
 }
 
-func startDev(port int, engines []engine.Config, logger *log.Logger) (*devWorld, error) {
-	standins, err := world.Start(world.SameHost(netio.TCP()), engines, devListLag)
+func startDev(network *netio.Network, port int, engines []engine.Config, logger *log.Logger) (*devWorld, error) {
+	standins, err := world.Start(world.SameHost(network), engines, devListLag)
 	if err != nil {
 		return nil, err
 	}
-	w := &devWorld{World: standins}
+	w := &devWorld{World: standins, network: network}
 	for i := range devEntries {
 		if err := w.startEntry(i, port+i, logger); err != nil {
 			w.Close()
@@ -83,14 +87,15 @@
 		seeds = append(seeds, e.PeerAddr())
 	}
 	s, err := server.New(server.Config{
-		Network:        netio.TCP(),
+		Network:        w.network,
 		VM:             fmt.Sprintf("entry-%d", i+1),
-		FailureDomain:  "a",
+		FailureDomain:  devDomain,
 		Listen:         fmt.Sprintf("%s:%d", devHost, port),
 		PeerListen:     devHost + ":0",
 		PeerKey:        devPeerKey,
 		Seeds:          seeds,
 		LogURL:         w.LogURL(),
+		LogRetention:   devRetention,
 		VMListURL:      w.VMListURL(),
 		WeightStoreURL: w.WeightStoreURL(),
 		OperatorToken:  devToken,
@@ -101,6 +106,7 @@
 		return fmt.Errorf("port %d can't be used (--port moves it): %w", port, err)
 	}
 	w.entries = append(w.entries, s)
+	w.VMs.Put(vmlist.VM{Name: s.VM(), Address: s.PeerAddr(), FailureDomain: devDomain, State: vmlist.StateLive})
 	return nil
 }
 
@@ -122,7 +128,7 @@
 	if err != nil {
 		return err
 	}
-	c := client.New(netio.TCP(), "http://"+w.entries[0].Addr(), devToken)
+	c := client.New(w.network, "http://"+w.entries[0].Addr(), devToken)
 	for _, o := range objects {
 		if _, err := c.Put(ctx, o); err != nil {
 			return err
@@ -131,12 +137,14 @@
 	return w.awaitInForce(ctx)
 }
 
-// awaitInForce waits until both entries have the objects and have seen the engines.
+// awaitInForce waits until both entries have the objects, have seen the engines and
+// know each other and that the objects are in force.
 func (w *devWorld) awaitInForce(ctx context.Context) error {
 	for _, s := range w.entries {
 		for {
 			st := s.State()
-			if st.Config.Offset >= w.entries[0].State().Config.Offset && len(st.Engines) == devEngines {
+			offset := w.entries[0].State().Config.Offset
+			if st.Config.Offset >= offset && len(st.Engines) == devEngines && s.InForce(offset) == devEntries {
 				break
 			}
 			select {
--- a/internal/command/cli/entry.go
+++ b/internal/command/cli/entry.go
@@ -24,6 +24,7 @@
 		PeerKey:        o.PeerKey,
 		Seeds:          o.Seeds,
 		LogURL:         o.LogURL,
+		LogRetention:   o.LogRetention,
 		VMListURL:      o.VMListURL,
 		WeightStoreURL: o.WeightStoreURL,
 		OperatorToken:  o.OperatorToken,
@@ -70,5 +71,9 @@
 	for range servers {
 		errList = append(errList, <-ended)
 	}
-	return errors.Join(errList...)
+	err := errors.Join(errList...)
+	if fault.Is(err, server.KindDrain) {
+		return &codedError{code: exitLeft, err: err}
+	}
+	return err
 }
--- a/internal/entry/server/orders.go
+++ b/internal/entry/server/orders.go
@@ -37,6 +37,7 @@
 		Append: o.append,
 		AtEnd:  o.atEnd,
 		Fetch:  s.fetchOrder,
+		Lost:   s.peers.OwnerGone,
 	}, logger)
 	for i := range ledger.Streams {
 		o.followers[i].Store(logservice.NewFollower(logservice.FollowerConfig{
--- a/internal/entry/server/process.go
+++ b/internal/entry/server/process.go
@@ -9,23 +9,29 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/reply"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
 	"github.com/dogwoodmill/dogwoodmill/internal/order/executor"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/limits"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/orphan"
 )
 
 // State is the state dump of an entry.
 type State struct {
-	VM            string               `json:"vm"`
-	FailureDomain string               `json:"failureDomain"`
-	Incarnation   uint64               `json:"incarnation"`
-	UptimeMS      int64                `json:"uptimeMs"`
-	Leaving       bool                 `json:"leaving"`
-	Busy          int64                `json:"busy"` // requests in progress
-	Config        config.State         `json:"config"`
-	Placement     placement.State      `json:"placement"`
-	Engines       []fleet.EngineState  `json:"engines"`
-	Streams       []openai.StreamState `json:"streams"`
-	Orders        executor.State       `json:"orders"`
+	VM            string              `json:"vm"`
+	FailureDomain string              `json:"failureDomain"`
+	Incarnation   uint64              `json:"incarnation"`
+	UptimeMS      int64               `json:"uptimeMs"`
+	Leaving       bool                `json:"leaving"`
+	Busy          int64               `json:"busy"` // requests in progress
+	Config        config.State        `json:"config"`
+	ConfigLog     ConfigLogState      `json:"configLog"`
+	Placement     placement.State     `json:"placement"`
+	Engines       []fleet.EngineState `json:"engines"`
+	Peers         peersState          `json:"peers"`
+	Limits        limits.State        `json:"limits"`
+	Streams       openai.State        `json:"streams"`
+	Orphans       orphan.State        `json:"orphans"`
+	Orders        executor.State      `json:"orders"`
 }
 
 // State returns the entry's state.
@@ -38,10 +44,14 @@
 		Leaving:       s.leaving.Load(),
 		Busy:          s.busy.Load(),
 		Config:        s.store.State(),
+		ConfigLog:     s.configLog.state(),
 		Placement:     s.placer.State(),
 		Engines:       s.fleet.State(),
+		Peers:         s.peers.state(),
+		Limits:        s.peers.limiter.State(),
 		Streams:       s.openai.State(),
 		Orders:        s.orders.executor.State(),
+		Orphans:       s.orphans.State(),
 	}
 }
 
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -21,20 +21,16 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/service"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/api"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
-	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/link"
-	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/orphan"
 )
 
 const (
 	idleTimeout  = 2 * time.Minute
 	writeTimeout = 30 * time.Second
-	// acceptWhileLeaving is how long a leaving entry takes new work, until callers know.
-	acceptWhileLeaving = 2 * time.Second
-	drainPoll          = 50 * time.Millisecond
 )
 
 // Server is an entry.
@@ -44,14 +40,13 @@
 	incarnation uint64
 	started     time.Time
 	metrics     *metrics
-	logClient   *logservice.Client
-	logLimiter  *logservice.Limiter // shared by all appenders of the entry
+	configLog   configLog
 	store       *config.Store
-	configLog   *logservice.Appender
 	fleet       *fleet.Fleet
 	placer      *placement.Placer
 	openai      *openai.Handler
 	orders      *orders
+	orphans     *orphan.Collector
 	service     *service.Handler
 	api         *api.Handler
 	http        *fasthttp.Server
@@ -59,6 +54,7 @@
 	link        *link.Link
 	peerHTTP    *http.Server
 	peerLn      net.Listener
+	peers       *peers
 	leaving     atomic.Bool
 	refusing    atomic.Bool
 	busy        atomic.Int64 // requests in progress
@@ -102,6 +98,7 @@
 		Logger:                quiet{},
 		CloseOnShutdown:       true,
 		ReduceMemoryUsage:     true,
+		KeepHijackedConns:     true, // a streamed answer closes its connection itself
 	}
 	return s, nil
 }
@@ -109,13 +106,13 @@
 func (s *Server) startParts(logger *log.Logger) {
 	owner := engine.Owner{VM: s.cfg.VM, Incarnation: s.incarnation}
 	s.startConfig(logger)
-	s.fleet = fleet.New(s.cfg.Network, s.store.View, logger)
+	s.startPeers(logger)
 	s.placer = placement.New(owner, s.cfg.FailureDomain, s.fleet, logger)
-	s.openai = openai.NewHandler(openai.Seams{View: s.store.View, Place: s.placer.Place, Hold: s.hold}, s.metrics.scope, logger)
+	s.startStreams(owner, logger)
 	s.startOrders(logger)
 	s.service = service.NewHandler(s.cfg.Network, s.store.View,
 		service.Orders{Run: s.orders.executor.Run, Look: s.orders.executor.Look}, s.metrics.scope, logger)
-	s.api = api.NewHandler(s.store, api.Seams{Authorized: s.authorized, InForce: s.inForce}, logger)
+	s.api = api.NewHandler(s.store, api.Seams{Authorized: s.authorized, InForce: s.peers.InForce}, logger)
 }
 
 // Addr returns the address that the entry listens on.
@@ -130,29 +127,6 @@
 	return s.http.Serve(s.ln)
 }
 
-// Shutdown leaves: it takes new work for a little longer, then refuses it,
-// finishes what runs within the drain limit, and stops. It returns an error of
-// KindDrain where requests were still in progress.
-func (s *Server) Shutdown(ctx context.Context) error {
-	s.leaving.Store(true)
-	s.log.Info("Leaving.", "in_progress", s.busy.Load())
-	wait(ctx, acceptWhileLeaving)
-	s.refusing.Store(true)
-	drain, cancel := context.WithTimeout(ctx, s.cfg.Drain)
-	defer cancel()
-	for s.busy.Load() > 0 && drain.Err() == nil {
-		wait(drain, drainPoll)
-	}
-	left := s.busy.Load()
-	s.stop()
-	if left > 0 {
-		s.log.Warn("Stopped with requests in progress.", "left", left)
-		return fail("shutdown", KindDrain, fmt.Errorf("%d requests in progress", left))
-	}
-	s.log.Info("Stopped with nothing in progress.")
-	return nil
-}
-
 func (s *Server) stop() {
 	s.api.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -160,10 +134,11 @@
 	if err := s.http.ShutdownWithContext(ctx); err != nil {
 		s.log.Warn("Connections were open at the end.", "err", err)
 	}
+	s.peers.stop()
 	if err := s.peerHTTP.Close(); err != nil {
 		s.log.Warn("Peer connections were open at the end.", "err", err)
 	}
-	s.openai.Close()
+	s.stopStreams()
 	s.fleet.Close()
 	s.stopOrders()
 	s.stopConfig()
@@ -172,26 +147,10 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (s *Server) authorized(token string) bool {
 	return subtle.ConstantTimeCompare([]byte(token), []byte(s.cfg.OperatorToken)) == 1
 }
 
-// inForce counts the entries that have an offset in force.
-func (s *Server) inForce(offset uint64) resource.InForce {
-	f := resource.InForce{Of: 1}
-	if s.store.View().Offset() >= offset {
-		f.Seen = 1
-	}
-	return f
-}
-
 // route finds the handler of a request.
 func (s *Server) route(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
@@ -204,6 +163,9 @@
 		reply.Overloaded("leaving", "This entry is leaving; another one serves.", time.Second).Write(ctx)
 		return
 	}
+	if s.leaving.Load() {
+		ctx.SetConnectionClose() // the caller's next request goes to another entry
+	}
 	release := s.hold()
 	defer release()
 	switch {
@@ -215,6 +177,8 @@
 		s.openai.Models(ctx)
 	case strings.HasPrefix(path, service.OrdersPrefix) && ctx.IsGet():
 		s.service.ServeOrder(ctx)
+	case strings.HasPrefix(path, openai.ResponsesPrefix):
+		s.openai.Responses(ctx)
 	case strings.HasPrefix(path, service.Prefix):
 		s.service.Serve(ctx)
 	case strings.HasPrefix(path, api.Prefix):
