--- a/internal/entry/server/orders.go
+++ b/internal/entry/server/orders.go
@@ -28,11 +28,11 @@
 	o := &orders{}
 	for i := range ledger.Streams {
 		o.appenders[i] = logservice.NewAppender(logservice.AppenderConfig{
-			Append:  s.logClient.Appends(ledger.Stream(i)),
-			Limiter: s.logLimiter,
+			Append:  s.configLog.client.Appends(ledger.Stream(i)),
+			Limiter: s.configLog.limiter,
 		})
 	}
-	o.executor = executor.New(s.cfg.VM, s.incarnation, executor.DefaultWindow, executor.Seams{
+	o.executor = executor.New(s.cfg.VM, s.incarnation, executor.WindowFor(s.cfg.LogRetention), executor.Seams{
 		Now:    time.Now,
 		Append: o.append,
 		AtEnd:  o.atEnd,
@@ -42,7 +42,7 @@
 	for i := range ledger.Streams {
 		o.followers[i].Store(logservice.NewFollower(logservice.FollowerConfig{
 			Stream: ledger.Stream(i),
-			Read:   firstAtOnce(s.logClient.Reads(ledger.Stream(i))),
+			Read:   firstAtOnce(s.configLog.client.Reads(ledger.Stream(i))),
 			Fold:   func(recs []logservice.Record) { o.executor.Apply(i, recs) },
 			Restore: func(_ context.Context, b logservice.Bounds) (uint64, error) {
 				o.executor.Skip(i, b.Earliest-1)
@@ -86,7 +86,7 @@
 
 // fetchOrder reads a record of an orders' stream again.
 func (s *Server) fetchOrder(ctx context.Context, stream int, offset uint64) ([]byte, error) {
-	recs, _, err := s.logClient.Read(ctx, ledger.Stream(stream), offset, 0)
+	recs, _, err := s.configLog.client.Read(ctx, ledger.Stream(stream), offset, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/order/executor/executor.go
+++ b/internal/order/executor/executor.go
@@ -19,9 +19,11 @@
 )
 
 const (
-	// DefaultWindow is how long a key is known. The log has to keep its records
-	// for longer: by MarkEvery and twice the clock margin at least.
-	DefaultWindow = 24 * time.Hour
+	// MaxWindow is the longest time for which a key is known.
+	MaxWindow = 24 * time.Hour
+	// retentionMargin is how much longer than the window the log keeps a record:
+	// more than the time between two marks and the clocks' margins.
+	retentionMargin = 2 * time.Hour
 	// maxAhead is how far a key's time may be ahead of this entry's clock.
 	maxAhead = time.Minute
 	// sendWithin is the largest age of an attempt that still sends.
@@ -37,6 +39,12 @@
 	lostCheck = time.Second
 )
 
+// WindowFor returns how long keys are known where the log keeps its records for
+// the given time.
+func WindowFor(retention time.Duration) time.Duration {
+	return min(MaxWindow, max(retention-retentionMargin, retention/2))
+}
+
 // Seams are the executor's ways out.
 type Seams struct {
 	Now func() time.Time
