--- a/internal/entry/server/configlog.go
+++ b/internal/entry/server/configlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/charmbracelet/log"
 
@@ -9,6 +10,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/configrelay"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/configwire"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/membership"
 	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
 )
 
@@ -22,6 +24,7 @@
 	changes   *logservice.Appender
 	snapshots *logservice.Appender
 	relay     *configrelay.Relay
+	peers     atomic.Pointer[peers]
 }
 
 // ConfigLogState is the part of the state dump about the ways to the log.
@@ -42,6 +45,7 @@
 		Read:   c.client.Reads(resource.Stream),
 		Append: c.changes.Append,
 		Peers:  s.configPeers,
+		Rank:   s.readerRank,
 		Do:     s.link.Do,
 	})
 	s.store = config.NewStore(config.Seams{
@@ -50,6 +54,7 @@
 		ReadSnapshots:  c.client.ReadsFew(config.SnapshotStream, snapshotPage),
 		AppendSnapshot: c.snapshots.Append,
 		PeerState:      c.relay.PeerState,
+		Rank:           s.writerRank,
 	}, config.Settings{Retention: s.cfg.LogRetention}, logger)
 	s.link.Handle(configwire.ConfigRelayPathPrefix, configrelay.NewServer(configrelay.ServerSeams{
 		Records: s.store.Records,
@@ -59,15 +64,57 @@
 	}))
 }
 
+// joinConfig lets the configuration use what is known of the other entries. Until
+// then the seeds are asked.
+func (s *Server) joinConfig() { s.configLog.peers.Store(s.peers) }
+
 // configPeers returns the entries that the configuration can be had from.
 func (s *Server) configPeers() []configrelay.Peer {
 	var out []configrelay.Peer
+	if p := s.configLog.peers.Load(); p != nil {
+		for _, e := range p.Peers() {
+			if e.VM() != s.cfg.VM && e.State() != membership.StateGone {
+				out = append(out, configrelay.Peer{VM: e.VM(), Address: e.Address(), Own: e.Domain() == s.cfg.FailureDomain})
+			}
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
 	for _, addr := range s.cfg.Seeds {
-		out = append(out, configrelay.Peer{VM: addr, Address: addr})
+		if addr != s.PeerAddr() {
+			out = append(out, configrelay.Peer{VM: addr, Address: addr})
+		}
 	}
 	return out
 }
 
+// readerRank returns this entry's place among the live ones of its failure domain.
+func (s *Server) readerRank() (rank, of int) {
+	if p := s.configLog.peers.Load(); p != nil {
+		return p.Rank()
+	}
+	return 0, 1
+}
+
+// writerRank returns this entry's place among all live entries: the first ones of
+// each failure domain come before the second ones.
+func (s *Server) writerRank() (rank, of int) {
+	p := s.configLog.peers.Load()
+	if p == nil {
+		return 0, 1
+	}
+	rank, of = p.Rank()
+	domains, before := 1, 0
+	for _, d := range p.node.Summaries() {
+		domains++
+		if d.GetDomain() < s.cfg.FailureDomain {
+			before++
+		}
+	}
+	return rank*domains + before, of * domains
+}
+
 func (s *Server) stopConfig() {
 	s.configLog.changes.Close()
 	s.configLog.snapshots.Close()
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -106,6 +106,7 @@
 	owner := engine.Owner{VM: s.cfg.VM, Incarnation: s.incarnation}
 	s.startConfig(logger)
 	s.startPeers(logger)
+	s.joinConfig()
 	s.fleet = fleet.New(s.cfg.Network, s.store.View, logger)
 	s.placer = placement.New(owner, s.cfg.FailureDomain, s.fleet, logger)
 	s.openai = openai.NewHandler(openai.Seams{View: s.store.View, Place: s.placer.Place, Hold: s.hold}, s.metrics.scope, logger)
--- a/internal/peer/configrelay/fleet_test.go
+++ b/internal/peer/configrelay/fleet_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,12 +41,32 @@
 // fleet is entries with their configuration, joined by a carrier in memory that
 // partitions can cut.
 type fleet struct {
-	log     *standin.Log
+	log *standin.Log
+
+	mu      sync.Mutex
 	entries []*entry
 	cutLog  map[string]cut     // failure domain: its way to the log
 	cutPeer map[[2]string]bool // pairs of failure domains
 	loseIn  map[string]int     // failure domain: answers of entries there that get lost
+	late    int                // appends that reach the log long after their callers gave up
+	held    sync.WaitGroup     // of late appends
 	next    int
+	loseLog int               // answers of the log that get lost
+	written map[uint64][]byte // records of the configuration's stream
+}
+
+// set changes the faults.
+func (f *fleet) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// live returns the entries.
+func (f *fleet) live() []*entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.entries)
 }
 
 // cut is how a way fails.
@@ -70,7 +91,7 @@
 func newFleet() *fleet {
 	f := &fleet{
 		log: standin.NewLog(), cutLog: map[string]cut{}, cutPeer: map[[2]string]bool{},
-		loseIn: map[string]int{},
+		loseIn: map[string]int{}, written: map[uint64][]byte{},
 	}
 	f.log.SetRetention(retention)
 	return f
@@ -78,8 +99,11 @@
 
 // add starts an entry in the failure domain.
 func (f *fleet) add(domain string) *entry {
-	f.next++
-	e := &entry{vm: fmt.Sprintf("%s%d", domain, f.next), domain: domain}
+	e := &entry{domain: domain}
+	f.set(func() {
+		f.next++
+		e.vm = fmt.Sprintf("%s%d", domain, f.next)
+	})
 	lim := logservice.NewLimiter(logservice.DefaultEntryAppends)
 	appends := func(stream string) *logservice.Appender {
 		return logservice.NewAppender(logservice.AppenderConfig{Limiter: lim, Append: f.appends(domain, stream)})
@@ -93,14 +117,14 @@
 		Rank:   func() (int, int) { return f.rank(e) },
 		Do:     e.link.Do,
 	})
-	f.entries = append(f.entries, e)
+	f.set(func() { f.entries = append(f.entries, e) })
 	e.store = config.NewStore(config.Seams{
 		Read:           e.relay.Read,
 		Append:         e.relay.Append,
 		ReadSnapshots:  f.reads(domain, config.SnapshotStream),
 		AppendSnapshot: e.snapshots.Append,
 		PeerState:      e.relay.PeerState,
-		Rank:           func() (int, int) { return slices.Index(f.entries, e), len(f.entries) },
+		Rank:           func() (int, int) { return slices.Index(f.live(), e), len(f.live()) },
 	}, config.Settings{Retention: retention}, log.New(io.Discard))
 	e.link.Handle(configwire.ConfigRelayPathPrefix, configrelay.NewServer(configrelay.ServerSeams{
 		Records: e.store.Records, State: e.store.Encoded, Append: e.changes.Append,
@@ -111,7 +135,7 @@
 
 // remove ends an entry, as the loss of its VM does.
 func (f *fleet) remove(e *entry) {
-	f.entries = slices.DeleteFunc(slices.Clone(f.entries), func(o *entry) bool { return o == e })
+	f.set(func() { f.entries = slices.DeleteFunc(f.entries, func(o *entry) bool { return o == e }) })
 	e.changes.Close()
 	e.snapshots.Close()
 	e.store.Close()
@@ -119,14 +143,15 @@
 }
 
 func (f *fleet) close() {
-	for len(f.entries) > 0 {
-		f.remove(f.entries[0])
+	f.held.Wait()
+	for _, e := range f.live() {
+		f.remove(e)
 	}
 }
 
 func (f *fleet) peers(e *entry) []configrelay.Peer {
 	var out []configrelay.Peer
-	for _, o := range f.entries {
+	for _, o := range f.live() {
 		if o != e {
 			out = append(out, configrelay.Peer{VM: o.vm, Address: o.vm, Own: o.domain == e.domain})
 		}
@@ -136,7 +161,7 @@
 
 func (f *fleet) rank(e *entry) (int, int) {
 	rank, of := 0, 0
-	for _, o := range f.entries {
+	for _, o := range f.live() {
 		if o == e {
 			rank = of
 		}
@@ -150,7 +175,7 @@
 // carry carries a call between entries.
 func (f *fleet) carry(from *entry, r *http.Request) (*http.Response, error) {
 	var to *entry
-	for _, o := range f.entries {
+	for _, o := range f.live() {
 		if o.vm == r.URL.Host {
 			to = o
 		}
@@ -158,7 +183,7 @@
 	if to == nil {
 		return nil, errors.New("no such host")
 	}
-	if f.cutPeer[[2]string{from.domain, to.domain}] || f.cutPeer[[2]string{to.domain, from.domain}] {
+	if f.parted(from.domain, to.domain) {
 		<-r.Context().Done() // a partition drops packets
 		return nil, r.Context().Err()
 	}
@@ -166,17 +191,35 @@
 	rec := httptest.NewRecorder()
 	to.link.ServeHTTP(rec, r)
 	time.Sleep(hop)
-	if f.loseIn[to.domain] > 0 {
-		f.loseIn[to.domain]--
+	if f.lose(to.domain) {
 		return nil, errors.New("connection reset")
 	}
 	return rec.Result(), r.Context().Err()
 }
 
+func (f *fleet) parted(a, b string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cutPeer[[2]string{a, b}] || f.cutPeer[[2]string{b, a}]
+}
+
+func (f *fleet) lose(domain string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.loseIn[domain] == 0 {
+		return false
+	}
+	f.loseIn[domain]--
+	return true
+}
+
 // reach passes the way between a failure domain and the log.
 func (f *fleet) reach(ctx context.Context, domain string) error {
 	time.Sleep(logHop)
-	switch f.cutLog[domain] {
+	f.mu.Lock()
+	way := f.cutLog[domain]
+	f.mu.Unlock()
+	switch way {
 	case cutRefuse:
 		return fault.New(&class, "call", logservice.KindUnavailable, nil)
 	case cutSilent:
@@ -192,14 +235,54 @@
 		if err := f.reach(ctx, domain); err != nil {
 			return 0, err
 		}
-		first, _, err := f.log.Append(ctx, stream, recs)
-		if err := translate(err); err != nil {
+		if f.delayed(stream, recs) {
+			<-ctx.Done()
+			return 0, fault.New(&class, "call", logservice.KindUnknown, ctx.Err())
+		}
+		first, err := f.append(ctx, stream, recs)
+		if err != nil {
 			return 0, err
 		}
 		return first, f.reach(ctx, domain)
 	}
 }
 
+// append appends and keeps the records for the oracle.
+func (f *fleet) append(ctx context.Context, stream string, recs [][]byte) (uint64, error) {
+	first, _, err := f.log.Append(ctx, stream, recs)
+	if err != nil || stream != resource.Stream {
+		return first, translate(err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, r := range recs {
+		f.written[first+uint64(i)] = r
+	}
+	if f.loseLog > 0 {
+		f.loseLog--
+		return 0, fault.New(&class, "call", logservice.KindUnknown, nil)
+	}
+	return first, nil
+}
+
+// lateBy is how long a late append is held on its way.
+const lateBy = 25 * time.Second
+
+// delayed holds an append on its way for long, where the test says so.
+func (f *fleet) delayed(stream string, recs [][]byte) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if stream != resource.Stream || f.late == 0 {
+		return false
+	}
+	f.late--
+	f.held.Go(func() {
+		time.Sleep(lateBy)
+		_, _ = f.append(context.Background(), stream, recs) // nobody waits for the answer
+	})
+	return true
+}
+
 func (f *fleet) reads(domain, stream string) func(context.Context, uint64, time.Duration) ([]logservice.Record, logservice.Bounds, error) {
 	return func(ctx context.Context, from uint64, wait time.Duration) ([]logservice.Record, logservice.Bounds, error) {
 		ctx, cancel := context.WithTimeout(ctx, wait+2*time.Second)
@@ -259,7 +342,7 @@
 
 // allHave reports whether every entry has folded the offset.
 func (f *fleet) allHave(offset uint64) bool {
-	for _, e := range f.entries {
+	for _, e := range f.live() {
 		if e.store.View().Offset() < offset {
 			return false
 		}
@@ -279,7 +362,7 @@
 // agree fails where two entries at the same offset have different state.
 func (f *fleet) agree() error {
 	states := map[uint64][]byte{}
-	for _, e := range f.entries {
+	for _, e := range f.live() {
 		p, err := e.store.Encoded(0)
 		if err != nil {
 			return err
--- a/internal/peer/configrelay/relay_test.go
+++ b/internal/peer/configrelay/relay_test.go
@@ -26,7 +26,7 @@
 	for name, way := range map[string]cut{"refused": cutRefuse, "silent": cutSilent} {
 		t.Run(name, func(t *testing.T) {
 			withFleet(t, []string{"a", "a", "b", "c"}, func(is *is.I, f *fleet) {
-				f.cutLog["a"] = way
+				f.set(func() { f.cutLog["a"] = way })
 				out, err := f.entries[3].store.Submit(ctx, put("1", "d", 0, "m1"))
 				is.NoErr(err)
 				is.True(f.settled(out.Offset(), time.Minute) < boundFault)
@@ -36,7 +36,7 @@
 				is.True(time.Since(start) < boundFault)
 				is.True(f.settled(out.Offset(), time.Minute) < boundFault)
 				is.True(f.entries[0].relay.State().ViaPeers > 0)
-				f.cutLog["a"] = cutNot
+				f.set(func() { f.cutLog["a"] = cutNot })
 				time.Sleep(30 * time.Second)
 				is.True(f.entries[0].relay.State().LogReachable)
 				is.Equal(f.entries[0].relay.Hops(), 0) // it reads the log itself again
@@ -47,16 +47,16 @@
 
 func TestPartitionedDomainRefusesHonestlyAndCatchesUp(t *testing.T) {
 	withFleet(t, []string{"a", "b", "b"}, func(is *is.I, f *fleet) {
-		f.cutLog["a"] = cutRefuse
-		f.cutPeer[[2]string{"a", "b"}] = true
+		f.set(func() { f.cutLog["a"] = cutRefuse })
+		f.set(func() { f.cutPeer[[2]string{"a", "b"}] = true })
 		time.Sleep(10 * time.Second)
 		_, err := f.entries[0].store.Submit(ctx, put("1", "d", 0, "m1"))
 		is.True(err != nil)
 		refused := fault.Is(err, config.KindUnavailable)
 		out, err := f.entries[1].store.Submit(ctx, put("2", "d", 0, "m2"))
 		is.NoErr(err)
-		delete(f.cutPeer, [2]string{"a", "b"})
-		f.cutLog["a"] = cutNot
+		f.set(func() { delete(f.cutPeer, [2]string{"a", "b"}) })
+		f.set(func() { f.cutLog["a"] = cutNot })
 		is.True(f.settled(out.Offset(), time.Minute) < boundFault)
 		time.Sleep(time.Minute)
 		if refused {
@@ -69,9 +69,9 @@
 
 func TestUnknownIsKeptThroughTheRelay(t *testing.T) {
 	withFleet(t, []string{"a", "b"}, func(is *is.I, f *fleet) {
-		f.cutLog["a"] = cutRefuse
+		f.set(func() { f.cutLog["a"] = cutRefuse })
 		time.Sleep(10 * time.Second)
-		f.loseIn["b"] = 1 // the record takes effect and the answer is lost between entries
+		f.set(func() { f.loseIn["b"] = 1 }) // the record takes effect and the answer is lost between entries
 		_, err := f.entries[0].relay.Append(ctx, []byte("x"))
 		is.True(!logservice.NoEffect(err))
 		f.log.LoseAnswers(1) // the answer is lost between the log and the other entry
@@ -155,8 +155,8 @@
 
 func TestRecordsGoneAreTakenFromTheNewestState(t *testing.T) {
 	withFleet(t, []string{"a", "b"}, func(is *is.I, f *fleet) {
-		f.cutLog["a"] = cutSilent
-		f.cutPeer[[2]string{"a", "b"}] = true
+		f.set(func() { f.cutLog["a"] = cutSilent })
+		f.set(func() { f.cutPeer[[2]string{"a", "b"}] = true })
 		version := uint64(0)
 		for i := range 3 {
 			out, err := f.entries[1].store.Submit(ctx, put(fmt.Sprint(i), "d", version, fmt.Sprint("m", i)))
@@ -164,8 +164,8 @@
 			version = out.Offset()
 		}
 		f.log.Expire(resource.Stream, version)
-		f.cutLog["a"] = cutNot
-		delete(f.cutPeer, [2]string{"a", "b"})
+		f.set(func() { f.cutLog["a"] = cutNot })
+		f.set(func() { delete(f.cutPeer, [2]string{"a", "b"}) })
 		time.Sleep(20 * time.Second)
 		is.Equal(f.entries[0].store.View().Offset(), version)
 		is.NoErr(f.agree())
--- a/internal/platform/logservice/appender_test.go
+++ b/internal/platform/logservice/appender_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -151,17 +152,17 @@
 	withAppender(t, logservice.AppenderConfig{Queue: 1}, func(is *is.I, l *standin.Log, a *logservice.Appender) {
 		l.SetDelay(time.Second)
 		var wg sync.WaitGroup
-		refused := 0
+		var refused atomic.Int32
 		for range 10 {
 			wg.Go(func() {
 				if _, err := a.Append(context.Background(), []byte("x")); fault.Is(err, logservice.KindRateLimited) {
-					refused++
+					refused.Add(1)
 				}
 			})
 			synctest.Wait()
 		}
 		wg.Wait()
-		is.Equal(refused, 8) // one in flight, one in the queue
+		is.Equal(refused.Load(), int32(8)) // one in flight, one in the queue
 	})
 }
 
--- a/internal/platform/logservice/follower_test.go
+++ b/internal/platform/logservice/follower_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"io"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,14 +20,23 @@
 // reader is a follower whose fold keeps the offsets.
 type reader struct {
 	*logservice.Follower
+	mu      sync.Mutex
 	offsets []uint64
 }
 
+func (r *reader) folded() []uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.offsets)
+}
+
 func follow(t *testing.T, l *standin.Log, change func(cfg *logservice.FollowerConfig)) *reader {
 	r := &reader{}
 	cfg := logservice.FollowerConfig{
 		Stream: stream, Read: read(l), Log: log.New(io.Discard),
 		Fold: func(recs []logservice.Record) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
 			for _, rec := range recs {
 				r.offsets = append(r.offsets, rec.Offset)
 			}
@@ -61,7 +73,7 @@
 		l.SetOutage(false)
 		add(is, l, 2)
 		time.Sleep(3 * time.Second)
-		is.Equal(r.offsets, []uint64{1, 2, 3, 4, 5})
+		is.Equal(r.folded(), []uint64{1, 2, 3, 4, 5})
 		is.True(r.Healthy())
 	})
 }
@@ -72,16 +84,16 @@
 		l := standin.NewLog()
 		add(is, l, 5)
 		l.Expire(stream, 4)
-		offer := uint64(0)
+		var offer atomic.Uint64
 		r := follow(t, l, func(cfg *logservice.FollowerConfig) {
-			cfg.Restore = func(context.Context, logservice.Bounds) (uint64, error) { return offer, nil }
+			cfg.Restore = func(context.Context, logservice.Bounds) (uint64, error) { return offer.Load(), nil }
 		})
 		time.Sleep(10 * time.Second)
 		is.Equal(r.Offset(), uint64(0)) // state that is not newer is not taken
 		is.True(!r.Healthy())
-		offer = 3
+		offer.Store(3)
 		time.Sleep(10 * time.Second)
-		is.Equal(r.offsets, []uint64{4, 5})
+		is.Equal(r.folded(), []uint64{4, 5})
 		is.Equal(r.State().Restores, uint64(1))
 	})
 }
@@ -101,7 +113,7 @@
 		l.Reset("1") // the same epoch with an end behind what was applied
 		add(is, l, 1)
 		time.Sleep(time.Minute)
-		is.Equal(r.offsets, []uint64{1, 2, 3})
+		is.Equal(r.folded(), []uint64{1, 2, 3})
 		is.True(!r.Healthy())
 	})
 }
