--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -25,14 +25,12 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/orphan"
 )
 
 const (
 	idleTimeout  = 2 * time.Minute
 	writeTimeout = 30 * time.Second
-	// acceptWhileLeaving is how long a leaving entry takes new work, until callers know.
-	acceptWhileLeaving = 2 * time.Second
-	drainPoll          = 50 * time.Millisecond
 )
 
 // Server is an entry.
@@ -47,6 +45,7 @@
 	fleet       *fleet.Fleet
 	placer      *placement.Placer
 	openai      *openai.Handler
+	orphans     *orphan.Collector
 	service     *service.Handler
 	api         *api.Handler
 	http        *fasthttp.Server
@@ -98,6 +97,7 @@
 		Logger:                quiet{},
 		CloseOnShutdown:       true,
 		ReduceMemoryUsage:     true,
+		KeepHijackedConns:     true, // a streamed answer closes its connection itself
 	}
 	return s, nil
 }
@@ -107,9 +107,8 @@
 	s.startConfig(logger)
 	s.startPeers(logger)
 	s.joinConfig()
-	s.fleet = fleet.New(s.cfg.Network, s.store.View, logger)
 	s.placer = placement.New(owner, s.cfg.FailureDomain, s.fleet, logger)
-	s.openai = openai.NewHandler(openai.Seams{View: s.store.View, Place: s.placer.Place, Hold: s.hold}, s.metrics.scope, logger)
+	s.startStreams(owner, logger)
 	s.service = service.NewHandler(s.cfg.Network, s.store.View, s.metrics.scope, logger)
 	s.api = api.NewHandler(s.store, api.Seams{Authorized: s.authorized, InForce: s.peers.InForce}, logger)
 }
@@ -126,30 +125,6 @@
 	return s.http.Serve(s.ln)
 }
 
-// Shutdown leaves: it takes new work for a little longer, then refuses it,
-// finishes what runs within the drain limit, and stops. It returns an error of
-// KindDrain where requests were still in progress.
-func (s *Server) Shutdown(ctx context.Context) error {
-	s.leaving.Store(true)
-	s.peers.leave()
-	s.log.Info("Leaving.", "in_progress", s.busy.Load())
-	wait(ctx, acceptWhileLeaving)
-	s.refusing.Store(true)
-	drain, cancel := context.WithTimeout(ctx, s.cfg.Drain)
-	defer cancel()
-	for s.busy.Load() > 0 && drain.Err() == nil {
-		wait(drain, drainPoll)
-	}
-	left := s.busy.Load()
-	s.stop()
-	if left > 0 {
-		s.log.Warn("Stopped with requests in progress.", "left", left)
-		return fail("shutdown", KindDrain, fmt.Errorf("%d requests in progress", left))
-	}
-	s.log.Info("Stopped with nothing in progress.")
-	return nil
-}
-
 func (s *Server) stop() {
 	s.api.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -161,7 +136,7 @@
 	if err := s.peerHTTP.Close(); err != nil {
 		s.log.Warn("Peer connections were open at the end.", "err", err)
 	}
-	s.openai.Close()
+	s.stopStreams()
 	s.fleet.Close()
 	s.stopConfig()
 	if err := s.metrics.closer.Close(); err != nil {
@@ -169,13 +144,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (s *Server) authorized(token string) bool {
 	return subtle.ConstantTimeCompare([]byte(token), []byte(s.cfg.OperatorToken)) == 1
 }
@@ -192,6 +160,9 @@
 		reply.Overloaded("leaving", "This entry is leaving; another one serves.", time.Second).Write(ctx)
 		return
 	}
+	if s.leaving.Load() {
+		ctx.SetConnectionClose() // the caller's next request goes to another entry
+	}
 	release := s.hold()
 	defer release()
 	switch {
@@ -201,6 +172,8 @@
 		s.openai.Completions(ctx)
 	case path == "/v1/models" && ctx.IsGet():
 		s.openai.Models(ctx)
+	case strings.HasPrefix(path, openai.ResponsesPrefix):
+		s.openai.Responses(ctx)
 	case strings.HasPrefix(path, service.Prefix):
 		s.service.Serve(ctx)
 	case strings.HasPrefix(path, api.Prefix):
--- a/internal/peer/membership/node.go
+++ b/internal/peer/membership/node.go
@@ -34,7 +34,8 @@
 	// An entry reports at most once in reportPerEntry for each live entry of its
 	// failure domain, so that the bytes do not grow with it.
 	reportPerEntry = 100 * time.Millisecond
-	reportLeast    = 200 * time.Millisecond
+	reportLeast    = time.Second
+	offsetEvery    = 200 * time.Millisecond
 	// In a small failure domain a new offset is told at once.
 	pushOffsets   = 8 // entries
 	reportRefresh = 30 * time.Second
@@ -44,6 +45,7 @@
 	rejoinEvery   = 30 * time.Second
 	maxContacts   = 8 // of a failure domain
 	settledFor    = 100 * time.Millisecond
+	maxClients    = 1024
 )
 
 // Config holds what a node needs.
@@ -61,6 +63,8 @@
 	// Report fills in the demands and, while bytes are left, the loads that this
 	// entry reports.
 	Report func(r *memberwire.Report, left int)
+	// Spent returns the bytes that this entry spent on control beside the link.
+	Spent func() int64
 	// Spare tells what the failure domain can take over from others.
 	Spare func() []*memberwire.Spare
 	Rand  uint64 // seed of the jitter
@@ -92,21 +96,19 @@
 	reported  time.Time
 	suspected int64
 
-	settled    []string // entries that own duties, at a position of the table and a time
-	settledPos uint64
+	settled    []string // entries that own duties, of a state of the table and a time
+	settledGen uint64
 	settledAt  time.Time
 }
 
-// New starts a node and serves its calls on the link. Close ends it.
+// New returns a node that serves its calls on the link. Start starts its duties.
 func New(cfg Config) *Node {
-	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		cfg:       cfg,
 		log:       cfg.Log.WithPrefix("peers"),
 		now:       time.Now,
 		kicked:    make(chan struct{}, 1),
 		done:      make(chan struct{}),
-		stop:      cancel,
 		rand:      rand.New(rand.NewPCG(cfg.Rand, cfg.Incarnation)),
 		reports:   newFeed[*memberwire.Report](),
 		summaries: newFeed[*memberwire.Summary](),
@@ -120,10 +122,16 @@
 	n.table = newTable(n.now, &memberwire.Peer{Name: cfg.VM, Address: cfg.Address, Incarnation: cfg.Incarnation})
 	srv := memberwire.NewMemberServer(n)
 	cfg.Link.Handle(srv.PathPrefix(), srv)
-	go n.run(ctx)
 	return n
 }
 
+// Start starts the duties. Close ends them.
+func (n *Node) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	go n.run(ctx)
+}
+
 // run runs the duties and waits for them.
 func (n *Node) run(ctx context.Context) {
 	defer close(n.done)
@@ -177,7 +185,7 @@
 
 func (n *Node) budgetLeft() int {
 	c := n.cfg.Link.Counters()
-	return n.budget.left(c.Sent()+c.Received(), n.now())
+	return n.budget.left(c.Sent()+c.Received()+n.cfg.Spent(), n.now())
 }
 
 // jitter returns a time within a tenth of d.
@@ -393,22 +401,25 @@
 	return len(n.table.live()) >= isolatedMin && n.now().Sub(n.contacted) >= isolatedAfter
 }
 
-// report publishes what this entry tells about itself.
+// report publishes what this entry tells about itself: a new offset soon, all else
+// at its pace.
 func (n *Node) report(ctx context.Context) {
+	var due time.Time
+	offset := n.cfg.Offset()
 	for {
-		n.publish()
-		n.mu.Lock()
-		every := max(reportLeast, reportPerEntry*time.Duration(len(n.table.live())))
-		n.table.forget()
-		n.measure()
-		n.mu.Unlock()
-		if !wait(ctx, n.jitter(every)) {
+		if next := n.cfg.Offset(); next != offset || !n.now().Before(due) {
+			offset = next
+			due = n.now().Add(n.jitter(n.publish()))
+		}
+		if !wait(ctx, n.jitter(offsetEvery)) {
 			return
 		}
 	}
 }
 
-func (n *Node) publish() {
+// publish puts out a report where it differs from the last one or that is old. It
+// returns the time until the next one.
+func (n *Node) publish() time.Duration {
 	n.mu.Lock()
 	left := n.budgetLeft()
 	n.mu.Unlock()
@@ -416,10 +427,13 @@
 	n.cfg.Report(r, left)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.forget()
+	n.measure()
+	every := max(reportLeast, reportPerEntry*time.Duration(len(n.table.live())))
 	old, known := n.reports.get(n.cfg.VM)
 	r.Version = old.GetVersion()
 	if known && proto.Equal(old, r) && n.now().Sub(n.reported) < reportRefresh {
-		return
+		return every
 	}
 	if r.GetOffset() != old.GetOffset() && len(n.table.live()) <= pushOffsets {
 		n.urgent()
@@ -427,6 +441,21 @@
 	r.Version++
 	n.reported = n.now()
 	n.reports.put(n.cfg.VM, r, n.cfg.VM, n.now())
+	return every
+}
+
+// forget drops what is kept of entries that are gone for long.
+func (n *Node) forget() {
+	n.table.forget()
+	for vm := range n.cursors {
+		if _, known := n.table.feed.get(vm); !known {
+			delete(n.cursors, vm)
+		}
+	}
+	n.reports.drop(func(it *item[*memberwire.Report]) bool { return n.now().Sub(it.at) >= forgetAfter })
+	if len(n.clients) > maxClients {
+		clear(n.clients)
+	}
 }
 
 func (n *Node) measure() {
