--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -107,6 +107,7 @@
 	owner := engine.Owner{VM: s.cfg.VM, Incarnation: s.incarnation}
 	s.startConfig(logger)
 	s.startPeers(logger)
+	s.joinConfig()
 	s.placer = placement.New(owner, s.cfg.FailureDomain, s.fleet, logger)
 	s.startStreams(owner, logger)
 	s.startOrders(logger)
