Group the appends of orders, and measure them

Cause: at 200 orders a second each entry appended nearly every record alone, at the limit of its calls.

Change: an appender may keep a gap between its calls; those of the orders' streams keep 150 ms. TestBenchOrders and TestBenchDoubleExecutions print the figures.

--- a/internal/entry/server/orders.go
+++ b/internal/entry/server/orders.go
@@ -30,6 +30,7 @@
 		o.appenders[i] = logservice.NewAppender(logservice.AppenderConfig{
 			Append:  s.configLog.client.Appends(ledger.Stream(i)),
 			Limiter: s.configLog.limiter,
+			Gap:     executor.AppendGap,
 		})
 	}
 	o.executor = executor.New(s.cfg.VM, s.incarnation, executor.WindowFor(s.cfg.LogRetention), executor.Seams{
--- /dev/null
+++ b/internal/order/executor/bench_test.go
@@ -0,0 +1,145 @@
+package executor_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/order/executor"
+	"github.com/dogwoodmill/dogwoodmill/internal/order/ledger"
+	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
+)
+
+const (
+	benchTime = 30 * time.Second
+	benchDesk = 20 * time.Millisecond
+	// maxPerOrder is the bound of append calls an order under load.
+	maxPerOrder = 1.0
+)
+
+// figures are those of a number of orders a second at some entries.
+type figures struct {
+	appendsPerOrder float64
+	p50, p95        time.Duration
+}
+
+func measure(entries int, rate float64, gap time.Duration) (out figures) {
+	w := newWorld(entries)
+	w.deskTime = benchDesk
+	calls := w.groupAppends(gap)
+	time.Sleep(time.Second)
+	m := &machine{w: w}
+	r := rand.New(rand.NewPCG(1, uint64(rate)))
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var times []time.Duration
+	for start := time.Now(); time.Since(start) < benchTime; {
+		c := &call{key: m.newKey(0)}
+		n := w.nodes[r.IntN(entries)]
+		wg.Go(func() {
+			began := time.Now()
+			n.place(c, patience)
+			mu.Lock()
+			defer mu.Unlock()
+			if c.err == nil {
+				times = append(times, time.Since(began))
+			}
+		})
+		time.Sleep(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
+	}
+	wg.Wait()
+	time.Sleep(time.Second)
+	out.appendsPerOrder = float64(calls()) / float64(len(times))
+	slices.Sort(times)
+	out.p50, out.p95 = times[len(times)/2], times[len(times)*95/100]
+	for _, n := range w.nodes {
+		n.stop()
+	}
+	return out
+}
+
+// groupAppends makes the entries append through group appenders, and returns a
+// count of their calls.
+func (w *world) groupAppends(gap time.Duration) func() int {
+	calls := 0
+	for _, n := range w.nodes {
+		limiter := logservice.NewLimiter(logservice.DefaultEntryAppends)
+		for i := range n.appenders {
+			n.appenders[i] = logservice.NewAppender(logservice.AppenderConfig{
+				Append: func(_ context.Context, records [][]byte) (uint64, error) {
+					n.rest(logLatency)
+					defer n.rest(logLatency)
+					w.mu.Lock()
+					defer w.mu.Unlock()
+					calls++
+					first := w.streams[i].next()
+					for _, rec := range records {
+						w.put(i, rec)
+					}
+					w.wake()
+					return first, nil
+				},
+				Limiter: limiter,
+				Gap:     gap,
+			})
+		}
+	}
+	return func() int {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return calls
+	}
+}
+
+func TestBenchOrders(t *testing.T) {
+	is := is.New(t)
+	for _, rate := range []float64{1, 10, 200} {
+		for _, way := range []struct {
+			name    string
+			entries int
+			gap     time.Duration
+		}{
+			{"each_entry_at_once", 4, 0},
+			{"each_entry", 4, executor.AppendGap},
+			{"writer_a_stream", 1, executor.AppendGap / 3},
+		} {
+			var f figures
+			synctest.Test(t, func(*testing.T) { f = measure(way.entries, rate, way.gap) })
+			fmt.Printf("orders rate=%g way=%s gap_ms=%d streams=%d appends_per_order=%.2f p50_ms=%d p95_ms=%d\n", rate, way.name,
+				way.gap.Milliseconds(), ledger.Streams, f.appendsPerOrder, f.p50.Milliseconds(), f.p95.Milliseconds())
+			if rate >= 200 && way.gap > 0 {
+				is.True(f.appendsPerOrder < maxPerOrder)
+			}
+		}
+	}
+}
+
+func TestBenchDoubleExecutions(t *testing.T) {
+	is := is.New(t)
+	const scripts = 200
+	steps, double, wrong := 0, 0, 0
+	script := rapid.SliceOfN(rapid.Custom(drawStep), rapidSteps/2, rapidSteps/2)
+	for seed := range scripts {
+		s := script.Example(seed)
+		steps += len(s)
+		synctest.Test(t, func(*testing.T) {
+			for _, f := range play(s) {
+				wrong++
+				if strings.Contains(f, "times") {
+					double++
+				}
+			}
+		})
+	}
+	fmt.Printf("orders fuzzed_steps=%d double_executions=%d wrong_answers=%d\n", steps, double, wrong-double)
+	is.Equal(wrong, 0)
+}
--- a/internal/order/executor/executor.go
+++ b/internal/order/executor/executor.go
@@ -21,6 +21,8 @@
 const (
 	// MaxWindow is the longest time for which a key is known.
 	MaxWindow = 24 * time.Hour
+	// AppendGap is the least time between two append calls of a stream at an entry.
+	AppendGap = 150 * time.Millisecond
 	// retentionMargin is how much longer than the window the log keeps a record:
 	// more than the time between two marks and the clocks' margins.
 	retentionMargin = 2 * time.Hour
--- a/internal/order/executor/world_test.go
+++ b/internal/order/executor/world_test.go
@@ -115,6 +115,7 @@
 	skew        time.Duration // of its clock
 	pausedUntil time.Time
 	atEnd       [ledger.Streams]bool
+	appenders   [ledger.Streams]*logservice.Appender // set where appends are grouped
 }
 
 func (w *world) start(i int, skew time.Duration) *node {
@@ -137,6 +138,11 @@
 func (n *node) stop() {
 	n.kill()
 	n.followers.Wait()
+	for _, a := range n.appenders {
+		if a != nil {
+			a.Close()
+		}
+	}
 	n.x.Close()
 }
 
@@ -183,6 +189,9 @@
 func logError(kind logservice.Kind) error { return fault.New(&testClass, "append", kind, nil) }
 
 func (n *node) append(ctx context.Context, stream int, record []byte) (uint64, error) {
+	if a := n.appenders[stream]; a != nil {
+		return a.Append(ctx, record)
+	}
 	if !n.rest(logLatency) || ctx.Err() != nil {
 		return 0, logError(logservice.KindUnavailable)
 	}
--- a/internal/platform/logservice/appender.go
+++ b/internal/platform/logservice/appender.go
@@ -30,6 +30,9 @@
 	Limiter  *Limiter // shared by all appenders of the entry
 	Queue    int      // records
 	RetryFor time.Duration
+	// Gap is the least time from one call to the next. Records that come meanwhile
+	// share a call, and the first one after a quiet time does not wait.
+	Gap time.Duration
 }
 
 // Appender appends the records of many callers to one stream in groups: records
@@ -40,6 +43,7 @@
 	queue chan *pending
 	stop  context.CancelFunc
 	done  chan struct{}
+	last  time.Time // of the goroutine that runs: when the last call started
 
 	groups, records, unknown, refused atomic.Uint64
 }
@@ -165,9 +169,13 @@
 // try makes one append call and returns the records that took no effect and are
 // to be tried again.
 func (a *Appender) try(ctx context.Context, group []*pending, wait *backoff) []*pending {
+	if gap := a.cfg.Gap - time.Since(a.last); gap > 0 && !sleep(ctx, gap) {
+		return group
+	}
 	if a.cfg.Limiter != nil && a.cfg.Limiter.Wait(ctx) != nil {
 		return group
 	}
+	a.last = time.Now()
 	group = a.send(a.fill(group))
 	if len(group) == 0 {
 		return nil
