--- a/internal/entry/server/process.go
+++ b/internal/entry/server/process.go
@@ -8,7 +8,8 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/openai"
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/reply"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
-	"github.com/dogwoodmill/dogwoodmill/internal/peer/membership"
+	"github.com/dogwoodmill/dogwoodmill/internal/order/executor"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/limits"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/orphan"
@@ -26,9 +27,11 @@
 	ConfigLog     ConfigLogState      `json:"configLog"`
 	Placement     placement.State     `json:"placement"`
 	Engines       []fleet.EngineState `json:"engines"`
-	Peers         membership.Dump     `json:"peers"`
+	Peers         peersState          `json:"peers"`
+	Limits        limits.State        `json:"limits"`
 	Streams       openai.State        `json:"streams"`
 	Orphans       orphan.State        `json:"orphans"`
+	Orders        executor.State      `json:"orders"`
 }
 
 // State returns the entry's state.
@@ -44,8 +47,10 @@
 		ConfigLog:     s.configLog.state(),
 		Placement:     s.placer.State(),
 		Engines:       s.fleet.State(),
-		Peers:         s.peers.node.Dump(),
+		Peers:         s.peers.state(),
+		Limits:        s.peers.limiter.State(),
 		Streams:       s.openai.State(),
+		Orders:        s.orders.executor.State(),
 		Orphans:       s.orphans.State(),
 	}
 }
