--- a/internal/caller/openai/bench_test.go
+++ b/internal/caller/openai/bench_test.go
@@ -69,6 +69,11 @@
 	for !strings.HasSuffix(string(buf[:n]), "}") {
 		m, err := conn.Read(buf[n:])
 		n += m
+		if strings.HasPrefix(string(buf[:n]), "GET /v1/streams/") {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+			e.keep(conn)
+			return
+		}
 		if err != nil || !strings.HasPrefix(string(buf[:n]), "POST") {
 			// The lists of holds are empty, and a cancel is confirmed.
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n[]")
@@ -85,6 +90,11 @@
 		_ = conn.Close()
 		return
 	}
+	e.keep(conn)
+}
+
+// keep leaves a connection open and silent.
+func (e *rawEngine) keep(conn net.Conn) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.conns = append(e.conns, conn)
@@ -124,6 +134,7 @@
 	client *engine.Client
 	ws     *resource.Workspace
 	ln     net.Listener
+	gap    time.Duration // expected time between tokens
 	relays sync.WaitGroup
 }
 
@@ -180,6 +191,7 @@
 	if apiErr := w.h.first(c); apiErr != nil {
 		b.Fatal(apiErr.Message)
 	}
+	c.src.gap = w.gap
 	p, err := w.h.prepare(c, far, true)
 	if err != nil {
 		b.Fatal(err)
@@ -237,6 +249,7 @@
 				})
 				through := memoryOf(b, n, func(e *rawEngine) func() net.Conn {
 					w := newBenchWorld(b, e)
+					w.gap = time.Minute // no read is in vain while all are opened
 					return func() net.Conn { return w.open(b) }
 				})
 				b.ReportMetric(float64(through-direct)/float64(n), "B/stream")
@@ -248,7 +261,9 @@
 // memoryOf returns the bytes that n open streams take.
 func memoryOf(b *testing.B, n int, prepare func(*rawEngine) func() net.Conn) int64 {
 	b.Helper()
-	open := prepare(newRawEngine(b, 1, true))
+	e := newRawEngine(b, 1, true)
+	defer e.close() // its descriptors
+	open := prepare(e)
 	before := memoryNow()
 	conns := make([]net.Conn, 0, n)
 	buf := make([]byte, 4<<10)
--- a/internal/caller/openai/source.go
+++ b/internal/caller/openai/source.go
@@ -17,6 +17,8 @@
 	// maxResumes is how often a stream is looked for at an engine that doesn't answer.
 	maxResumes  = 2
 	resumeDelay = 50 * time.Millisecond
+	// maxCuts is how many connections in a row may end without a token.
+	maxCuts = 6
 
 	// A read may take silentFloor and twice the expected prefill before the first
 	// token, and gapsAllowed gaps after it. Each read without a token doubles it.
@@ -67,6 +69,7 @@
 	gap      time.Duration // mean time between tokens
 	last     time.Time     // of the newest token
 	silences int           // reads without a token since the last one
+	cuts     int           // connections that ended without a token since the last one
 
 	counts  engine.Counts
 	resumes int
@@ -81,13 +84,13 @@
 func (s *source) next(ctx context.Context) (engine.Piece, error) {
 	for {
 		if s.stream == nil {
-			if err := s.connect(ctx); err != nil {
+			if err := apart(func() error { return s.connect(ctx) }); err != nil {
 				return engine.Piece{}, err
 			}
 		}
 		p, err := s.stream.Next(s.limit())
 		if err == nil && p.Finish == finishCancelled {
-			if err = s.cancelled(ctx); err != nil {
+			if err = apart(func() error { return s.cancelled(ctx) }); err != nil {
 				return engine.Piece{}, err
 			}
 			continue
@@ -103,10 +106,36 @@
 		if fault.Is(err, engine.KindSilent) {
 			s.silences++
 			s.run.drop()
+			continue
+		}
+		cut := err // a closure over err would cost each token an allocation
+		if err := apart(func() error { return s.wasCut(ctx, cut) }); err != nil {
+			return engine.Piece{}, err
 		}
 	}
 }
 
+// apart runs what takes a deep stack on a goroutine of its own and waits for it: the
+// stack of an open stream's goroutine stays small.
+func apart(f func() error) error {
+	done := make(chan error, 1)
+	go func() { done <- f() }()
+	return <-done
+}
+
+// wasCut waits longer after each connection that ended without a token, and gives
+// the run up after maxCuts of them.
+func (s *source) wasCut(ctx context.Context, err error) error {
+	if s.cuts == maxCuts {
+		return s.lost(ctx, err)
+	}
+	if s.cuts > 0 {
+		sleep(ctx, resumeDelay<<(s.cuts-1))
+	}
+	s.cuts++
+	return nil
+}
+
 func (s *source) accept(p *engine.Piece) {
 	now := time.Now()
 	if s.last.IsZero() {
@@ -114,7 +143,7 @@
 	} else {
 		s.learn(now.Sub(s.last))
 	}
-	s.last, s.silences = now, 0
+	s.last, s.silences, s.cuts = now, 0, 0
 	s.at = s.stream.At()
 	s.ended = p.Finish != ""
 }
@@ -233,7 +262,7 @@
 
 func (s *source) start(r *run) {
 	s.run, s.sent = r, true
-	s.last, s.silences = time.Time{}, 0
+	s.last, s.silences, s.cuts = time.Time{}, 0, 0
 	s.seams.opened(r)
 }
 
--- a/internal/upstream/engine/stream.go
+++ b/internal/upstream/engine/stream.go
@@ -11,7 +11,7 @@
 
 const (
 	maxLine    = 64 << 10 // bytes of one event
-	firstLine  = 512      // bytes of the line buffer at first
+	firstLine  = 256      // bytes of the line buffer at first
 	maxDropped = 256      // late or double pieces on one connection
 )
 
