--- a/internal/command/cli/cli_test.go
+++ b/internal/command/cli/cli_test.go
@@ -273,7 +273,7 @@
 }
 
 func TestHelp(t *testing.T) {
-	for _, cmd := range []string{"", "entry", "dev", "apply", "get", "delete", "watch", "dump", "load"} {
+	for _, cmd := range []string{"", "entry", "dev", "apply", "get", "delete", "watch", "settle", "dump", "load"} {
 		t.Run("help "+cmd, func(t *testing.T) {
 			code, out, _ := run(append(strings.Fields(cmd), "--help")...)
 			if code != exitOK {
@@ -371,11 +371,53 @@
 	code, _, stderr = run("delete", "rules", "long-last", server, token)
 	is.Equal(code, exitFailed)
 	is.True(strings.Contains(stderr, "There is no rules/long-last."))
+	applyDirectory(t, server, token)
 	code, out, _ = run("dump", server, token)
 	is.Equal(code, exitOK)
 	is.True(strings.Contains(out, `"vm": "entry-2"`))
 }
 
+// applyDirectory applies several files whose objects refer to each other.
+func applyDirectory(t *testing.T, server, token string) {
+	is := is.New(t)
+	dir := t.TempDir()
+	write := func(name, text string) { is.NoErr(os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600)) }
+	write("a.yaml", "kind: rule\nmetadata: {name: first}\nspec: {deployment: small, priority: 1}\n")
+	write("b.json", `{"kind":"deployments","metadata":{"name":"small"},"spec":{"model":"m","contextTokens":1000}}`)
+	write("notes.txt", "not read")
+	code, out, _ := run("apply", "-f", dir, "--dry-run", server, token)
+	is.Equal(code, exitOK)
+	is.Equal(out, "deployments/small would be created (version 0)\nrules/first would be created (version 0)\n")
+	code, _, _ = run("get", "deployments", "small", server, token)
+	is.Equal(code, exitFailed) // nothing was sent
+	code, _, stderr := run("apply", "-f", dir, server, token)
+	is.Equal(code, exitOK)
+	is.Equal(stderr, "")
+	write("a.yaml", "kind: rule\nmetadata: {name: first}\nspec: {deployment: small, priority: 2}\n")
+	code, out, _ = run("apply", "-f", dir, "--dry-run", server, token)
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "rules/first would be changed"))
+	is.True(strings.HasSuffix(out, "    deployment: small\n  - priority: 1\n  + priority: 2\n"))
+
+	write("a.yaml", "kind: rule\nmetadata: {name: first}\nspec: {priority: 99}\n---\nkind: rule\nmetadata: {name: second}\nspec: {refuse: 3}\n")
+	code, _, stderr = run("apply", "-f", dir, server, token)
+	is.Equal(code, exitUsage)
+	is.True(strings.Contains(stderr, "document 1 (rules/first): bad file: resource: check: invalid: spec.priority: 99 is not allowed; allowed: -10 to 10"))
+	is.True(strings.Contains(stderr, "document 2 (rules/second)")) // all faults at once
+
+	code, out, _ = run("get", "rules", "first", server, token)
+	is.Equal(code, exitOK)
+	is.True(strings.HasPrefix(out, "NAME    WORKSPACE   DEPLOYMENT   PROMPT TOKENS   PRIORITY"))
+	code, _, stderr = run("delete", "deployments", "small", server, token)
+	is.Equal(code, exitConflict)
+	is.True(strings.Contains(stderr, "deployments/small is in use: rules/first refers to it."))
+	code, out, _ = run("settle", "no-such-change", server, token)
+	is.Equal(code, exitOK)
+	is.True(strings.HasPrefix(out, "no-such-change voided (offset "))
+	code, _, _ = run("get", "rules", "--server=http://127.0.0.1:1", token)
+	is.Equal(code, exitNoEntry)
+}
+
 func TestLoadCommand(t *testing.T) {
 	is := is.New(t)
 	w := startWorld(t)
--- a/internal/command/cli/operator.go
+++ b/internal/command/cli/operator.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"strings"
-	"text/tabwriter"
 
 	"github.com/goccy/go-yaml"
 
@@ -25,7 +25,9 @@
 	case fault.Is(err, client.KindConflict):
 		return &codedError{code: exitConflict, err: err}
 	case fault.Is(err, client.KindUnknown):
-		return &codedError{code: exitUnknown, err: err}
+		return &codedError{code: exitUnknown, err: withSettleHint(err)}
+	case fault.Is(err, client.KindUnreachable):
+		return &codedError{code: exitNoEntry, err: err}
 	case fault.Is(err, client.KindFile), fault.Is(err, resource.KindInvalid):
 		return &codedError{code: exitUsage, err: err}
 	default:
@@ -33,64 +35,107 @@
 	}
 }
 
+// withSettleHint adds the command that decides the change.
+func withSettleHint(err error) error {
+	var p *client.PendingChange
+	if !errors.As(err, &p) {
+		return err
+	}
+	return fmt.Errorf("%w\ndecide it by: dogwoodmill settle %s --base=%d", err, p.ID(), p.Base())
+}
+
 func (o *ClientOptions) client() *client.Client {
 	return client.New(netio.TCP(), o.Server, o.OperatorToken)
 }
 
-// Run applies a file. Documents are checked before the first is sent.
+// Run applies files. Documents are checked before the first is sent.
 func (o *ApplyOptions) Run(env *environment) error {
-	file, err := readFile(o.File)
+	objects, err := client.Load(o.File, os.Stdin)
 	if err != nil {
 		return &codedError{code: exitUsage, err: err}
 	}
-	objects, err := client.Decode(file)
-	if err != nil {
-		return coded(err)
+	current := map[resource.Type]map[string]resource.Object{}
+	for _, obj := range objects {
+		if current[obj.Kind] != nil {
+			continue
+		}
+		if current[obj.Kind], err = o.listed(obj.Kind); err != nil {
+			return coded(err)
+		}
 	}
 	for _, obj := range objects {
-		if err := o.applyOne(env, obj); err != nil {
+		cur, exists := current[obj.Kind][obj.Metadata.Name]
+		if err := o.applyOne(env, obj, cur, exists); err != nil {
 			return coded(err)
 		}
 	}
 	return nil
 }
 
-// applyOne replaces the version that is current now, unless the file names one.
-func (o *ApplyOptions) applyOne(env *environment, obj resource.Object) error {
-	ctx, c := context.Background(), o.client()
-	list, err := c.List(ctx, obj.Kind)
+func (o *ApplyOptions) listed(kind resource.Type) (map[string]resource.Object, error) {
+	list, err := o.client().List(context.Background(), kind)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	result := "created"
-	for _, cur := range list.Items {
-		if cur.Metadata.Name != obj.Metadata.Name {
-			continue
-		}
-		result = "changed"
-		if resource.SameSpec(cur.Spec, obj.Spec) {
-			result = "unchanged"
-		}
+	out := map[string]resource.Object{}
+	for _, obj := range list.Items {
+		out[obj.Metadata.Name] = obj
+	}
+	return out, nil
+}
+
+// applyOne replaces the version that is current now, unless the file names one.
+func (o *ApplyOptions) applyOne(env *environment, obj, cur resource.Object, exists bool) error {
+	result, lines := "created", []string(nil)
+	if exists {
+		result, lines = "changed", diffSpecs(cur.Spec, obj.Spec)
 		if obj.Metadata.Version == 0 {
 			obj.Metadata.Version = cur.Metadata.Version
 		}
+		if len(lines) == 0 && obj.Metadata.Version == cur.Metadata.Version {
+			return o.report(env, cur, "unchanged", nil)
+		}
 	}
-	done, err := c.Put(ctx, obj)
+	if o.DryRun {
+		return o.report(env, obj, "would be "+result, lines)
+	}
+	done, err := o.client().Put(context.Background(), obj)
 	if err != nil {
 		return err
 	}
+	return o.report(env, done, result, lines)
+}
+
+func (o *ApplyOptions) report(env *environment, obj resource.Object, result string, lines []string) error {
 	if o.Output != "table" {
-		return printValue(env.stdout, o.Output, done)
+		return printValue(env.stdout, o.Output, obj)
 	}
-	_, err = fmt.Fprintf(env.stdout, "%s/%s %s (version %d)\n", done.Kind, done.Metadata.Name, result, done.Metadata.Version)
-	return err
+	if _, err := fmt.Fprintf(env.stdout, "%s/%s %s (version %d)\n", obj.Kind, obj.Metadata.Name, result, obj.Metadata.Version); err != nil {
+		return err
+	}
+	for _, line := range lines {
+		if _, err := fmt.Fprintln(env.stdout, "  "+line); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
-func readFile(name string) ([]byte, error) {
-	if name == "-" {
-		return io.ReadAll(os.Stdin)
+// Run decides a change or tells what is known of it.
+func (o *SettleOptions) Run(env *environment) error {
+	ask := func(ctx context.Context) (api.Change, error) { return o.client().Settle(ctx, o.Change, o.Base) }
+	if o.Check {
+		ask = func(ctx context.Context) (api.Change, error) { return o.client().Change(ctx, o.Change) }
 	}
-	return os.ReadFile(name)
+	c, err := ask(context.Background())
+	if err != nil {
+		return coded(err)
+	}
+	if o.Output != "table" {
+		return printValue(env.stdout, o.Output, c)
+	}
+	_, err = fmt.Fprintf(env.stdout, "%s %s (offset %d)\n", c.ID, c.Result, c.Offset)
+	return err
 }
 
 // Run shows objects.
@@ -105,7 +150,7 @@
 			return coded(err)
 		}
 		if o.Output == "table" {
-			return printTable(env.stdout, []resource.Object{obj})
+			return printTable(env.stdout, kind, []resource.Object{obj})
 		}
 		return printValue(env.stdout, o.Output, obj)
 	}
@@ -114,24 +159,11 @@
 		return coded(err)
 	}
 	if o.Output == "table" {
-		return printTable(env.stdout, list.Items)
+		return printTable(env.stdout, kind, list.Items)
 	}
 	return printValue(env.stdout, o.Output, list)
 }
 
-func printTable(w io.Writer, items []resource.Object) error {
-	tw := tabwriter.NewWriter(w, 0, 0, 3, ' ', 0)
-	_, _ = fmt.Fprintln(tw, "NAME\tVERSION\tIN FORCE\tSPEC") // Flush returns the error
-	for _, o := range items {
-		force := "?"
-		if o.Status != nil {
-			force = fmt.Sprintf("%d/%d", o.Status.InForce.Seen, o.Status.InForce.Of)
-		}
-		_, _ = fmt.Fprintf(tw, "%s\t%d\t%s\t%s\n", o.Metadata.Name, o.Metadata.Version, force, summary(o.Spec))
-	}
-	return tw.Flush()
-}
-
 const summaryWidth = 72 // characters
 
 func summary(spec []byte) string {
@@ -177,7 +209,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	err = o.client().Watch(ctx, kind, o.From, func(ev api.Event) error {
+	err = o.client().Follow(ctx, kind, o.From, func(ev api.Event) error {
 		if ev.Object == nil {
 			return nil
 		}
--- a/internal/command/cli/options.go
+++ b/internal/command/cli/options.go
@@ -31,8 +31,9 @@
 	exitOK       = 0
 	exitFailed   = 1 // the command failed
 	exitUsage    = 2 // the command line or a file is wrong; nothing was done
-	exitConflict = 3 // another version is current
+	exitConflict = 3 // another version is current, or the object is in use
 	exitUnknown  = 4 // the change may yet take effect
+	exitNoEntry  = 5 // no entry could be reached
 	exitLeft     = 5 // the entry stopped with requests in progress
 )
 
@@ -48,6 +49,7 @@
 	Get    GetOptions    `cmd:"" help:"Show objects."`
 	Delete DeleteOptions `cmd:"" help:"Delete an object."`
 	Watch  WatchOptions  `cmd:"" help:"Print changes of a kind as they take effect."`
+	Settle SettleOptions `cmd:"" help:"Decide a change whose answer was lost."`
 	Dump   DumpOptions   `cmd:"" help:"Print the state of an entry as JSON."`
 	Load   LoadOptions   `cmd:"" help:"Send prompts of mixed lengths and report the time to first token."`
 }
@@ -102,7 +104,37 @@
 // ApplyOptions are the settings of apply.
 type ApplyOptions struct {
 	ClientOptions
-	File string `short:"f" help:"File with one or more documents; - reads standard input." required:"true"`
+	File   []string `short:"f" help:"File with one or more documents, or a directory of .yaml, .yml and .json files; repeat it or separate by commas; - reads standard input." required:"true"`
+	DryRun bool     `help:"Print what would change and send nothing."`
+}
+
+// exitCodes is shown by the help of the operators' commands.
+const exitCodes = `Exit codes: 0 done; 1 failed or refused; 2 the command line or a file is wrong, nothing was done; 3 another version is current or the object is in use; 4 the change may yet take effect, "settle" decides it; 5 no entry could be reached.`
+
+// Help returns what is shown below the help of apply.
+func (*ApplyOptions) Help() string {
+	return "Every document is checked before the first is sent. Objects are applied in the order in which they refer to each other; one that is as wanted already is not sent. A changed object is shown with the lines that differ.\n\n" + exitCodes
+}
+
+// SettleOptions are the settings of settle.
+type SettleOptions struct {
+	ClientOptions
+	Change string `arg:"" help:"Id of the change, as the error named it."`
+	Base   uint64 `help:"Offset that the error named; needed once the change is old."`
+	Check  bool   `help:"Only ask what is known; decide nothing."`
+}
+
+// Help returns what is shown below the help of settle.
+func (*SettleOptions) Help() string {
+	return "Prints accepted, conflict, in_use, invalid, expired or voided. After it the answer never changes: a change that was voided takes no effect, however late it comes.\n\n" + exitCodes
+}
+
+// Help returns what is shown below the help of delete.
+func (*DeleteOptions) Help() string { return exitCodes }
+
+// Help returns what is shown below the help of watch.
+func (*WatchOptions) Help() string {
+	return "It resumes by itself after a lost connection. Where the changes since then are kept no more, the objects of a new list are printed as \"list\".\n\n" + exitCodes
 }
 
 // GetOptions are the settings of get.
--- a/internal/entry/server/configlog.go
+++ b/internal/entry/server/configlog.go
@@ -39,7 +39,7 @@
 	c := &s.configLog
 	c.client = logservice.NewClient(s.cfg.Network, s.cfg.LogURL)
 	c.limiter = logservice.NewLimiter(logservice.DefaultEntryAppends)
-	c.changes = logservice.NewAppender(logservice.AppenderConfig{Append: c.client.Appends(resource.Stream), Limiter: c.limiter})
+	c.changes = logservice.NewAppender(logservice.AppenderConfig{Append: c.client.Appends(resource.Stream), Limiter: c.limiter, RetryFor: configrelay.RetryFor})
 	c.snapshots = logservice.NewAppender(logservice.AppenderConfig{Append: c.client.Appends(config.SnapshotStream), Limiter: c.limiter})
 	c.relay = configrelay.New(configrelay.Seams{
 		Read:   c.client.Reads(resource.Stream),
@@ -60,7 +60,7 @@
 		Records: s.store.Records,
 		State:   s.store.Encoded,
 		Append:  func(ctx context.Context, rec []byte) (uint64, error) { return c.changes.Append(ctx, rec) },
-		Source:  func() (int, bool) { return c.relay.Hops(), s.store.Healthy() },
+		Source:  c.relay.Source,
 	}))
 }
 
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -3,16 +3,16 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"time"
 
-	"github.com/goccy/go-yaml"
+	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
 
@@ -28,6 +28,9 @@
 	callTimeout = 15 * time.Second
 	// watchLimit bounds the silence of a watch: an entry sends a line every 5 seconds.
 	watchLimit = 20 * time.Second
+
+	resumeFirst = 200 * time.Millisecond
+	resumeMax   = 5 * time.Second
 )
 
 // Kind classifies the errors of this package.
@@ -42,6 +45,8 @@
 	KindConflict Kind = "conflict"
 	// KindUnknown is the kind of a change that may yet take effect.
 	KindUnknown Kind = "unknown"
+	// KindGone is the kind of a watch from an offset that is kept no more.
+	KindGone Kind = "offset gone"
 	// KindUnreachable is the kind of a call that did not reach an entry.
 	KindUnreachable Kind = "unreachable"
 )
@@ -65,11 +70,64 @@
 	return &Client{network: network, rc: rest.New(network, base, callTimeout).WithToken(token), token: token}
 }
 
-// Put creates or replaces an object.
+// Put creates or replaces an object. It gives the change an id where the object
+// names none, so that the change can be settled if no answer comes.
 func (c *Client) Put(ctx context.Context, o resource.Object) (resource.Object, error) {
 	var out resource.Object
+	if o.Metadata.ChangeID == "" {
+		o.Metadata.ChangeID = uuid.Must(uuid.NewV7()).String()
+	}
 	err := rest.Call(ctx, c.rc, http.MethodPut, path(o.Kind, o.Metadata.Name), &o, &out)
-	return out, classify("put "+string(o.Kind)+"/"+o.Metadata.Name, err)
+	return out, pending(o.Metadata.ChangeID, classify("put "+string(o.Kind)+"/"+o.Metadata.Name, err))
+}
+
+// PendingChange is the cause of an error of KindUnknown: it names the change.
+type PendingChange struct {
+	id   string
+	base uint64
+	err  error
+}
+
+// ID returns the change's id.
+func (p *PendingChange) ID() string { return p.id }
+
+// Base returns the offset that settling needs; 0 where the entry told none.
+func (p *PendingChange) Base() uint64 { return p.base }
+
+// Error names the change and the reason.
+func (p *PendingChange) Error() string { return fmt.Sprintf("change %s: %v", p.id, p.err) }
+
+// Unwrap returns the reason.
+func (p *PendingChange) Unwrap() error { return p.err }
+
+// pending adds the id of a change to an error of KindUnknown.
+func pending(id string, err error) error {
+	if !fault.Is(err, KindUnknown) {
+		return err
+	}
+	p := &PendingChange{id: id, err: err}
+	var st *rest.StatusError
+	var body api.ErrorBody
+	if errors.As(err, &st) && json.Unmarshal(st.Body(), &body) == nil {
+		p.base = body.Error.Base
+	}
+	return fail("change", KindUnknown, p)
+}
+
+// Change returns what became of a change.
+func (c *Client) Change(ctx context.Context, id string) (api.Change, error) {
+	var out api.Change
+	err := rest.Call[struct{}](ctx, c.rc, http.MethodGet, api.Prefix+"changes/"+url.PathEscape(id), nil, &out)
+	return out, classify("get change "+id, err)
+}
+
+// Settle decides a change whose answer was lost: it was accepted or rejected, or
+// it never takes effect.
+func (c *Client) Settle(ctx context.Context, id string, base uint64) (api.Change, error) {
+	var out api.Change
+	path := fmt.Sprintf("%schanges/%s/settle?base=%d", api.Prefix, url.PathEscape(id), base)
+	err := rest.Call[struct{}](ctx, c.rc, http.MethodPost, path, nil, &out)
+	return out, classify("settle "+id, err)
 }
 
 // Get returns an object.
@@ -88,8 +146,9 @@
 
 // Delete deletes an object at its current version.
 func (c *Client) Delete(ctx context.Context, kind resource.Type, name string) error {
-	err := rest.Call[struct{}, struct{}](ctx, c.rc, http.MethodDelete, path(kind, name), nil, nil)
-	return classify("delete "+string(kind)+"/"+name, err)
+	id := uuid.Must(uuid.NewV7()).String()
+	err := rest.Call[struct{}, struct{}](ctx, c.rc, http.MethodDelete, path(kind, name)+"?changeId="+id, nil, nil)
+	return pending(id, classify("delete "+string(kind)+"/"+name, err))
 }
 
 // Dump returns the state of the entry as JSON.
@@ -117,7 +176,11 @@
 	defer x.Close()
 	if x.Status() != http.StatusOK {
 		b, _ := io.ReadAll(io.LimitReader(x, 4096)) // the text is for people only
-		return fail("watch", KindRefused, fmt.Errorf("%d: %s", x.Status(), b))
+		kind := KindRefused
+		if x.Status() == http.StatusGone {
+			kind = KindGone
+		}
+		return fail("watch", kind, fmt.Errorf("%d: %s", x.Status(), b))
 	}
 	lines := bufio.NewReader(x)
 	for {
@@ -129,12 +192,67 @@
 		if err := json.Unmarshal(line, &ev); err != nil {
 			return fail("watch", KindRefused, err)
 		}
+		if ev.Type == api.EventGone {
+			return fail("watch", KindGone, nil)
+		}
 		if err := f(ev); err != nil {
 			return err
 		}
 	}
 }
 
+// Follow watches and resumes by itself: after a lost connection from the last
+// offset, and where that is kept no more from a new list, whose objects it hands
+// on as events of type "list". It ends with ctx, a refusal or an error of f.
+func (c *Client) Follow(ctx context.Context, kind resource.Type, from uint64, f func(api.Event) error) error {
+	var failed error
+	note := func(ev api.Event) error {
+		from = max(from, ev.Offset)
+		failed = f(ev)
+		return failed
+	}
+	for delay := resumeFirst; ; delay = min(2*delay, resumeMax) {
+		start := from
+		err := c.Watch(ctx, kind, from, note)
+		if from > start {
+			delay = resumeFirst
+		}
+		if fault.Is(err, KindGone) {
+			if err = c.relist(ctx, kind, note); err == nil {
+				continue
+			}
+		}
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case failed != nil:
+			return failed
+		case !fault.Is(err, KindUnreachable) && !fault.Is(err, KindUnknown):
+			return err
+		}
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// EventList is the type of the events that stand for the objects of a list.
+const EventList = "list"
+
+func (c *Client) relist(ctx context.Context, kind resource.Type, note func(api.Event) error) error {
+	list, err := c.List(ctx, kind)
+	if err != nil {
+		return err
+	}
+	for _, o := range list.Items {
+		if err := note(api.Event{Type: EventList, Offset: o.Metadata.Version, Object: &o}); err != nil {
+			return err
+		}
+	}
+	return note(api.Event{Type: api.EventAlive, Offset: list.Offset})
+}
+
 func path(kind resource.Type, name string) string {
 	p := api.Prefix + string(kind)
 	if name != "" {
@@ -143,6 +261,15 @@
 	return p
 }
 
+// hidden keeps an answer in a chain of errors without its text.
+type hidden struct{ err error }
+
+// Error returns nothing: the message stands before it.
+func (hidden) Error() string { return "" }
+
+// Unwrap returns the answer.
+func (h hidden) Unwrap() error { return h.err }
+
 // classify turns an answer of 400 or more into the message that it holds.
 func classify(op string, err error) error {
 	var st *rest.StatusError
@@ -159,7 +286,7 @@
 	if json.Unmarshal(st.Body(), &body) != nil || body.Error.Message == "" {
 		body.Error.Message = string(st.Body())
 	}
-	cause := errors.New(body.Error.Message)
+	cause := fmt.Errorf("%s%w", body.Error.Message, hidden{st})
 	switch st.Status() {
 	case http.StatusConflict:
 		return fail(op, KindConflict, cause)
@@ -169,42 +296,3 @@
 		return fail(op, KindRefused, cause)
 	}
 }
-
-// Decode reads the objects of a YAML or JSON file, which may hold several documents.
-func Decode(file []byte) ([]resource.Object, error) {
-	var out []resource.Object
-	d := yaml.NewDecoder(bytes.NewReader(file))
-	for i := 1; ; i++ {
-		var doc any
-		err := d.Decode(&doc)
-		if errors.Is(err, io.EOF) {
-			return out, nil
-		}
-		if err != nil {
-			return nil, fail(fmt.Sprintf("document %d", i), KindFile, err)
-		}
-		if doc == nil {
-			continue
-		}
-		o, err := decodeObject(doc)
-		if err != nil {
-			return nil, fail(fmt.Sprintf("document %d", i), KindFile, err)
-		}
-		out = append(out, o)
-	}
-}
-
-func decodeObject(doc any) (resource.Object, error) {
-	var o resource.Object
-	raw, err := json.Marshal(doc)
-	if err != nil {
-		return o, err
-	}
-	if err := resource.DecodeStrict(raw, &o, ""); err != nil {
-		return o, err
-	}
-	if o.Kind, err = resource.ParseType(string(o.Kind)); err != nil {
-		return o, err
-	}
-	return o, o.Check()
-}
--- a/internal/peer/configrelay/fleet_test.go
+++ b/internal/peer/configrelay/fleet_test.go
@@ -33,7 +33,7 @@
 	peerKey   = "peer-key-1"
 	hop       = 500 * time.Microsecond // one way between entries
 	logHop    = 2 * time.Millisecond   // one way to the log
-	retention = 4 * time.Hour
+	retention = time.Hour
 )
 
 var class = errs.Class("test")
@@ -43,16 +43,17 @@
 type fleet struct {
 	log *standin.Log
 
-	mu      sync.Mutex
-	entries []*entry
-	cutLog  map[string]cut     // failure domain: its way to the log
-	cutPeer map[[2]string]bool // pairs of failure domains
-	loseIn  map[string]int     // failure domain: answers of entries there that get lost
-	late    int                // appends that reach the log long after their callers gave up
-	held    sync.WaitGroup     // of late appends
-	next    int
-	loseLog int               // answers of the log that get lost
-	written map[uint64][]byte // records of the configuration's stream
+	mu       sync.Mutex
+	entries  []*entry
+	cutLog   map[string]cut     // failure domain: its way to the log
+	cutPeer  map[[2]string]bool // pairs of failure domains
+	loseIn   map[string]int     // failure domain: answers of entries there that get lost
+	late     int                // appends that reach the log long after their callers gave up
+	held     sync.WaitGroup     // of late appends
+	next     int
+	failures []error           // of changes
+	loseLog  int               // answers of the log that get lost
+	written  map[uint64][]byte // records of the configuration's stream
 }
 
 // set changes the faults.
@@ -62,6 +63,9 @@
 	change()
 }
 
+// failed keeps the error of a change.
+func (f *fleet) failed(err error) { f.set(func() { f.failures = append(f.failures, err) }) }
+
 // live returns the entries.
 func (f *fleet) live() []*entry {
 	f.mu.Lock()
@@ -106,7 +110,7 @@
 	})
 	lim := logservice.NewLimiter(logservice.DefaultEntryAppends)
 	appends := func(stream string) *logservice.Appender {
-		return logservice.NewAppender(logservice.AppenderConfig{Limiter: lim, Append: f.appends(domain, stream)})
+		return logservice.NewAppender(logservice.AppenderConfig{Limiter: lim, RetryFor: configrelay.RetryFor, Append: f.appends(domain, stream)})
 	}
 	e.changes, e.snapshots = appends(resource.Stream), appends(config.SnapshotStream)
 	e.link = link.NewOver(e.vm, peerKey, func(r *http.Request) (*http.Response, error) { return f.carry(e, r) })
@@ -128,7 +132,7 @@
 	}, config.Settings{Retention: retention}, log.New(io.Discard))
 	e.link.Handle(configwire.ConfigRelayPathPrefix, configrelay.NewServer(configrelay.ServerSeams{
 		Records: e.store.Records, State: e.store.Encoded, Append: e.changes.Append,
-		Source: func() (int, bool) { return e.relay.Hops(), e.store.Healthy() },
+		Source: e.relay.Source,
 	}))
 	return e
 }
--- a/internal/peer/configrelay/rapid_test.go
+++ b/internal/peer/configrelay/rapid_test.go
@@ -101,7 +101,7 @@
 }
 
 var acts = []string{
-	"put", "put", "put", "put", "delete", "settle", "settle", "outage", "delay", "lose", "lose between", "late", "rate",
+	"put", "put", "put", "put", "delete", "settle", "settle", "outage", "delay", "lose", "lose between", "late", "late put", "late put", "rate",
 	"cut log", "cut log silent", "cut peers", "heal", "heal", "expire", "replace", "replace",
 }
 
@@ -136,6 +136,12 @@
 		w.set(func() { w.loseIn[e.domain] = s.Amount })
 	case "late":
 		w.set(func() { w.late = 4 * s.Amount })
+	case "late put": // the change arrives when it has been settled
+		w.set(func() { w.late = 8 })
+		w.submit(e, step{Act: "put", Name: s.Name})
+		time.Sleep(12 * time.Second)
+		w.set(func() { w.late = 0 })
+		w.settle(live[len(live)-1])
 	case "rate":
 		w.log.SetRate(float64(1 + s.Amount*10))
 	case "cut log":
--- a/internal/peer/configrelay/relay.go
+++ b/internal/peer/configrelay/relay.go
@@ -28,15 +28,20 @@
 	hedgeAfter = 500 * time.Millisecond
 	// probeEvery is how often a log that could not be read is tried again.
 	probeEvery = 2 * time.Second
+	// RetryFor is how long an entry tries to append a change itself before others do.
+	RetryFor = 500 * time.Millisecond
 	// avoidFor is how long an entry that gave no answer is asked after the others.
 	avoidFor = 5 * time.Second
 
 	stateTimeout  = 3 * time.Second
 	appendTimeout = 4 * time.Second
-	appendPeers   = 2 // entries asked to append a record
+	appendPeers   = 3 // entries asked to append a record
 	readPeers     = 2 // entries asked in one read
 	statePeers    = 3 // entries asked for their state at once
 	maxHops       = 8
+	// maxAge is the age of an answer without records from which on another entry is
+	// asked: entries that follow each other in a circle learn nothing new.
+	maxAge = 8 * time.Second
 )
 
 // Peer is another entry.
@@ -69,7 +74,8 @@
 	known   map[string]*peer
 	suspect bool // the last direct call failed or gave no answer in time
 	probing bool
-	hops    int // of the source of the last read
+	hops    int       // of the source of the last read
+	contact time.Time // when the log itself told what is known of its end
 	state   State
 }
 
@@ -114,11 +120,15 @@
 	return st
 }
 
-// Hops returns the number of entries between this one and the log.
-func (r *Relay) Hops() int {
+// Source returns the number of entries between this one and the log, and the time
+// since the log itself told what is known of its end.
+func (r *Relay) Source() (hops int, age time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.hops
+	if r.contact.IsZero() {
+		return r.hops, maxAge
+	}
+	return r.hops, time.Since(r.contact)
 }
 
 // answer is what one way of reading gave.
@@ -128,6 +138,7 @@
 	err    error
 	source string
 	hops   int
+	age    time.Duration
 }
 
 // Read reads records of the configuration's stream from the log or, where that
@@ -148,6 +159,9 @@
 	defer r.mu.Unlock()
 	if a.err == nil {
 		r.state.Source, r.hops = a.source, a.hops
+		if t := time.Now().Add(-a.age); t.After(r.contact) {
+			r.contact = t
+		}
 		if a.source != sourceLog {
 			r.state.ViaPeers++
 		}
@@ -244,7 +258,7 @@
 // viaPeers asks entries for records, the most promising first.
 func (r *Relay) viaPeers(ctx context.Context, from uint64, wait time.Duration) answer {
 	last := answer{err: fail("read", KindNoPeer, nil)}
-	for _, p := range r.choose(readPeers) {
+	for _, p := range r.choose(readPeers, r.State().LogReachable) {
 		a := r.readPeer(ctx, p, from, wait)
 		if a.err == nil {
 			return a
@@ -267,14 +281,14 @@
 		return answer{err: fail("read", KindNoPeer, err), source: p.VM}
 	}
 	r.learn(p, res.Hops)
-	a := answer{source: p.VM, hops: int(res.Hops) + 1, bounds: logservice.Bounds{Epoch: res.Epoch, Earliest: res.Earliest, Next: res.Next}}
+	a := answer{source: p.VM, hops: int(res.Hops) + 1, age: time.Duration(res.AgeMs) * time.Millisecond, bounds: logservice.Bounds{Epoch: res.Epoch, Earliest: res.Earliest, Next: res.Next}}
 	for _, rec := range res.Records {
 		a.recs = append(a.recs, logservice.Record{Offset: rec.Offset, Time: time.Unix(0, rec.TimeUnixNs).UTC(), Data: rec.Data})
 	}
 	switch {
 	case res.Gone:
 		a.err = fault.New(&class, "read", logservice.KindGone, nil)
-	case len(a.recs) == 0 && (!res.Reaches || a.hops >= maxHops || res.Next < from):
+	case len(a.recs) == 0 && (a.age >= maxAge || a.hops >= maxHops || res.Next < from):
 		r.avoid(p)
 		a.err = fail("read", KindBehind, nil)
 	}
@@ -316,8 +330,9 @@
 }
 
 // choose returns up to n entries: those that answer, are near to the log, and are
-// of the own failure domain come first.
-func (r *Relay) choose(n int) []Peer {
+// of the own failure domain come first, or of another one where this entry can't
+// reach the log: what cut it off has likely cut off its neighbours too.
+func (r *Relay) choose(n int, own bool) []Peer {
 	peers := slices.Clone(r.seams.Peers())
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -326,7 +341,7 @@
 	weight := func(p Peer) int {
 		k := r.peer(p)
 		w := int(k.hops) * 2
-		if !p.Own {
+		if p.Own != own {
 			w++
 		}
 		if now.Before(k.avoided) {
@@ -356,7 +371,7 @@
 func (r *Relay) PeerState(ctx context.Context, beyond uint64) (config.PeerState, error) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	peers := r.choose(statePeers)
+	peers := r.choose(statePeers, true)
 	ch := make(chan config.PeerState, len(peers))
 	for _, p := range peers {
 		go func() { ch <- r.stateOf(ctx, p, beyond) }()
@@ -430,7 +445,7 @@
 
 func (r *Relay) appendViaPeers(ctx context.Context, record []byte) (uint64, error) {
 	ways := []func(context.Context, []byte) (uint64, error){}
-	for _, p := range r.choose(appendPeers) {
+	for _, p := range r.choose(appendPeers, false) {
 		ways = append(ways, func(ctx context.Context, rec []byte) (uint64, error) { return r.appendPeer(ctx, p, rec) })
 	}
 	if len(ways) == 0 {
@@ -459,6 +474,7 @@
 		r.mu.Unlock()
 		return res.Offset, nil
 	case configwire.AppendAnswer_NO_EFFECT:
+		r.avoid(p)
 		return 0, noEffect(errors.New(res.Reason))
 	case configwire.AppendAnswer_RATE_LIMITED:
 		return 0, fault.New(&class, "append", logservice.KindRateLimited, errors.New(res.Reason))
--- a/internal/peer/configrelay/relay_test.go
+++ b/internal/peer/configrelay/relay_test.go
@@ -39,7 +39,7 @@
 				f.set(func() { f.cutLog["a"] = cutNot })
 				time.Sleep(30 * time.Second)
 				is.True(f.entries[0].relay.State().LogReachable)
-				is.Equal(f.entries[0].relay.Hops(), 0) // it reads the log itself again
+				is.Equal(f.entries[0].relay.State().Hops, 0) // it reads the log itself again
 			})
 		})
 	}
--- a/internal/peer/configrelay/server.go
+++ b/internal/peer/configrelay/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -26,9 +27,9 @@
 	State   func(beyond uint64) (config.PeerState, error)
 	// Append appends to the log without the help of another entry.
 	Append func(ctx context.Context, record []byte) (uint64, error)
-	// Source returns the number of entries between this one and the log, and
-	// whether its source of records works.
-	Source func() (hops int, healthy bool)
+	// Source returns the number of entries between this one and the log, and the
+	// time since the log itself told what this entry knows of its end.
+	Source func() (hops int, age time.Duration)
 }
 
 // Server serves the relay to other entries.
@@ -45,8 +46,8 @@
 func (s *Server) Read(ctx context.Context, req *configwire.ReadRequest) (*configwire.ReadAnswer, error) {
 	wait := min(time.Duration(req.WaitMs)*time.Millisecond, maxWait)
 	recs, b, err := s.seams.Records(ctx, req.From, wait)
-	hops, healthy := s.seams.Source()
-	out := &configwire.ReadAnswer{Epoch: b.Epoch, Earliest: b.Earliest, Next: b.Next, Hops: uint32(hops), Reaches: healthy}
+	hops, age := s.seams.Source()
+	out := &configwire.ReadAnswer{Epoch: b.Epoch, Earliest: b.Earliest, Next: b.Next, Hops: uint32(hops), AgeMs: ageMS(age)}
 	if fault.Is(err, config.KindExpired) {
 		out.Gone = true
 		return out, nil
@@ -64,6 +65,10 @@
 	return out, nil
 }
 
+func ageMS(age time.Duration) uint32 {
+	return uint32(min(max(age.Milliseconds(), 0), math.MaxUint32))
+}
+
 // State returns this entry's configuration.
 func (s *Server) State(_ context.Context, req *configwire.StateRequest) (*configwire.StateAnswer, error) {
 	p, err := s.seams.State(req.Beyond)
