--- a/internal/entry/server/process.go
+++ b/internal/entry/server/process.go
@@ -8,6 +8,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/openai"
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/reply"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
+	"github.com/dogwoodmill/dogwoodmill/internal/order/executor"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/limits"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
@@ -30,6 +31,7 @@
 	Limits        limits.State        `json:"limits"`
 	Streams       openai.State        `json:"streams"`
 	Orphans       orphan.State        `json:"orphans"`
+	Orders        executor.State      `json:"orders"`
 }
 
 // State returns the entry's state.
@@ -48,6 +50,7 @@
 		Peers:         s.peers.state(),
 		Limits:        s.peers.limiter.State(),
 		Streams:       s.openai.State(),
+		Orders:        s.orders.executor.State(),
 		Orphans:       s.orphans.State(),
 	}
 }
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -45,6 +45,7 @@
 	fleet       *fleet.Fleet
 	placer      *placement.Placer
 	openai      *openai.Handler
+	orders      *orders
 	orphans     *orphan.Collector
 	service     *service.Handler
 	api         *api.Handler
@@ -109,7 +110,9 @@
 	s.joinConfig()
 	s.placer = placement.New(owner, s.cfg.FailureDomain, s.fleet, logger)
 	s.startStreams(owner, logger)
-	s.service = service.NewHandler(s.cfg.Network, s.store.View, s.metrics.scope, logger)
+	s.startOrders(logger)
+	s.service = service.NewHandler(s.cfg.Network, s.store.View,
+		service.Orders{Run: s.orders.executor.Run, Look: s.orders.executor.Look}, s.metrics.scope, logger)
 	s.api = api.NewHandler(s.store, api.Seams{Authorized: s.authorized, InForce: s.peers.InForce}, logger)
 }
 
@@ -138,6 +141,7 @@
 	}
 	s.stopStreams()
 	s.fleet.Close()
+	s.stopOrders()
 	s.stopConfig()
 	if err := s.metrics.closer.Close(); err != nil {
 		s.log.Warn("Metrics could not be closed.", "err", err)
@@ -172,6 +176,8 @@
 		s.openai.Completions(ctx)
 	case path == "/v1/models" && ctx.IsGet():
 		s.openai.Models(ctx)
+	case strings.HasPrefix(path, service.OrdersPrefix) && ctx.IsGet():
+		s.service.ServeOrder(ctx)
 	case strings.HasPrefix(path, openai.ResponsesPrefix):
 		s.openai.Responses(ctx)
 	case strings.HasPrefix(path, service.Prefix):
