--- a/internal/operator/client/file.go
+++ b/internal/operator/client/file.go
@@ -66,9 +66,11 @@
 	if err := resource.DecodeStrict(raw, &o, ""); err != nil {
 		return o, err
 	}
-	if o.Kind, err = resource.ParseType(string(o.Kind)); err != nil {
+	kind, err := resource.ParseType(string(o.Kind))
+	if err != nil {
 		return o, err
 	}
+	o.Kind = kind
 	return o, o.Check()
 }
 
--- a/internal/operator/config/store.go
+++ b/internal/operator/config/store.go
@@ -31,6 +31,8 @@
 	PeerState func(ctx context.Context, beyond uint64) (PeerState, error)
 	// Rank returns the place of this entry among the live ones, and their number.
 	Rank func() (rank, of int)
+	// Jitter changes the delay before a read is tried again; without it half is random.
+	Jitter func(time.Duration) time.Duration
 }
 
 // PeerState is the state of another entry.
@@ -83,6 +85,7 @@
 		Read:    seams.Read,
 		Fold:    s.apply,
 		Restore: s.restore,
+		Jitter:  seams.Jitter,
 		Log:     s.log,
 	})
 	go s.keeper.run()
--- a/internal/operator/resource/fold.go
+++ b/internal/operator/resource/fold.go
@@ -63,6 +63,15 @@
 	return t, ok
 }
 
+// Current returns the version of an object, and whether it is there.
+func (f *Fold) Current(t Type, name string) (uint64, bool) {
+	it := f.get(key{t, name})
+	if it == nil {
+		return 0, false
+	}
+	return it.object.Metadata.Version, true
+}
+
 var (
 	errSettled = errors.New("the change is in the log already, or was voided")
 	errExpired = errors.New("the change reached the log too late")
--- a/internal/platform/logservice/appender.go
+++ b/internal/platform/logservice/appender.go
@@ -30,6 +30,8 @@
 	Limiter  *Limiter // shared by all appenders of the entry
 	Queue    int      // records
 	RetryFor time.Duration
+	// Jitter changes the delay before a retry; without it half is random.
+	Jitter func(time.Duration) time.Duration
 	// Gap is the least time from one call to the next. Records that come meanwhile
 	// share a call, and the first one after a quiet time does not wait.
 	Gap time.Duration
@@ -148,7 +150,7 @@
 
 func (a *Appender) run(ctx context.Context) {
 	defer close(a.done)
-	wait := newBackoff(appendFirstWait, appendMaxWait)
+	wait := newBackoff(appendFirstWait, appendMaxWait, a.cfg.Jitter)
 	var group []*pending
 	for ctx.Err() == nil {
 		if len(group) == 0 {
--- a/internal/platform/logservice/follower.go
+++ b/internal/platform/logservice/follower.go
@@ -38,7 +38,9 @@
 	// Restore supplies state when the log no longer keeps the next record. It
 	// returns the offset that the new state contains.
 	Restore func(ctx context.Context, b Bounds) (uint64, error)
-	Log     *log.Logger
+	// Jitter changes the delay before a retry; without it half is random.
+	Jitter func(time.Duration) time.Duration
+	Log    *log.Logger
 }
 
 // Follower reads one stream and hands its records to a fold. Its methods may be
@@ -115,7 +117,7 @@
 func (f *Follower) run(ctx context.Context) {
 	defer close(f.done)
 	f.start(ctx)
-	retry, wait := newBackoff(followFirstWait, followMaxWait), FollowWait
+	retry, wait := newBackoff(followFirstWait, followMaxWait, f.cfg.Jitter), FollowWait
 	for ctx.Err() == nil {
 		err := f.step(ctx, wait)
 		if ctx.Err() != nil {
--- a/internal/platform/logservice/limiter.go
+++ b/internal/platform/logservice/limiter.go
@@ -99,18 +99,23 @@
 // backoff gives growing delays with jitter between tries.
 type backoff struct {
 	first, most, next time.Duration
+	jitter            func(time.Duration) time.Duration
 }
 
-func newBackoff(first, most time.Duration) *backoff {
-	return &backoff{first: first, most: most, next: first}
+// newBackoff returns a backoff. Without a jitter half of each delay is random, so
+// that entries don't try in step.
+func newBackoff(first, most time.Duration, jitter func(time.Duration) time.Duration) *backoff {
+	if jitter == nil {
+		jitter = func(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
+	}
+	return &backoff{first: first, most: most, next: first, jitter: jitter}
 }
 
-// delay returns the next delay: half of it is random, so that entries don't try
-// in step.
+// delay returns the next delay.
 func (b *backoff) delay() time.Duration {
 	d := b.next
 	b.next = min(2*d, b.most)
-	return d/2 + rand.N(d/2+1)
+	return b.jitter(d)
 }
 
 func (b *backoff) reset() { b.next = b.first }
