Tell demands before loads and wait as long as a report takes

Cause: at 79 entries whose reports all change, a report took 115 s to all entries, while shares of limits counted a rise of the own demand after 11 s.

Change: demands and offsets go in a report of their own, before loads and prefixes, with a byte for each figure; loads wait until much of the budget is left. Entries report at most once in 200 ms for each entry of the domain. The far neighbour of the ring is probed every 2 s and a random entry every 3 s.

--- a/internal/entry/server/peers.go
+++ b/internal/entry/server/peers.go
@@ -48,7 +48,8 @@
 		Link:        s.link,
 		List:        vmlist.NewClient(s.cfg.Network, s.cfg.VMListURL).VMs,
 		Offset:      func() uint64 { return s.store.View().Offset() },
-		Report:      s.report,
+		Report:      p.limiter.Report,
+		Loads:       func(r *memberwire.Report, left int) { s.fleet.Report(r, left) },
 		Spent:       func() int64 { return s.fleet.Spent() },
 		Spare:       func() []*memberwire.Spare { return s.fleet.Spare(s.cfg.FailureDomain) },
 		Rand:        s.incarnation,
@@ -63,17 +64,11 @@
 		return live
 	}})
 	s.fleet = fleet.New(s.cfg.Network, fleet.Seams{
-		View: s.store.View, Owns: p.Owns, Reports: p.node.Reports, State: p.node.Upstream, SetState: p.node.SetUpstream,
+		View: s.store.View, Owns: p.Owns, Loads: p.node.Loads, State: p.node.Upstream, SetState: p.node.SetUpstream,
 	}, logger)
 	p.node.Start()
 }
 
-// report fills in what this entry tells the others: shares of limits go before load.
-func (s *Server) report(r *memberwire.Report, left int) {
-	s.peers.limiter.Report(r)
-	s.fleet.Report(r, left)
-}
-
 // VM returns the name of the entry's VM.
 func (s *Server) VM() string { return s.cfg.VM }
 
--- a/internal/peer/limits/limiter.go
+++ b/internal/peer/limits/limiter.go
@@ -30,7 +30,8 @@
 	retryLeast = 100 * time.Millisecond
 	retryMost  = time.Minute
 	// told demand is rounded to steps, so that reports change seldom.
-	demandStep = 1.25
+	demandStep  = 1.25
+	demandLeast = 1e-2
 )
 
 // Reason tells which limit refused a request.
@@ -210,14 +211,14 @@
 	case l.outsize(s, n):
 		return 0, 0
 	}
-	return concurrent, settleTime(l.group.reach) / 2
+	return concurrent, SettleTime(l.group.reach) / 2
 }
 
 // outsize admits a request that is larger than this entry's share, where all of
 // the limit that is free would hold it. One entry at a time may do that.
 func (l *Limiter) outsize(s *space, n float64) bool {
 	others := l.of(s.hash).used
-	slot := l.now().UnixNano() / int64(settleTime(l.group.reach))
+	slot := l.now().UnixNano() / int64(SettleTime(l.group.reach))
 	return !l.group.starting && s.used+others+n <= l.group.part(s.limits[concurrent]) &&
 		l.seams.Turn(fmt.Sprintf("limit/%d/%d", s.hash, slot))
 }
@@ -258,7 +259,7 @@
 	}
 	l.indexed = now
 	reach, known := l.seams.Shares()
-	hold := settleTime(known)
+	hold := SettleTime(known)
 	l.reach.set(float64(reach), hold, now) // a newcomer's demand is not known at first
 	l.group = group{
 		reach: max(1, int(l.reach.get())), known: max(1, known), starting: now.Sub(l.started) < startFor && known > 1,
@@ -293,10 +294,10 @@
 		h = &[kinds]highHold{}
 		l.held[k] = h
 	}
-	for kind, v := range [kinds]float64{float64(d.GetRequests()), float64(d.GetTokens()), float64(d.GetWanted())} {
+	for kind, v := range [kinds]float64{value(d.GetRequests()), value(d.GetTokens()), value(d.GetWanted())} {
 		h[kind].set(v, hold, l.now())
 	}
-	l.use(k.workspace, float64(d.GetUsed()))
+	l.use(k.workspace, value(d.GetUsed()))
 }
 
 // fade lets what is no longer reported fall, and reports whether something is left.
@@ -356,11 +357,11 @@
 			continue
 		}
 		for kind, v := range s.want {
-			s.told[kind] = step(v)
+			s.told[kind] = value(code(v))
 		}
 		r.Demands = append(r.Demands, &memberwire.Demand{
-			Workspace: s.hash, Requests: float32(s.told[requests]), Tokens: float32(s.told[tokens]),
-			Wanted: uint64(s.told[concurrent]), Used: uint64(step(s.used)),
+			Workspace: s.hash, Requests: code(s.want[requests]), Tokens: code(s.want[tokens]),
+			Wanted: code(s.want[concurrent]), Used: code(s.used),
 		})
 	}
 }
@@ -383,12 +384,20 @@
 	return most
 }
 
-// step rounds up to the next power of the step.
-func step(v float64) float64 {
-	if v < 1e-3 {
+// code rounds up to a power of the step, which takes a byte in a report. 0 is none.
+func code(v float64) uint32 {
+	if v < demandLeast {
 		return 0
 	}
-	return math.Pow(demandStep, math.Ceil(math.Log(v)/math.Log(demandStep)))
+	return uint32(1 + math.Ceil(math.Log(v/demandLeast)/math.Log(demandStep)))
+}
+
+// value returns what a code stands for.
+func value(code uint32) float64 {
+	if code == 0 {
+		return 0
+	}
+	return demandLeast * math.Pow(demandStep, float64(code-1))
 }
 
 // State is the limiter's part of the state dump.
--- a/internal/peer/limits/share.go
+++ b/internal/peer/limits/share.go
@@ -10,11 +10,11 @@
 	startFor  = 3 * time.Second
 	// A report reaches all entries within settleBase and settlePerEntry for each.
 	settleBase     = 3 * time.Second
-	settlePerEntry = 100 * time.Millisecond
+	settlePerEntry = 420 * time.Millisecond
 )
 
-// settleTime is how long a report takes to reach all entries of a failure domain.
-func settleTime(entries int) time.Duration {
+// SettleTime is how long a report takes to reach all entries of a failure domain.
+func SettleTime(entries int) time.Duration {
 	return settleBase + settlePerEntry*time.Duration(entries)
 }
 
--- a/internal/peer/membership/exchange.go
+++ b/internal/peer/membership/exchange.go
@@ -14,8 +14,11 @@
 const (
 	// Largest parts of a message, in bytes.
 	peerBytes    = 1200
-	reportBytes  = 900
+	reportBytes  = 400
 	summaryBytes = 600
+	loadBytes    = 150
+	// loadLeft is the budget from which loads are told: demands go first.
+	loadLeft = budgetBurst / 4
 	// newsAge is how far back an entry that is no neighbour is told the news.
 	newsAge = 5 * time.Second
 )
@@ -30,18 +33,18 @@
 	touched     time.Time
 }
 
-// positions are those in the feeds of peers, reports and summaries.
-type positions struct{ peers, reports, summaries uint64 }
+// positions are those in the feeds of peers, reports, summaries and loads.
+type positions struct{ peers, reports, summaries, loads uint64 }
 
 func fromWire(p *memberwire.Positions) positions {
-	return positions{p.GetPeers(), p.GetReports(), p.GetSummaries()}
+	return positions{p.GetPeers(), p.GetReports(), p.GetSummaries(), p.GetLoads()}
 }
 
 func (p positions) wire() *memberwire.Positions {
 	if p == (positions{}) {
 		return nil
 	}
-	return &memberwire.Positions{Peers: p.peers, Reports: p.reports, Summaries: p.summaries}
+	return &memberwire.Positions{Peers: p.peers, Reports: p.reports, Summaries: p.summaries, Loads: p.loads}
 }
 
 // target is an entry to call. Its VM is empty where only the address is known.
@@ -68,6 +71,7 @@
 			max(c.sent.peers, n.table.feed.before(old)),
 			max(c.sent.reports, n.reports.before(old)),
 			max(c.sent.summaries, n.summaries.before(old)),
+			max(c.sent.loads, n.loads.before(old)),
 		}
 	}
 	c.touched = now
@@ -90,6 +94,9 @@
 		m.Reports, to.reports = n.reports.after(c.sent.reports, reader, min(left, reportBytes))
 		m.Summaries, to.summaries = n.summaries.after(c.sent.summaries, reader, min(left, summaryBytes))
 	}
+	if left > loadLeft && !c.saving {
+		m.Loads, to.loads = n.loads.after(c.sent.loads, reader, min(left, loadBytes))
+	}
 	return m, to
 }
 
@@ -102,7 +109,10 @@
 		}
 	}
 	for _, r := range m.GetReports() {
-		n.takeReport(r, m.GetVm())
+		n.takeReport(n.reports, r, m.GetVm())
+	}
+	for _, r := range m.GetLoads() {
+		n.takeReport(n.loads, r, m.GetVm())
 	}
 	for _, s := range m.GetSummaries() {
 		n.takeSummary(s, m.GetVm())
@@ -112,13 +122,13 @@
 	}
 }
 
-func (n *Node) takeReport(r *memberwire.Report, from string) {
-	old, known := n.reports.get(r.GetVm())
+func (n *Node) takeReport(f *feed[*memberwire.Report], r *memberwire.Report, from string) {
+	old, known := f.get(r.GetVm())
 	if r.GetVm() == n.cfg.VM || known && (r.GetIncarnation() < old.GetIncarnation() ||
 		r.GetIncarnation() == old.GetIncarnation() && r.GetVersion() <= old.GetVersion()) {
 		return
 	}
-	n.reports.put(r.GetVm(), r, from, n.now())
+	f.put(r.GetVm(), r, from, n.now())
 }
 
 func (n *Node) takeSummary(s *memberwire.Summary, from string) {
@@ -146,6 +156,7 @@
 	if ack := fromWire(m.GetAck()); !c.fresh {
 		c.sent = positions{
 			max(c.sent.peers, ack.peers), max(c.sent.reports, ack.reports), max(c.sent.summaries, ack.summaries),
+			max(c.sent.loads, ack.loads),
 		}
 	}
 	if m.GetFull() {
--- a/internal/peer/membership/node.go
+++ b/internal/peer/membership/node.go
@@ -21,7 +21,7 @@
 
 const (
 	beatEvery    = time.Second
-	randomEvery  = 2 * time.Second
+	randomEvery  = 3 * time.Second
 	probeTimeout = 250 * time.Millisecond
 	directTries  = 5
 	reachHelpers = 2
@@ -35,7 +35,7 @@
 	isolatedMin   = 4 // live entries; among fewer each one is suspected by itself
 	// An entry reports at most once in reportPerEntry for each live entry of its
 	// failure domain, so that the bytes do not grow with it.
-	reportPerEntry = 100 * time.Millisecond
+	reportPerEntry = 200 * time.Millisecond
 	reportLeast    = time.Second
 	offsetEvery    = 200 * time.Millisecond
 	// In a small failure domain a new offset is told at once.
@@ -62,9 +62,10 @@
 	List func(ctx context.Context) ([]vmlist.VM, error)
 	// Offset returns the offset of the configuration in force here.
 	Offset func() uint64
-	// Report fills in the demands and, while bytes are left, the loads that this
-	// entry reports.
-	Report func(r *memberwire.Report, left int)
+	// Report fills in the demands that this entry tells.
+	Report func(r *memberwire.Report)
+	// Loads fills in the loads of its upstreams while bytes are left.
+	Loads func(r *memberwire.Report, left int)
 	// Spent returns the bytes that this entry spent on control beside the link.
 	Spent func() int64
 	// Spare tells what the failure domain can take over from others.
@@ -86,6 +87,7 @@
 	mu        sync.Mutex
 	table     *table
 	reports   *feed[*memberwire.Report]
+	loads     *feed[*memberwire.Report]
 	summaries *feed[*memberwire.Summary]
 	cursors   map[string]*cursor
 	clients   map[string]memberwire.Member
@@ -94,7 +96,6 @@
 	budget    budget
 	started   time.Time
 	contacted time.Time // when a call last succeeded
-	reported  time.Time
 	suspected int64
 
 	settled    []string // entries that own duties, of a state of the table and a time
@@ -111,6 +112,7 @@
 		kicked:    make(chan struct{}, 1),
 		done:      make(chan struct{}),
 		reports:   newFeed[*memberwire.Report](),
+		loads:     newFeed[*memberwire.Report](),
 		summaries: newFeed[*memberwire.Summary](),
 		cursors:   map[string]*cursor{},
 		clients:   map[string]memberwire.Member{},
@@ -204,9 +206,9 @@
 // spread returns a moment, so that calls made together don't leave at once.
 func spread(r *rand.Rand) time.Duration { return time.Duration(r.Int64N(int64(spreadTime))) }
 
-// watch probes a successor in the ring, again and again.
+// watch probes a successor in the ring, again and again, the near one more often.
 func (n *Node) watch(ctx context.Context, r *rand.Rand, slot int) {
-	for wait(ctx, jitter(r, beatEvery)) {
+	for wait(ctx, jitter(r, beatEvery*time.Duration(1+slot))) {
 		n.mu.Lock()
 		next := successors(n.table.live(), n.cfg.VM)
 		var p *memberwire.Peer
@@ -432,31 +434,40 @@
 	}
 }
 
-// publish puts out a report where it differs from the last one or that is old. It
-// returns the time until the next one.
+// publish puts out what is new of this entry. It returns the time until the next one.
 func (n *Node) publish() time.Duration {
 	n.mu.Lock()
 	left := n.budgetLeft()
 	n.mu.Unlock()
 	r := &memberwire.Report{Vm: n.cfg.VM, Incarnation: n.cfg.Incarnation, Offset: n.cfg.Offset()}
-	n.cfg.Report(r, left)
+	n.cfg.Report(r)
+	l := &memberwire.Report{Vm: n.cfg.VM, Incarnation: n.cfg.Incarnation}
+	n.cfg.Loads(l, left)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.forget()
 	n.measure()
-	every := max(reportLeast, reportPerEntry*time.Duration(len(n.table.live())))
-	old, known := n.reports.get(n.cfg.VM)
-	r.Version = old.GetVersion()
-	if known && proto.Equal(old, r) && n.now().Sub(n.reported) < reportRefresh {
-		return every
-	}
-	if r.GetOffset() != old.GetOffset() && len(n.table.live()) <= pushOffsets {
+	old, _ := n.reports.get(n.cfg.VM)
+	if n.putOwn(n.reports, r) && r.GetOffset() != old.GetOffset() && len(n.table.live()) <= pushOffsets {
 		n.urgent()
 	}
+	n.putOwn(n.loads, l)
+	return max(reportLeast, reportPerEntry*time.Duration(len(n.table.live())))
+}
+
+// putOwn puts out a report of this entry where it differs from the last one or that
+// is old.
+func (n *Node) putOwn(f *feed[*memberwire.Report], r *memberwire.Report) bool {
+	it := f.items[n.cfg.VM]
+	if it != nil {
+		r.Version = it.val.GetVersion()
+		if proto.Equal(it.val, r) && n.now().Sub(it.at) < reportRefresh {
+			return false
+		}
+	}
 	r.Version++
-	n.reported = n.now()
-	n.reports.put(n.cfg.VM, r, n.cfg.VM, n.now())
-	return every
+	f.put(n.cfg.VM, r, n.cfg.VM, n.now())
+	return true
 }
 
 // forget drops what is kept of entries that are gone for long.
@@ -467,7 +478,9 @@
 			delete(n.cursors, vm)
 		}
 	}
-	n.reports.drop(func(it *item[*memberwire.Report]) bool { return n.now().Sub(it.at) >= forgetAfter })
+	old := func(it *item[*memberwire.Report]) bool { return n.now().Sub(it.at) >= forgetAfter }
+	n.reports.drop(old)
+	n.loads.drop(old)
 	if len(n.clients) > maxClients {
 		clear(n.clients)
 	}
--- a/internal/peer/membership/view.go
+++ b/internal/peer/membership/view.go
@@ -287,14 +287,21 @@
 	return len(n.cfg.Seeds) + 1
 }
 
-// Reports returns the newest reports of the other live entries of the failure domain.
-func (n *Node) Reports() []*memberwire.Report {
+// Reports returns the newest offsets and demands of the other live entries of the
+// failure domain.
+func (n *Node) Reports() []*memberwire.Report { return n.others(n.reports) }
+
+// Loads returns the newest loads and prefixes that the other live entries of the
+// failure domain tell.
+func (n *Node) Loads() []*memberwire.Report { return n.others(n.loads) }
+
+func (n *Node) others(f *feed[*memberwire.Report]) []*memberwire.Report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var out []*memberwire.Report
 	for _, name := range n.live() {
 		p, _ := n.table.feed.get(name)
-		if r, known := n.reports.get(name); known && name != n.cfg.VM && r.GetIncarnation() == p.GetIncarnation() {
+		if r, known := f.get(name); known && name != n.cfg.VM && r.GetIncarnation() == p.GetIncarnation() {
 			out = append(out, r)
 		}
 	}
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -48,8 +48,8 @@
 	View func() *resource.View
 	// Owns reports whether this entry is the owner of an upstream.
 	Owns func(upstream string) bool
-	// Reports returns what other entries tell.
-	Reports func() []*memberwire.Report
+	// Loads returns what other entries tell of their engines.
+	Loads func() []*memberwire.Report
 	// State returns what is known of an upstream's leaving or death.
 	State func(upstream string) membership.State
 	// SetState tells what the owner saw.
@@ -291,7 +291,7 @@
 		e.state = state
 		e.mu.Unlock()
 	}
-	for _, r := range f.seams.Reports() {
+	for _, r := range f.seams.Loads() {
 		for _, l := range r.GetLoads() {
 			if e := byHash[l.GetUpstream()]; e != nil && !f.seams.Owns(e.client.Name()) {
 				e.tell(r.GetVm(), r.GetVersion(), l, now)
