--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 lint:
 	@out=$$($(TOOL) gofumpt -l -extra main.go internal); test -z "$$out" || { echo "gofumpt: $$out"; exit 1; }
 	@out=$$($(TOOL) goimports -l -local github.com/dogwoodmill/dogwoodmill main.go internal); test -z "$$out" || { echo "goimports: $$out"; exit 1; }
+	@out=$$(grep -rln 'pond\.NewPool' --include='*.go' internal | grep -v '^internal/base/work/'); test -z "$$out" || { echo "use internal/base/work, not pond itself: $$out"; exit 1; }
 	$(GO) vet $(PKGS)
 	$(TOOL) staticcheck -checks all,-ST1000 $(PKGS)
 	$(TOOL) errcheck -ignoregenerated -exclude tools/errcheck.txt $(PKGS)
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -10,11 +10,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/alitto/pond/v2"
 	"github.com/charmbracelet/log"
 	"github.com/zeebo/xxh3"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/work"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/membership"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/memberwire"
@@ -177,7 +177,7 @@
 	network *netio.Network
 	seams   Seams
 	log     *log.Logger
-	pool    pond.Pool
+	pool    *work.Pool
 	done    chan struct{}
 	stop    context.CancelFunc
 	polls   atomic.Int64
@@ -195,7 +195,7 @@
 		network:   network,
 		seams:     seams,
 		log:       logger.WithPrefix("fleet"),
-		pool:      pond.NewPool(pollWorkers, pond.WithQueueSize(pollQueue), pond.WithNonBlocking(true)),
+		pool:      work.New(pollWorkers, pollQueue),
 		done:      make(chan struct{}),
 		stop:      cancel,
 		engines:   map[string]*Engine{},
@@ -210,7 +210,7 @@
 func (f *Fleet) Close() {
 	f.stop()
 	<-f.done
-	f.pool.StopAndWait()
+	f.pool.Close()
 }
 
 // Of returns the engines that serve the deployment in the current view, by name.
