--- a/internal/peer/membership/bridge.go
+++ b/internal/peer/membership/bridge.go
@@ -71,7 +71,7 @@
 		Spare:  spare[:min(len(spare), maxSpare)],
 	}
 	live := n.live()
-	s.Live, s.Known = uint32(len(live)), uint32(len(n.table.live())+n.table.cutOff())
+	s.Live, s.Known = uint32(len(live)), uint32(len(n.table.live())+n.table.outOfReach())
 	s.Offsets = n.offsets(live)
 	for _, name := range live[:min(len(live), maxContacts/2)] {
 		p, _ := n.table.feed.get(name)
--- a/internal/peer/membership/membership_test.go
+++ b/internal/peer/membership/membership_test.go
@@ -44,12 +44,19 @@
 		is.NoErr(agree(nodes, 10*time.Second))
 		nodes[3].Leave()
 		is.NoErr(await(nodes, name(3), StateLeaving, noticeLimit))
+		reach, known := nodes[3].Shares()
+		is.Equal([2]int{reach, known}, [2]int{1, 20}) // it keeps its part while it may take work
+		reach, known = nodes[4].Shares()
+		is.Equal([2]int{reach, known}, [2]int{19, 20})
 		nodes[5].SetUpstream("engine-1", StateLeaving)
 		time.Sleep(noticeLimit)
 		for _, n := range nodes {
 			is.Equal(n.Upstream("engine-1"), StateLeaving)
 			is.Equal(n.Upstream("engine-2"), StateLive)
 		}
+		time.Sleep(leaveServes)
+		_, known = nodes[4].Shares()
+		is.Equal(known, 19)
 		nodes[3].Close()
 		is.NoErr(await(append(nodes[:3:3], nodes[4:]...), name(3), StateGone, noticeLimit))
 	})
@@ -130,11 +137,11 @@
 		is.NoErr(agree(a, 30*time.Second))
 		is.NoErr(agree(b, 30*time.Second))
 		time.Sleep(goneAfter)
-		is.Equal(a[0].CutOff(), len(b))
-		is.Equal(b[0].CutOff(), len(a))
+		is.Equal(a[0].OutOfReach(), len(b))
+		is.Equal(b[0].OutOfReach(), len(a))
 		m.split(a, b, false)
 		is.NoErr(agree(nodes, 45*time.Second))
-		is.Equal(a[0].CutOff(), 0)
+		is.Equal(a[0].OutOfReach(), 0)
 	})
 }
 
@@ -146,7 +153,7 @@
 		time.Sleep(3*noticeLimit + settleAfter)
 		is.NoErr(sameLive(nodes[:1])) // it serves on alone
 		is.Equal(nodes[0].Owner("engine-1", "a"), name(0))
-		is.Equal(nodes[0].CutOff(), 5)
+		is.Equal(nodes[0].OutOfReach(), 5)
 		m.split(nodes[:1], nodes[1:], false)
 		is.NoErr(agree(nodes, 30*time.Second))
 	})
@@ -172,10 +179,10 @@
 		time.Sleep(20 * time.Second)
 		m.kill(nodes[2])
 		time.Sleep(10 * time.Second)
-		is.Equal(nodes[0].CutOff(), 1) // it may serve elsewhere, as far as is known
+		is.Equal(nodes[0].OutOfReach(), 1) // it may serve elsewhere, as far as is known
 		m.setList(vm(0, vmlist.StateLive), vm(1, vmlist.StateLive))
 		time.Sleep(20 * time.Second)
-		is.Equal(nodes[0].CutOff(), 0) // the platform says that it ended
+		is.Equal(nodes[0].OutOfReach(), 0) // the platform says that it ended
 	})
 }
 
--- a/internal/peer/membership/node.go
+++ b/internal/peer/membership/node.go
@@ -492,7 +492,7 @@
 	n.cfg.Scope.Gauge("peer_bytes_received").Update(float64(c.Received()))
 	n.cfg.Scope.Gauge("peer_budget_left_bytes").Update(float64(n.budgetLeft()))
 	n.cfg.Scope.Gauge("peers_live").Update(float64(len(n.table.live())))
-	n.cfg.Scope.Gauge("peers_cut_off").Update(float64(n.table.cutOff()))
+	n.cfg.Scope.Gauge("peers_out_of_reach").Update(float64(n.table.outOfReach()))
 	n.cfg.Scope.Gauge("peer_suspicions").Update(float64(n.suspected))
 }
 
--- a/internal/peer/membership/table.go
+++ b/internal/peer/membership/table.go
@@ -14,6 +14,8 @@
 	goneAfter = 5 * time.Second
 	// settleAfter is how long an entry is live before it owns anything.
 	settleAfter = 5 * time.Second
+	// leaveServes is how long a leaving entry may still take new work.
+	leaveServes = 5 * time.Second
 	// forgetAfter is how long a record of a gone entry or upstream is kept.
 	forgetAfter = 10 * time.Minute
 
@@ -232,12 +234,14 @@
 	return out
 }
 
-// cutOff returns how many entries may be serving where they can't be reached from
-// here: those that became unreachable without a sign that they ended.
-func (t *table) cutOff() int {
+// outOfReach returns how many entries may be serving besides the live ones: those
+// that became unreachable without a sign that they ended, and those that have just
+// said that they leave.
+func (t *table) outOfReach() int {
 	n := 0
 	for _, p := range t.entries() {
-		if p.GetState() == memberwire.State_SUSPECT {
+		fresh := t.now().Sub(t.since[p.GetName()]) < leaveServes
+		if p.GetState() == memberwire.State_SUSPECT || p.GetState() == memberwire.State_LEAVING && fresh {
 			n++
 		}
 	}
--- a/internal/peer/membership/view.go
+++ b/internal/peer/membership/view.go
@@ -255,12 +255,12 @@
 	}
 }
 
-// CutOff returns how many entries of the own failure domain may be serving where
-// they can't be reached from here.
-func (n *Node) CutOff() int {
+// OutOfReach returns how many entries of the own failure domain may be serving that
+// are not live as seen from here.
+func (n *Node) OutOfReach() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return len(n.table.live()) - len(n.live()) + n.table.cutOff()
+	return len(n.table.live()) - len(n.live()) + n.table.outOfReach()
 }
 
 // Shares returns how many entries can be reached, this one included, and how many
@@ -269,7 +269,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	reach = len(n.live())
-	known = len(n.table.live()) + n.table.cutOff()
+	if n.table.self.GetState() != memberwire.State_LIVE {
+		reach = 1 // the others share without it
+	}
+	known = len(n.table.live()) + n.table.outOfReach()
 	for _, it := range n.summaries.items {
 		if n.now().Sub(it.at) < forgetAfter {
 			known += int(it.val.GetKnown())
