Drive engines to the declared deployments

Cause: the wanted version, adapters and role of an engine were declared and nobody acted on them.

Change: an entry claims an upstream through the log, and the claim's offset is the fencing number of its orders. The rollout driver reads what the engine reports and sends the next order: load, adapter, role, unload. Upstreams have a field role.

--- a/internal/entry/server/errors.go
+++ b/internal/entry/server/errors.go
@@ -16,7 +16,7 @@
 	KindListen Kind = "can't listen"
 	// KindDrain is the kind of a shutdown that left work behind.
 	KindDrain Kind = "work left"
-	// KindMissing is the kind of a record of the log that is gone.
+	// KindMissing is the kind of a record of the log, or an engine, that is not there.
 	KindMissing Kind = "missing"
 )
 
--- a/internal/entry/server/process.go
+++ b/internal/entry/server/process.go
@@ -13,6 +13,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/orphan"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/rollout"
 )
 
 // State is the state dump of an entry.
@@ -32,6 +33,7 @@
 	Streams       openai.State        `json:"streams"`
 	Orphans       orphan.State        `json:"orphans"`
 	Orders        executor.State      `json:"orders"`
+	Rollout       rollout.State       `json:"rollout"`
 }
 
 // State returns the entry's state.
@@ -51,6 +53,7 @@
 		Limits:        s.peers.limiter.State(),
 		Streams:       s.openai.State(),
 		Orders:        s.orders.executor.State(),
+		Rollout:       s.engines.driver.State(),
 		Orphans:       s.orphans.State(),
 	}
 }
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -46,6 +46,7 @@
 	placer      *placement.Placer
 	openai      *openai.Handler
 	orders      *orders
+	engines     *engineOrders
 	orphans     *orphan.Collector
 	service     *service.Handler
 	api         *api.Handler
@@ -111,6 +112,7 @@
 	s.placer = placement.New(owner, s.cfg.FailureDomain, s.fleet, logger)
 	s.startStreams(owner, logger)
 	s.startOrders(logger)
+	s.startEngineOrders(logger)
 	s.service = service.NewHandler(s.cfg.Network, s.store.View,
 		service.Orders{Run: s.orders.executor.Run, Look: s.orders.executor.Look}, s.metrics.scope, logger)
 	s.api = api.NewHandler(s.store, api.Seams{Authorized: s.authorized, InForce: s.peers.InForce}, logger)
@@ -141,6 +143,7 @@
 	}
 	s.stopStreams()
 	s.fleet.Close()
+	s.stopEngineOrders()
 	s.stopOrders()
 	s.stopConfig()
 	if err := s.metrics.closer.Close(); err != nil {
--- a/internal/operator/resource/spec.go
+++ b/internal/operator/resource/spec.go
@@ -177,10 +177,13 @@
 	Deployments   []string `json:"deployments,omitempty"`   // of a model engine
 	Service       string   `json:"service,omitempty"`       // of a plain service
 	ChecksFencing bool     `json:"checksFencing,omitempty"` // refuses orders with an old fencing number
+	Role          string   `json:"role,omitempty"`          // wanted of a model engine: prefill, decode or both; any where absent
 	MemoryTokens  int      `json:"memoryTokens,omitempty"`  // KV memory of a model engine
 	PrefillRate   int      `json:"prefillRate,omitempty"`   // tokens a second of a model engine
 }
 
+var roles = []string{"", "prefill", "decode", "both"}
+
 func (s *UpstreamSpec) check() error {
 	if _, _, err := net.SplitHostPort(s.Address); err != nil {
 		return Invalid("spec.address", s.Address, "host:port")
@@ -191,6 +194,9 @@
 	if (s.Service == "") == (len(s.Deployments) == 0) {
 		return Invalid("spec.service", s.Service, "either spec.service or spec.deployments")
 	}
+	if !slices.Contains(roles, s.Role) {
+		return Invalid("spec.role", s.Role, strings.Join(roles[1:], ", "))
+	}
 	if s.MemoryTokens < 0 || s.PrefillRate < 0 {
 		return Invalid("spec.memoryTokens", s.MemoryTokens, "0 (not known) or more, like spec.prefillRate")
 	}
--- a/internal/upstream/engine/errors.go
+++ b/internal/upstream/engine/errors.go
@@ -20,6 +20,8 @@
 	KindUnknownStream Kind = "unknown stream"
 	// KindSilent is the kind of a read that took longer than its limit.
 	KindSilent Kind = "silent"
+	// KindFenced is the kind of an order with an old fencing number: nothing ran.
+	KindFenced Kind = "fenced"
 	// KindBadPiece is the kind of a stream that broke the protocol.
 	KindBadPiece Kind = "bad piece"
 )
--- /dev/null
+++ b/internal/upstream/owner/claims.go
@@ -0,0 +1,117 @@
+// Package owner keeps which entry owns an upstream: the newest claim in the log
+// counts, and its offset is the fencing number of the owner's orders. It also
+// keeps which upstreams are out of service for a rollout.
+package owner
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// Stream is the name of the claims' stream.
+	Stream = "claims"
+	// slotTTL is the age at which a slot that was never ended counts no more.
+	slotTTL = 30 * time.Minute
+)
+
+// Holder names an entry's incarnation.
+type Holder struct {
+	VM          string
+	Incarnation uint64
+}
+
+type claim struct {
+	holder Holder
+	fence  uint64
+}
+
+type slot struct {
+	deployment string
+	at         time.Time
+}
+
+// Claims is the state that the records of the stream up to an offset make. Every
+// one that has applied the same records since a claim agrees on it. It belongs to
+// one goroutine.
+type Claims struct {
+	offset uint64
+	newest time.Time
+	claims map[string]claim
+	slots  map[string]slot // by upstream
+}
+
+// NewClaims returns the claims of an empty stream.
+func NewClaims() *Claims {
+	return &Claims{claims: map[string]claim{}, slots: map[string]slot{}}
+}
+
+// Offset returns the last offset applied.
+func (c *Claims) Offset() uint64 { return c.offset }
+
+// Skip notes that the records up to the offset are gone. Claims and slots in them
+// are older than any that counts.
+func (c *Claims) Skip(offset uint64) { c.offset = max(c.offset, offset) }
+
+// Apply applies the record at the offset. One at or below the last offset, or
+// that can't be decoded, changes nothing.
+func (c *Claims) Apply(offset uint64, at time.Time, data []byte) error {
+	if offset <= c.offset {
+		return nil
+	}
+	c.offset = offset
+	if at.After(c.newest) {
+		c.newest = at
+	}
+	r := &Record{}
+	if err := proto.Unmarshal(data, r); err != nil {
+		return fail("decode", KindRecord, err)
+	}
+	h := Holder{VM: r.Vm, Incarnation: r.Incarnation}
+	if r.Type == RecordType_CLAIM {
+		c.claims[r.Upstream] = claim{holder: h, fence: offset}
+		return nil
+	}
+	if c.claims[r.Upstream].holder != h {
+		return nil // not the owner any more
+	}
+	switch r.Type {
+	case RecordType_BEGIN:
+		c.begin(r)
+	case RecordType_END:
+		delete(c.slots, r.Upstream)
+	}
+	return nil
+}
+
+// begin gives a slot where fewer than the limit are taken. The fold decides, so
+// that owners of different upstreams can't take one too many together.
+func (c *Claims) begin(r *Record) {
+	if c.HasSlot(r.Upstream) || len(c.Slots(r.Deployment)) < int(r.Limit) {
+		c.slots[r.Upstream] = slot{deployment: r.Deployment, at: c.newest}
+	}
+}
+
+// Fence returns the offset of the upstream's newest claim, if it is the holder's.
+func (c *Claims) Fence(upstream string, h Holder) (uint64, bool) {
+	cl, ok := c.claims[upstream]
+	return cl.fence, ok && cl.holder == h
+}
+
+// HasSlot reports whether the upstream may be out of service.
+func (c *Claims) HasSlot(upstream string) bool {
+	s, ok := c.slots[upstream]
+	return ok && c.newest.Sub(s.at) < slotTTL
+}
+
+// Slots returns the upstreams of the deployment that may be out of service.
+func (c *Claims) Slots(deployment string) map[string]bool {
+	out := map[string]bool{}
+	for u, s := range c.slots {
+		if s.deployment == deployment && c.HasSlot(u) {
+			out[u] = true
+		}
+	}
+	return out
+}
