Read one view in the test of linearizable writes

Cause: it looked up an object in one view and its deployment in the next, which may no longer have it.

Change: both come from one view.

--- a/internal/peer/configrelay/linear_test.go
+++ b/internal/peer/configrelay/linear_test.go
@@ -88,9 +88,10 @@
 
 func (o *operators) change(id int, e *entry, name string, remove bool) {
 	version, held := uint64(0), 0
-	if obj, ok := e.store.View().Object(resource.TypeDeployment, name); ok {
+	view := e.store.View()
+	if obj, ok := view.Object(resource.TypeDeployment, name); ok {
 		version = obj.Metadata.Version
-		_, _ = fmt.Sscanf(e.store.View().Deployment(name).Spec().Model, "m%d", &held) // the test wrote it
+		_, _ = fmt.Sscanf(view.Deployment(name).Spec().Model, "m%d", &held) // the test wrote it
 	}
 	o.mu.Lock()
 	o.next++
