Leave time for another server where one is silent

Cause: a call that may be repeated waited its whole time limit for the first server, so that a silent connection left none for another.

Change: the time of such a call is split over the tries that are left, at least two of them, each on a new connection. A call that may not be repeated still goes on only while no byte of it has left.

--- a/internal/caller/service/forward.go
+++ b/internal/caller/service/forward.go
@@ -17,6 +17,9 @@
 const (
 	readLimit = 10 * time.Second
 	maxAnswer = 16 << 20 // bytes
+	// minTries is how often a call that may be repeated is sent, each time on a new
+	// connection, where the service has fewer servers.
+	minTries = 2
 )
 
 var errNoServer = errors.New("the service has no server")
@@ -46,14 +49,21 @@
 
 // send sends the call to the service's servers in turn until one takes it. Where
 // no server answers, sent tells whether a byte may have left. A call that may
-// not be repeated goes on only while none has.
+// not be repeated goes on only while none has; the time of one that may is split,
+// so that a silent connection leaves time for another.
 func (h *Handler) send(ctx context.Context, c *call, repeatable bool) (answer *ledger.StoredAnswer, sent bool, err error) {
 	servers := c.service.Servers()
-	first := int(h.turn.Add(1) % uint64(max(len(servers), 1)))
-	err = errNoServer
-	for i := range servers {
+	if len(servers) == 0 {
+		return nil, false, errNoServer
+	}
+	tries := len(servers)
+	if repeatable {
+		tries = max(tries, minTries)
+	}
+	first := int(h.turn.Add(1) % uint64(len(servers)))
+	for i := range tries {
 		u := servers[(first+i)%len(servers)]
-		if answer, err = h.exchange(ctx, c, u.Spec().Address); err == nil {
+		if answer, err = h.exchange(ctx, c, u.Spec().Address, limitsOf(ctx, c, repeatable, tries-i)); err == nil {
 			return answer, true, nil
 		}
 		h.log.Warn("A server did not answer.", "service", c.service.Name(), "upstream", u.Name(), "err", err)
@@ -65,7 +75,17 @@
 	return nil, sent, err
 }
 
-func (h *Handler) exchange(ctx context.Context, c *call, addr string) (*ledger.StoredAnswer, error) {
+// limitsOf returns the time limits of one of the tries that are left.
+func limitsOf(ctx context.Context, c *call, repeatable bool, left int) httpconn.Limits {
+	deadline, ok := ctx.Deadline()
+	if !repeatable || !ok {
+		return httpconn.Limits{First: c.timeout, Read: readLimit}
+	}
+	share := time.Until(deadline) / time.Duration(left)
+	return httpconn.Limits{First: share, Read: min(readLimit, share)}
+}
+
+func (h *Handler) exchange(ctx context.Context, c *call, addr string, limits httpconn.Limits) (*ledger.StoredAnswer, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	c.request.CopyTo(req)
@@ -74,7 +94,7 @@
 	req.Header.Del(fasthttp.HeaderAuthorization)
 	req.Header.SetHost(addr)
 	req.SetConnectionClose()
-	x, err := httpconn.Do(ctx, h.network, addr, req, httpconn.Limits{First: c.timeout, Read: readLimit})
+	x, err := httpconn.Do(ctx, h.network, addr, req, limits)
 	if err != nil {
 		return nil, err
 	}
