--- a/internal/upstream/orphan/collector_test.go
+++ b/internal/upstream/orphan/collector_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,8 +27,10 @@
 
 // bench is an engine and a collector in virtual time.
 type bench struct {
-	engine  *standin.Engine
-	seams   orphan.Seams
+	engine *standin.Engine
+	seams  orphan.Seams
+
+	mu      sync.Mutex
 	serving map[string]bool
 	gone    map[engine.Owner]bool
 	failing bool
@@ -36,21 +40,47 @@
 	b := &bench{engine: standin.New(standin.Default("e", "m")), serving: map[string]bool{}, gone: map[engine.Owner]bool{}}
 	b.engine.SetSlow(10_000) // nothing ends by itself
 	b.seams = orphan.Seams{
-		Self:      self,
-		Engines:   func() []orphan.Engine { return []orphan.Engine{b.seen()} },
-		Serving:   func() map[string]bool { return b.serving },
-		OwnerGone: func(vm string, n uint64) bool { return b.gone[engine.Owner{VM: vm, Incarnation: n}] },
+		Self:    self,
+		Engines: func() []orphan.Engine { return []orphan.Engine{b.seen()} },
+		Serving: func() map[string]bool { return get(b, func() map[string]bool { return maps.Clone(b.serving) }) },
+		OwnerGone: func(vm string, n uint64) bool {
+			return get(b, func() bool { return b.gone[engine.Owner{VM: vm, Incarnation: n}] })
+		},
 	}
 	return b
 }
 
+func get[T any](b *bench, f func() T) T {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return f()
+}
+
+func (b *bench) setGone(o engine.Owner) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.gone[o] = true
+}
+
+func (b *bench) setServing(stream string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.serving[stream] = true
+}
+
+func (b *bench) setFailing(failing bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failing = failing
+}
+
 var errDown = errors.New("down")
 
 func (b *bench) seen() orphan.Engine {
 	return orphan.Engine{
 		Name: "e",
 		Streams: func(context.Context) ([]engine.StreamInfo, error) {
-			if b.failing {
+			if get(b, func() bool { return b.failing }) {
 				return nil, errDown
 			}
 			list, err := b.engine.Streams()
@@ -112,7 +142,7 @@
 		id, live := b.open(is, other, time.Hour), b.open(is, engine.Owner{VM: "live", Incarnation: 1}, time.Hour)
 		time.Sleep(time.Minute)
 		is.True(b.runs(is, id)) // its owner may live
-		b.gone[other] = true
+		b.setGone(other)
 		time.Sleep(orphan.Grace)
 		is.True(b.runs(is, id)) // a caller may come
 		time.Sleep(10 * time.Second)
@@ -125,7 +155,7 @@
 func TestResumedStreamIsKeptAsLongAsItsServerLives(t *testing.T) {
 	bubble(t, func(is *is.I, b *bench) {
 		server := engine.Owner{VM: "server", Incarnation: 5}
-		b.gone[other] = true
+		b.setGone(other)
 		id := b.open(is, other, time.Hour)
 		is.NoErr(b.engine.Hold(standin.HoldRequest{Hold: orphan.HoldID(id, server), Owner: standin.Owner(server), Tokens: 1, TTL: time.Minute}))
 		c := b.collector()
@@ -133,7 +163,7 @@
 		defer c.Close()
 		time.Sleep(50 * time.Second)
 		is.True(b.runs(is, id))
-		b.gone[server] = true
+		b.setGone(server)
 		time.Sleep(orphan.Grace + 10*time.Second)
 		is.True(!b.runs(is, id))
 		is.Equal(b.engine.MemoryUsed(), 0) // the sign went too
@@ -148,7 +178,7 @@
 		lost, read := b.open(is, self, time.Hour), b.open(is, self, time.Hour)
 		before := b.open(is, engine.Owner{VM: self.VM, Incarnation: 6}, time.Hour)
 		after := b.open(is, engine.Owner{VM: self.VM, Incarnation: 8}, time.Hour)
-		b.serving[read] = true
+		b.setServing(read)
 		time.Sleep(orphan.Grace + 10*time.Second)
 		is.True(!b.runs(is, lost))   // an opening whose answer was lost
 		is.True(!b.runs(is, before)) // of the VM's last life
@@ -173,7 +203,7 @@
 
 func TestTwoCollectorsAtOnce(t *testing.T) {
 	bubble(t, func(is *is.I, b *bench) {
-		b.gone[other] = true
+		b.setGone(other)
 		a := b.collector()
 		b.seams.Self = engine.Owner{VM: "second", Incarnation: 1}
 		c := b.collector()
@@ -182,7 +212,7 @@
 		defer a.Close()
 		defer c.Close()
 		orphaned, kept := b.open(is, other, time.Hour), b.open(is, self, time.Hour)
-		b.serving[kept] = true
+		b.setServing(kept)
 		time.Sleep(time.Minute)
 		is.True(!b.runs(is, orphaned))
 		is.True(b.runs(is, kept))
@@ -191,16 +221,16 @@
 
 func TestEngineThatAnswersNothingIsAskedAgain(t *testing.T) {
 	bubble(t, func(is *is.I, b *bench) {
-		b.gone[other] = true
+		b.setGone(other)
 		id := b.open(is, other, time.Hour)
-		b.failing = true
+		b.setFailing(true)
 		c := b.collector()
 		c.Run()
 		defer c.Close()
 		time.Sleep(time.Minute)
 		is.True(b.runs(is, id))
 		is.True(c.State().Failed > 0)
-		b.failing = false
+		b.setFailing(false)
 		b.engine.LoseAnswers(1)
 		time.Sleep(orphan.Grace + 10*time.Second)
 		is.True(!b.runs(is, id))
@@ -209,7 +239,7 @@
 
 func TestEngineOfAnotherOwnerIsLeftAlone(t *testing.T) {
 	bubble(t, func(is *is.I, b *bench) {
-		b.gone[other] = true
+		b.setGone(other)
 		b.seams.Owns = func(string) bool { return false }
 		id := b.open(is, other, time.Hour)
 		c := b.collector()
