--- a/internal/operator/api/change.go
+++ b/internal/operator/api/change.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"context"
 	"fmt"
 	"strconv"
 	"strings"
@@ -63,7 +64,7 @@
 		}
 		base = n
 	}
-	t, err := h.store.Settle(ctx, id, base)
+	t, err := h.store.Settle(context.Background(), id, base) // it has a time limit of its own
 	if err != nil {
 		h.log.Info("A change could not be settled.", "change", id, "err", err)
 		writeError(ctx, resource.Change{ID: id, Base: base}, resource.Outcome{}, err)
--- a/internal/operator/api/handler.go
+++ b/internal/operator/api/handler.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -174,7 +175,7 @@
 		ID: o.Metadata.ChangeID, Op: resource.OpPut, Kind: kind, Name: name,
 		Replaces: o.Metadata.Version, Spec: o.Spec,
 	}
-	out, err := h.submit(ctx, &c)
+	out, err := h.submit(&c)
 	if err != nil {
 		writeError(ctx, c, out, err)
 		return
@@ -239,7 +240,7 @@
 		ID: string(ctx.QueryArgs().Peek("changeId")),
 		Op: resource.OpDelete, Kind: kind, Name: name, Replaces: version,
 	}
-	out, err := h.submit(ctx, &c)
+	out, err := h.submit(&c)
 	if err != nil {
 		writeError(ctx, c, out, err)
 		return
@@ -250,12 +251,12 @@
 }
 
 // submit gives the change an id where it has none and waits for its outcome.
-func (h *Handler) submit(ctx *fasthttp.RequestCtx, c *resource.Change) (resource.Outcome, error) {
+func (h *Handler) submit(c *resource.Change) (resource.Outcome, error) {
 	if c.ID == "" {
 		c.ID = uuid.Must(uuid.NewV7()).String()
 	}
 	c.Base = h.store.View().Offset()
-	out, err := h.store.Submit(ctx, *c)
+	out, err := h.store.Submit(context.Background(), *c) // it has a time limit of its own
 	if err != nil {
 		h.log.Info("A change was not accepted.", "change", c.ID, "op", c.Op, "kind", c.Kind, "name", c.Name, "err", err)
 		return out, err
@@ -274,6 +275,11 @@
 			Code: "invalid", Field: "metadata.changeId", Value: c.ID, Allowed: "an id that no other change has",
 			Message: "Another change has this id; nothing was changed.", ChangeID: c.ID,
 		})
+	case fault.Is(err, resource.KindVoided):
+		write(ctx, fasthttp.StatusConflict, Error{
+			Code: "voided", ChangeID: c.ID,
+			Message: "The change takes no effect: " + cause(err) + ". Apply it with another id.",
+		})
 	case fault.Is(err, resource.KindInUse):
 		write(ctx, fasthttp.StatusConflict, Error{
 			Code: "in_use", Current: out.Current(),
--- a/internal/operator/config/submit.go
+++ b/internal/operator/config/submit.go
@@ -41,18 +41,13 @@
 	return s.submit(ctx, from, c, rec)
 }
 
-var (
-	errReused = errors.New("another change has this id")
-	errVoided = errors.New("the change was voided before it reached the log")
-)
+var errReused = errors.New("another change has this id")
 
 // known is what a change gets whose id has a fate.
 func known(t resource.Fate, c resource.Change) error {
 	switch {
 	case t.Fingerprint != 0 && t.Fingerprint != c.Fingerprint():
 		return fail("submit", KindReused, errReused)
-	case t.Result == resource.ResultVoided:
-		return fail("submit", KindRejected, errVoided)
 	case !t.Accepted():
 		return fail("submit", KindRejected, t.Err())
 	default:
--- a/internal/operator/resource/errors.go
+++ b/internal/operator/resource/errors.go
@@ -20,6 +20,8 @@
 	KindInUse Kind = "in use"
 	// KindSettled is the kind of a change whose id has a fate already.
 	KindSettled Kind = "settled"
+	// KindVoided is the kind of a change that was voided first, or came too late.
+	KindVoided Kind = "voided"
 	// KindSnapshot is the kind of a snapshot that can't be used.
 	KindSnapshot Kind = "bad snapshot"
 	// KindRecord is the kind of a log record that can't be decoded.
--- a/internal/operator/resource/fate.go
+++ b/internal/operator/resource/fate.go
@@ -81,6 +81,8 @@
 		kind = KindInUse
 	case ResultInvalid:
 		kind = KindInvalid
+	case ResultVoided, ResultExpired:
+		kind = KindVoided
 	}
 	return fail("apply", kind, errors.New(string(f.Result)))
 }
--- a/internal/operator/resource/fold.go
+++ b/internal/operator/resource/fold.go
@@ -110,7 +110,7 @@
 	}
 	err, result := error(nil), ResultExpired
 	if offset > c.Base+Window {
-		err = fail("apply", KindConflict, errExpired)
+		err = fail("apply", KindVoided, errExpired)
 	} else {
 		err = f.apply(offset, c)
 		result = resultOf(err)
