Place the entry's prompts with the scheduler

Cause: the daemon still used the first policy.

Change: placement.Place submits to the scheduler of the deployment, waits in its queue, and holds a group or takes a slot before it grants. Slot, Cached and Entries are seams without a provider yet.

--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -107,7 +107,7 @@
 	s.startConfig(logger)
 	s.startPeers(logger)
 	s.fleet = fleet.New(s.cfg.Network, s.store.View, logger)
-	s.placer = placement.New(owner, s.cfg.FailureDomain, s.fleet, logger)
+	s.placer = placement.New(owner, s.cfg.FailureDomain, s.fleet, placement.Seams{View: s.store.View, Metrics: s.metrics.scope}, logger)
 	s.openai = openai.NewHandler(openai.Seams{View: s.store.View, Place: s.placer.Place, Hold: s.hold}, s.metrics.scope, logger)
 	s.service = service.NewHandler(s.cfg.Network, s.store.View, s.metrics.scope, logger)
 	s.api = api.NewHandler(s.store, api.Seams{Authorized: s.authorized, InForce: s.peers.InForce}, logger)
--- a/internal/prompt/bench/dogwoodmill.go
+++ b/internal/prompt/bench/dogwoodmill.go
@@ -112,7 +112,7 @@
 func (o *ours) ended(r *request, why reason) {
 	t := o.tickets[r]
 	if why == reasonUnsent && t.Grouped() {
-		o.pool.HoldFailed(t)
+		o.pool.HoldFailed(t, "")
 		return
 	}
 	delete(o.tickets, r)
--- a/internal/prompt/group/members.go
+++ b/internal/prompt/group/members.go
@@ -17,13 +17,17 @@
 	memoryShare = 0.95
 	// domainShare is the share of a failure domain's engines that groups may take.
 	domainShare = 0.6
+	// minBound is how many engines a group may have even in a small failure domain.
+	minBound = 3
 )
 
 // Share returns a member's tokens of a prompt that n members run.
 func Share(need, n int) int { return (need + n - 1) / n }
 
 // Bound returns how many engines of a failure domain groups may take at once.
-func Bound(engines int) int { return int(math.Ceil(domainShare * float64(engines))) }
+func Bound(engines int) int {
+	return max(int(math.Ceil(domainShare*float64(engines))), min(engines, minBound))
+}
 
 func fits(e *model.Engine, share int) bool {
 	return float64(share) <= memoryShare*float64(e.Memory())
@@ -48,11 +52,12 @@
 
 // Members returns the smallest set of engines of a failure domain that can hold
 // the need now, in order of their names, which is the same at every entry. Taken
-// is how many engines of the domain this entry's groups have already.
-func Members(domain []*model.Engine, need, taken int, now time.Time) []*model.Engine {
+// is how many engines of the domain this entry's groups have already, and tried
+// names the engines that are left out.
+func Members(domain []*model.Engine, need, taken int, tried map[string]bool, now time.Time) []*model.Engine {
 	var idle []*model.Engine
 	for _, e := range domain {
-		if e.Usable(now) && !e.RunsBig(now) {
+		if e.Usable(now) && !e.RunsBig(now) && !tried[e.Name()] {
 			idle = append(idle, e)
 		}
 	}
--- a/internal/prompt/model/engine.go
+++ b/internal/prompt/model/engine.go
@@ -151,10 +151,13 @@
 }
 
 // maxFailures is the number of failed polls in a row after which an engine is left out.
-const maxFailures = 2
+const maxFailures = 3
 
-// total returns the prefill tokens of everybody, as predicted for the time.
-func (e *Engine) total(now time.Time) int {
+// Reported returns the time of the newest report, zero where none came.
+func (e *Engine) Reported() time.Time { return e.report.At }
+
+// Total returns the prefill tokens of everybody, as predicted for the time.
+func (e *Engine) Total(now time.Time) int {
 	t := max(0, e.report.PrefillTokens-int(now.Sub(e.report.At).Seconds()*e.Rate()*drainShare))
 	for _, c := range e.changes {
 		t += c.prompt
@@ -172,14 +175,14 @@
 
 // Backlog returns the prefill tokens that go before a new prompt of the class.
 func (e *Engine) Backlog(now time.Time, c length.Class) int {
-	total := e.total(now)
+	total := e.Total(now)
 	others := min(max(0, total-e.own(length.Long)), othersAhead[c])
 	return min(total, e.own(c)+others)
 }
 
 // RunsBig reports whether a big prefill runs or waits there.
 func (e *Engine) RunsBig(now time.Time) bool {
-	return e.bigs > 0 || e.total(now)-e.own(length.Medium) > bigBacklog
+	return e.bigs > 0 || e.Total(now)-e.own(length.Medium) > bigBacklog
 }
 
 // Free returns the tokens of memory that are free at the time.
--- a/internal/prompt/placement/placement.go
+++ b/internal/prompt/placement/placement.go
@@ -1,30 +1,38 @@
-// Package placement chooses the engine, or the group of engines, that runs a prompt.
+// Package placement gives each prompt of an entry its engine, or its group of
+// engines: it joins the decisions of the scheduler with what the entry knows of
+// the engines and with the calls that hold their memory.
 package placement
 
 import (
-	"cmp"
 	"context"
-	"fmt"
-	"slices"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/circuit"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/model"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/queue"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/retry"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/rule"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/scheduler"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/size"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
 )
 
 const (
-	retryAfter = 2 * time.Second
-	// defaultMemory stands for an engine whose memory nobody told, in tokens.
-	defaultMemory = 100_000
-	// shortTokens is the longest prompt that engines run first.
-	shortTokens = 4_000
-	// priorities of streams at an engine
-	priorityShort  = 2
-	priorityMedium = 1
+	// Bounds of the requests that wait.
+	maxWaiting      = 4096
+	maxWaitingBytes = 512 << 20
+	// dispatchEvery is how often what waits is looked at where nothing changes.
+	dispatchEvery = 50 * time.Millisecond
+	// maxSkew is the largest difference of an engine's clock that is believed.
+	maxSkew = 30 * time.Second
 )
 
 // Prompt is a request to place.
@@ -39,157 +47,230 @@
 	Deadline   time.Time
 }
 
+// Seams are what a placer asks of the rest of the entry. All but View may be nil.
+type Seams struct {
+	View func() *resource.View
+	// Slot takes the right to run a long prefill at an upstream from whoever
+	// grants it. An error means that the upstream has none free.
+	Slot func(ctx context.Context, upstream string, tokens int) (release func(), err error)
+	// Cached returns how many leading blocks an upstream probably has cached.
+	Cached func(upstream string, blocks []uint64) int
+	// Entries returns how many live entries share the engines.
+	Entries func() int
+	Metrics tally.Scope
+}
+
 // Placer places prompts. Its methods may be called from any goroutine.
 type Placer struct {
-	owner  engine.Owner
-	domain string
-	fleet  *fleet.Fleet
-	log    *log.Logger
+	owner   engine.Owner
+	domain  string
+	fleet   *fleet.Fleet
+	seams   Seams
+	log     *log.Logger
+	metrics tally.Scope
+	sizes   *size.Estimator
+
+	mu      sync.Mutex
+	shared  scheduler.Shared
+	pools   map[string]*pool         // by deployment
+	engines map[string]*model.Engine // by upstream
+	ticking bool
+}
 
-	mu          sync.Mutex
-	outstanding map[string]int // tokens by engine
+// pool is the scheduler of a deployment as it was configured last.
+type pool struct {
+	*scheduler.Pool
+	deployment *resource.Deployment
+	engines    map[string]*fleet.Engine
 }
 
 // New returns a placer for the entry of the owner in the failure domain.
-func New(owner engine.Owner, domain string, f *fleet.Fleet, logger *log.Logger) *Placer {
-	return &Placer{owner: owner, domain: domain, fleet: f, log: logger.WithPrefix("placement"), outstanding: map[string]int{}}
+func New(owner engine.Owner, domain string, f *fleet.Fleet, seams Seams, logger *log.Logger) *Placer {
+	p := &Placer{
+		owner: owner, domain: domain, fleet: f, seams: seams,
+		log: logger.WithPrefix("placement"), metrics: tally.NoopScope, sizes: size.New(),
+		shared: scheduler.Shared{
+			Bounds: queue.NewBounds(maxWaiting, maxWaitingBytes), Retries: retry.New(), Running: rule.NewCounter(),
+		},
+		pools: map[string]*pool{}, engines: map[string]*model.Engine{},
+	}
+	if seams.Metrics != nil {
+		p.metrics = seams.Metrics.SubScope("placement")
+	}
+	return p
 }
 
-// Grant is the right to run a prompt at an engine. Done must be called once.
-type Grant struct {
-	placer *Placer
+// Tokens returns the number of tokens that a text probably has for the deployment.
+func (p *Placer) Tokens(deployment, text string) int { return p.sizes.Tokens(deployment, text) }
+
+// waiter is a request between its arrival and its grant.
+type waiter struct {
 	prompt Prompt
-	engine *fleet.Engine
-	group  *group // nil for one engine
-	cost   int
+	pool   *pool
+	ticket *scheduler.Ticket
+	ready  chan struct{}
+	takes  int // times that it was given engines
 }
 
-// Place chooses an engine that is not among the tried ones, by name.
+// Place returns the right to run a prompt at an engine that is not among the
+// tried ones, by name. It may wait. Where the context ends before, the place in
+// the queue is given up. An error is a refusal: nothing ran.
 func (p *Placer) Place(ctx context.Context, pr Prompt, tried map[string]bool) (*Grant, error) {
-	engines := slices.DeleteFunc(p.fleet.Of(pr.Deployment), func(e *fleet.Engine) bool {
-		l, _, failures := e.Load()
-		return tried[e.Client().Name()] || l.Leaving || failures > 2
-	})
-	if len(engines) == 0 {
-		return nil, fail("place", KindNoEngine, fmt.Errorf("deployment %q", pr.Deployment.Name()))
+	w, err := p.submit(pr, tried)
+	for err == nil {
+		if err = p.await(ctx, w); err != nil {
+			break
+		}
+		var g *Grant
+		if g, err = p.take(ctx, w); g != nil {
+			p.metrics.Tagged(map[string]string{"class": w.ticket.Class().String()}).Counter("placed").Inc(1)
+			return g, nil
+		}
 	}
-	need := pr.Tokens + pr.MaxTokens
-	fits := slices.DeleteFunc(slices.Clone(engines), func(e *fleet.Engine) bool { return need > memory(e) })
-	if len(fits) == 0 {
-		return p.placeGroup(ctx, pr, engines)
+	p.count(err)
+	return nil, err
+}
+
+func (p *Placer) count(err error) {
+	kind := "other"
+	for _, k := range []Kind{KindNoEngine, KindTooLarge, KindBusy, KindTooLate, KindQueueFull, KindRule, KindRetries, KindGone} {
+		if fault.Is(err, k) {
+			kind = string(k)
+		}
 	}
-	return p.grant(pr, p.least(fits), nil), nil
+	p.metrics.Tagged(map[string]string{"kind": kind}).Counter("refused").Inc(1)
 }
 
-// least returns the engine with the fewest outstanding tokens, of those of the
-// own failure domain first.
-func (p *Placer) least(engines []*fleet.Engine) *fleet.Engine {
+func (p *Placer) submit(pr Prompt, tried map[string]bool) (*waiter, error) {
+	view := p.seams.View()
+	dep := pr.Deployment.Name()
+	tokens := pr.Tokens
+	if pr.Text != "" {
+		tokens = p.sizes.Tokens(dep, pr.Text)
+	}
+	job := scheduler.Job{
+		ID: pr.ID, Workspace: pr.Workspace, Tokens: tokens, MaxTokens: pr.MaxTokens,
+		Output: p.sizes.Output(pr.Workspace, pr.MaxTokens), Bytes: len(pr.Text),
+		Deadline: pr.Deadline, Tried: tried,
+		Verdict: rule.Judge(view.Rules(), pr.Workspace, dep, tokens),
+	}
+	if ws := view.Workspace(pr.Workspace); ws != nil {
+		job.Weight = ws.Spec().Weight
+	}
+	if p.seams.Cached != nil {
+		job.Blocks = blocks(pr.Text)
+	}
+	w := &waiter{prompt: pr, ready: make(chan struct{}, 1)}
+	job.Notify = func() { w.ready <- struct{}{} } // once for each wait: never blocks
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.MinFunc(engines, func(a, b *fleet.Engine) int {
-		return cmp.Or(
-			cmp.Compare(p.outstanding[a.Client().Name()], p.outstanding[b.Client().Name()]),
-			cmp.Compare(p.distance(a), p.distance(b)),
-		)
-	})
+	w.pool = p.pool(pr.Deployment)
+	var err error
+	if w.ticket, err = w.pool.Submit(job); err != nil {
+		return nil, err
+	}
+	if w.ticket.Placed() {
+		w.ready <- struct{}{}
+	}
+	p.tickLater()
+	return w, nil
 }
 
-func (p *Placer) distance(e *fleet.Engine) int {
-	if e.Upstream().Spec().FailureDomain == p.domain {
-		return 0
+// await waits until the request is given engines or refused.
+func (p *Placer) await(ctx context.Context, w *waiter) error {
+	left := false
+	select {
+	case <-w.ready:
+	case <-ctx.Done():
+		left = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if left {
+		w.pool.Leave(w.ticket)
+		w.pool.Dispatch()
 	}
-	return 1
+	return w.ticket.Err()
 }
 
-func (p *Placer) grant(pr Prompt, e *fleet.Engine, g *group) *Grant {
-	gr := &Grant{placer: p, prompt: pr, engine: e, group: g, cost: pr.Tokens + pr.MaxTokens}
+func (p *Placer) end(w *waiter, out scheduler.Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.outstanding[e.Client().Name()] += gr.cost
-	return gr
+	w.pool.Done(w.ticket, out)
+	w.pool.Dispatch()
 }
 
-// Engine returns the engine to open the stream at.
-func (g *Grant) Engine() *engine.Client { return g.engine.Client() }
-
-// Request returns the engine's request for the stream id.
-func (g *Grant) Request(stream string) engine.Request {
-	r := engine.Request{
-		Stream:    stream,
-		Owner:     g.placer.owner,
-		Model:     g.prompt.Deployment.Spec().Model,
-		Prompt:    g.prompt.Text,
-		MaxTokens: g.prompt.MaxTokens,
-		Priority:  priority(g.prompt.Tokens),
-		Seed:      g.prompt.Seed,
-	}
-	if g.group != nil {
-		r.Hold, r.Group = g.group.leader(), g.group.size()
+// tickLater looks again at what waits after a while. The lock is held.
+func (p *Placer) tickLater() {
+	if p.ticking || p.waiting() == 0 {
+		return
 	}
-	return r
+	p.ticking = true
+	time.AfterFunc(dispatchEvery, p.tick)
 }
 
-// Outcome tells what became of a grant.
-type Outcome struct {
-	Err   error         // nil where the answer was whole
-	Usage *engine.Usage // where the engine told it
+func (p *Placer) tick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ticking = false
+	for _, pl := range p.pools {
+		pl.Dispatch()
+	}
+	p.metrics.Gauge("waiting").Update(float64(p.waiting()))
+	p.tickLater()
 }
 
-// FirstToken notes that the first token came: the engine's prefill is over.
-func (g *Grant) FirstToken() {
-	g.placer.mu.Lock()
-	defer g.placer.mu.Unlock()
-	g.placer.outstanding[g.engine.Client().Name()] -= g.prompt.Tokens
-	g.cost -= g.prompt.Tokens
-}
+func (p *Placer) waiting() int { return p.shared.Bounds.Count() }
 
-// Done ends the grant and releases what it holds.
-func (g *Grant) Done(Outcome) {
-	if g.group != nil {
-		g.group.close()
+// pool returns the scheduler of a deployment, with the engines of its newest
+// configuration. The lock is held.
+func (p *Placer) pool(d *resource.Deployment) *pool {
+	pl := p.pools[d.Name()]
+	if pl == nil {
+		pl = &pool{Pool: scheduler.New(scheduler.Settings{
+			Domain: p.domain, Now: time.Now, Rand: rand.IntN, Cached: p.seams.Cached, Entries: p.seams.Entries,
+		}, p.shared)}
+		p.pools[d.Name()] = pl
 	}
-	g.placer.mu.Lock()
-	defer g.placer.mu.Unlock()
-	name := g.engine.Client().Name()
-	g.placer.outstanding[name] -= g.cost
-	if g.placer.outstanding[name] == 0 {
-		delete(g.placer.outstanding, name)
+	if pl.deployment == d {
+		return pl
 	}
-}
-
-// State is the placer's part of the state dump: outstanding tokens by engine.
-type State struct {
-	OutstandingTokens map[string]int `json:"outstandingTokens"`
-}
-
-// State returns the placer's part of the state dump.
-func (p *Placer) State() State {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	st := State{OutstandingTokens: map[string]int{}}
-	for name, n := range p.outstanding {
-		st.OutstandingTokens[name] = n
+	pl.deployment = d
+	old := pl.engines
+	pl.engines = map[string]*fleet.Engine{}
+	var engines []*model.Engine
+	for _, e := range p.fleet.Of(d) {
+		name := e.Client().Name()
+		pl.engines[name] = e
+		engines = append(engines, p.engine(e, old[name] != nil && old[name] != e))
 	}
-	return st
+	pl.SetEngines(engines)
+	return pl
 }
 
-func memory(e *fleet.Engine) int {
-	if n := e.Upstream().Spec().MemoryTokens; n > 0 {
-		return n
+// engine returns the model of an engine, a new one where the engine has moved.
+func (p *Placer) engine(e *fleet.Engine, moved bool) *model.Engine {
+	name, spec := e.Client().Name(), e.Upstream().Spec()
+	m := p.engines[name]
+	if m == nil || moved {
+		m = model.NewEngine(name, spec.FailureDomain, spec.MemoryTokens, spec.PrefillRate, circuit.New(rand.Float64))
+		p.engines[name] = m
 	}
-	if l, reported, _ := e.Load(); !reported.IsZero() {
-		return l.MemoryTotal
-	}
-	return defaultMemory
+	m.Configure(spec.FailureDomain, spec.MemoryTokens, spec.PrefillRate)
+	m.Source = func() model.Report { return report(e) }
+	return m
 }
 
-func priority(tokens int) int {
-	switch {
-	case tokens <= shortTokens:
-		return priorityShort
-	case tokens <= 8*shortTokens:
-		return priorityMedium
-	default:
-		return 0
+// report returns an engine's newest report. Its time is the engine's own where
+// the clocks agree.
+func report(e *fleet.Engine) model.Report {
+	l, reported, failures := e.Load()
+	at := reported
+	if age := reported.Sub(l.Time); age >= 0 && age < maxSkew {
+		at = l.Time
+	}
+	return model.Report{
+		At: at, Running: l.Running, Queued: l.Queued, PrefillTokens: l.PrefillTokens,
+		MemoryUsed: l.MemoryUsed, MemoryTotal: l.MemoryTotal, Leaving: l.Leaving, Failures: failures,
 	}
 }
--- a/internal/prompt/scheduler/place.go
+++ b/internal/prompt/scheduler/place.go
@@ -182,7 +182,7 @@
 			e.Sync()
 		}
 		name := d[0].Domain()
-		members := group.Members(d, t.job.need(), p.groups[name], now)
+		members := group.Members(d, t.job.need(), p.groups[name], t.job.Tried, now)
 		if members == nil {
 			continue
 		}
@@ -215,6 +215,14 @@
 	stretch.Add(ratio)
 }
 
+// Leave ends a ticket whose caller left before it ran, and frees what it has.
+func (p *Pool) Leave(t *Ticket) {
+	p.Done(t, Outcome{})
+	if t.err == nil {
+		t.err = refuse("wait", KindGone, minRetryAfter, "the caller left")
+	}
+}
+
 // Done ends a ticket, placed or waiting, and frees what it has.
 func (p *Pool) Done(t *Ticket, out Outcome) {
 	now := p.cfg.Now()
@@ -224,7 +232,6 @@
 	case stateWaiting:
 		p.lanes[t.class].Remove(t.item)
 		p.clock.Refund(t.job.Workspace, t.weight(), t.work())
-		t.err = refuse("wait", KindGone, minRetryAfter, "the caller left")
 	case statePlaced:
 		p.release(t, now)
 		p.learn(t, out, now)
@@ -273,12 +280,18 @@
 	}
 }
 
-// HoldFailed lets a group's request wait again after its engines could not be held.
-func (p *Pool) HoldFailed(t *Ticket) {
+// HoldFailed lets a request wait again after its engines could not be held. The
+// broken one is the engine that failed, or "" where one was only full.
+func (p *Pool) HoldFailed(t *Ticket, broken string) {
 	if t.state != statePlaced {
 		return
 	}
 	now := p.cfg.Now()
+	for _, e := range t.members {
+		if e.Name() == broken {
+			e.Circuit().Failed(now)
+		}
+	}
 	p.release(t, now)
 	t.state, t.members = stateWaiting, nil
 	t.notBefore = now.Add(holdRetry + seconds(holdRetry.Seconds()*float64(p.cfg.Rand(jitterSteps))/jitterSteps))
--- a/internal/prompt/scheduler/pool.go
+++ b/internal/prompt/scheduler/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -187,6 +188,30 @@
 // Counts returns the totals.
 func (p *Pool) Counts() Counts { return p.counts }
 
+// ClassEstimate is what a pool has learned of a class of length.
+type ClassEstimate struct {
+	Class         string  `json:"class"`
+	Waiting       int     `json:"waiting"`
+	WaitingTokens int     `json:"waitingTokens"`
+	DrainRate     float64 `json:"drainRate"` // tokens a second that leave the queue
+	SentRate      float64 `json:"sentRate"`  // tokens a second sent to engines
+	Stretch       float64 `json:"stretch"`   // time to the first token over that on an idle engine
+}
+
+// Estimates returns what the pool has learned, by class.
+func (p *Pool) Estimates() []ClassEstimate {
+	now := p.cfg.Now()
+	var out []ClassEstimate
+	for c, lane := range p.lanes {
+		out = append(out, ClassEstimate{
+			Class: length.Class(c).String(), Waiting: lane.Len(), WaitingTokens: lane.Work(),
+			DrainRate: math.Round(p.meters[c].Rate()), SentRate: math.Round(p.flows[c].Rate(now)),
+			Stretch: p.stretch[c].Mean(priorStretch),
+		})
+	}
+	return out
+}
+
 // Submit admits a request or refuses it at once. The ticket is placed or waits.
 func (p *Pool) Submit(j Job) (*Ticket, error) {
 	now := p.cfg.Now()
