--- a/internal/prompt/scheduler/pool.go
+++ b/internal/prompt/scheduler/pool.go
@@ -55,6 +55,8 @@
 	lookAhead = 4
 	// holdRetry is the shortest wait after a group could not be held.
 	holdRetry = 250 * time.Millisecond
+	// countEvery is how often the entries are counted.
+	countEvery = time.Second
 	// tooLargeRetry is when to come back where the fleet as it stands is too small.
 	tooLargeRetry = 30 * time.Second
 )
@@ -108,7 +110,9 @@
 	flows   [length.Count]estimate.Flow   // tokens sent
 	gap     estimate.Moving               // seconds between tokens
 	bigs    int                           // big prompts before their first token
-	credit  float64                       // tokens that big prompts may use while shorter ones take most
+	entries int                           // that share the engines, as counted last
+	counted time.Time
+	credit  float64 // tokens that big prompts may use while shorter ones take most
 	credAt  time.Time
 	counts  Counts
 }
@@ -169,11 +173,13 @@
 
 // share returns the prefill tokens a second that are this entry's part.
 func (p *Pool) share() float64 {
-	n := 1
-	if p.cfg.Entries != nil {
-		n = max(1, p.cfg.Entries())
+	if p.cfg.Entries == nil {
+		return p.rate
 	}
-	return p.rate / float64(n)
+	if now := p.cfg.Now(); p.entries == 0 || now.Sub(p.counted) > countEvery {
+		p.entries, p.counted = max(1, p.cfg.Entries()), now
+	}
+	return p.rate / float64(p.entries)
 }
 
 // Waiting returns how many requests wait.
