--- a/internal/caller/openai/call.go
+++ b/internal/caller/openai/call.go
@@ -45,8 +45,9 @@
 	src     *source
 	piece   engine.Piece // the first
 	watcher *watcher
-	held    int64 // bytes of the prompt
-	headed  bool  // the caller has the id
+	held    int64  // bytes of the prompt
+	release func() // gives back what was taken of the workspace's limits; nil for a resumed call
+	headed  bool   // the caller has the id
 	pos     atomic.Int64
 	phase   atomic.Int32
 
@@ -148,12 +149,12 @@
 	switch {
 	case cause == nil && c.headed && fault.Is(err, engine.KindUnknownStream):
 		return unknownResponse()
+	case errors.Is(cause, errCancelled) || cause == nil && errors.Is(err, errCancelled):
+		return cancelled(reply.RanUnknown)
 	case cause == nil:
 		return errorFor(c.src.sent, err)
 	case errors.Is(cause, errGone):
 		return gone(ranBefore(c.src.sent, err))
-	case errors.Is(cause, errCancelled):
-		return cancelled(reply.RanUnknown)
 	case errors.Is(cause, errHandover), errors.Is(cause, errTaken):
 		return leaving(c.id(), ranBefore(c.src.sent, err))
 	default:
