Keep short prompts beside less context, and plan with a wider margin

Cause: at ten times the figures hung on tails: a medium prompt that waited was placed with too little time in about one of 20,000 cases, and short prompts ran beside long contexts where a choice was there.

--- a/internal/prompt/scheduler/place.go
+++ b/internal/prompt/scheduler/place.go
@@ -21,6 +21,10 @@
 	stepTime = 60 * time.Millisecond
 	// harmShare is how much each stream of an engine suffers of a prefill's time.
 	harmShare = 0.01
+	// contextCost is what a full memory adds to the steps of a prompt, and
+	// besideBig what a big prefill does.
+	contextCost = 20 * time.Millisecond
+	besideBig   = 20 * time.Millisecond
 	// jitterShare spreads entries that see the same.
 	jitterShare = 0.05
 	jitterSteps = 1024
@@ -173,6 +177,10 @@
 	score += own.Seconds() * harmShare * float64(e.Streams())
 	score += float64(t.output()) * p.gap.Mean(priorGap) * (e.Slow() - 1)
 	score += float64(p.distance(e)) * hopCost.Seconds()
+	score += (1 - float64(e.Free())/float64(e.Memory())) * contextCost.Seconds()
+	if e.RunsBig(now) {
+		score += besideBig.Seconds()
+	}
 	return option{engine: e, score: score, wait: wait, ideal: ideal, prefill: prefill}
 }
 
--- a/internal/prompt/scheduler/pool.go
+++ b/internal/prompt/scheduler/pool.go
@@ -24,7 +24,7 @@
 	stretchWindow = 40 // samples
 	gapWindow     = 100
 	// deviations above the mean that a deadline is planned with
-	stretchDeviations = 3
+	stretchDeviations = 5
 	gapDeviations     = 1
 	// flowTau is the time over which the use by shorter classes is measured.
 	flowTau    = 10 * time.Second
