--- a/internal/prompt/size/estimator.go
+++ b/internal/prompt/size/estimator.go
@@ -17,7 +17,10 @@
 	outputDeviations = 5
 	// minOutputs is how many answers a workspace needs until its history counts:
 	// the first that end are the short ones.
-	minOutputs      = 25
+	minOutputs = 25
+	// priorOutput is what an answer is planned with until then: callers set
+	// max_tokens far above what they get.
+	priorOutput     = 256
 	minSampleTokens = 16 // shorter prompts tell little about the ratio
 	minRatio        = 0.1
 	maxRatio        = 10
@@ -57,7 +60,7 @@
 	defer e.mu.RUnlock()
 	m := e.output[workspace]
 	if m == nil || m.Samples() < minOutputs {
-		return maxTokens
+		return min(maxTokens, priorOutput)
 	}
 	return max(1, min(int(math.Ceil(m.High(outputDeviations, float64(maxTokens)))), maxTokens))
 }
