--- a/internal/prompt/model/engine.go
+++ b/internal/prompt/model/engine.go
@@ -18,6 +18,9 @@
 	DefaultRate = 10_000
 	// inFlight is how long a send takes until a report counts it.
 	inFlight = 20 * time.Millisecond
+	// Changes that no report counts are forgotten after a while.
+	manyChanges  = 64
+	maxChangeAge = 10 * time.Second
 	// bigBacklog is a backlog from which a big prefill is taken to run.
 	bigBacklog = 32_000 // tokens
 	slowWindow = 20     // samples
@@ -49,6 +52,7 @@
 	class   length.Class
 	prompt  int // tokens to prefill
 	reserve int // tokens of memory
+	at      time.Time
 	first   bool
 }
 
@@ -74,6 +78,7 @@
 	reserve int               // own tokens of memory
 	count   int               // own sends that are not over
 	changes []change          // since the report
+	since   change            // their sum
 	slow    estimate.Moving
 	circuit *circuit.Breaker
 }
@@ -132,7 +137,25 @@
 // Report takes a load report.
 func (e *Engine) Report(r Report) {
 	e.report = r
-	e.changes = slices.DeleteFunc(e.changes, func(c change) bool { return c.at.Add(inFlight).Before(r.At) })
+	e.forget(r.At.Add(-inFlight))
+}
+
+// forget drops the changes before a time.
+func (e *Engine) forget(before time.Time) {
+	e.changes = slices.DeleteFunc(e.changes, func(c change) bool {
+		old := c.at.Before(before)
+		if old {
+			e.since.reserve -= c.reserve
+			e.since.prompt -= c.prompt
+		}
+		return old
+	})
+}
+
+func (e *Engine) change(c change) {
+	e.changes = append(e.changes, c)
+	e.since.reserve += c.reserve
+	e.since.prompt += c.prompt
 }
 
 // Sync takes the source's newest report.
@@ -159,10 +182,7 @@
 // Total returns the prefill tokens of everybody, as predicted for the time.
 func (e *Engine) Total(now time.Time) int {
 	t := max(0, e.report.PrefillTokens-int(now.Sub(e.report.At).Seconds()*e.Rate()*drainShare))
-	for _, c := range e.changes {
-		t += c.prompt
-	}
-	return t
+	return t + e.since.prompt
 }
 
 func (e *Engine) own(upTo length.Class) int {
@@ -187,11 +207,7 @@
 
 // Free returns the tokens of memory that are free at the time.
 func (e *Engine) Free() int {
-	used := e.report.MemoryUsed
-	for _, c := range e.changes {
-		used += c.reserve
-	}
-	return e.Memory() - max(used, e.reserve)
+	return e.Memory() - max(e.report.MemoryUsed+e.since.reserve, e.reserve)
 }
 
 // Streams returns how many streams run or wait there.
@@ -205,14 +221,17 @@
 
 // Send counts a prompt of a class as sent. Its prefill is what is not cached.
 func (e *Engine) Send(now time.Time, c length.Class, prefill, reserve int) *Send {
-	s := &Send{engine: e, class: c, prompt: prefill, reserve: reserve}
+	s := &Send{engine: e, class: c, prompt: prefill, reserve: reserve, at: now}
 	e.prefill[c] += prefill
 	if s.class.Big() {
 		e.bigs++
 	}
 	e.reserve += reserve
 	e.count++
-	e.changes = append(e.changes, change{at: now, reserve: reserve, prompt: prefill})
+	if len(e.changes) > manyChanges {
+		e.forget(now.Add(-maxChangeAge))
+	}
+	e.change(change{at: now, reserve: reserve, prompt: prefill})
 	return s
 }
 
@@ -223,6 +242,9 @@
 	}
 	s.first = true
 	s.engine.prefill[s.class] -= s.prompt
+	if !s.at.Add(inFlight).Before(s.engine.report.At) { // the report has not counted the prompt
+		s.engine.change(change{at: s.at, prompt: -s.prompt})
+	}
 	if s.class.Big() {
 		s.engine.bigs--
 	}
@@ -234,5 +256,5 @@
 	e := s.engine
 	e.reserve -= s.reserve
 	e.count--
-	e.changes = append(e.changes, change{at: now, reserve: -s.reserve})
+	e.change(change{at: now, reserve: -s.reserve})
 }
--- a/internal/prompt/queue/queue_test.go
+++ b/internal/prompt/queue/queue_test.go
@@ -22,49 +22,58 @@
 	is.True(x.Push("c", 1, 1, 60) != nil)
 }
 
+// plain is a queue and what it has to hold.
+type plain struct {
+	bounds *queue.Bounds
+	queue  *queue.Queue[int]
+	items  map[int]*queue.Item[int]
+	work   map[int]int
+	next   int
+}
+
+func (p *plain) push(t *rapid.T) {
+	p.next++
+	w := rapid.IntRange(0, 9).Draw(t, "work")
+	it := p.queue.Push(p.next, float64(rapid.IntRange(0, 5).Draw(t, "key")), w, 10)
+	if (it == nil) != (len(p.items) >= 8) {
+		t.Fatalf("push with %d items: %v", len(p.items), it)
+	}
+	if it != nil {
+		p.items[p.next], p.work[p.next] = it, w
+	}
+}
+
+func (p *plain) remove(t *rapid.T) {
+	n := rapid.IntRange(1, p.next+1).Draw(t, "n")
+	it := p.items[n]
+	if it == nil {
+		t.Skip("not there")
+	}
+	if !p.queue.Remove(it) || p.queue.Remove(it) {
+		t.Fatal("an item is there once")
+	}
+	delete(p.items, n)
+}
+
+func (p *plain) check(t *rapid.T) {
+	q, total := p.queue, 0
+	for i := range q.Len() {
+		total += p.work[q.At(i).Value()]
+		if i > 0 && q.At(i).Key() < q.At(i-1).Key() {
+			t.Fatal("out of order")
+		}
+	}
+	n := len(p.items)
+	if q.Len() != n || p.bounds.Count() != n || p.bounds.Bytes() != 10*n || q.Work() != total {
+		t.Fatalf("%d items, queue %d, count %d, bytes %d, work %d of %d", n, q.Len(), p.bounds.Count(), p.bounds.Bytes(), q.Work(), total)
+	}
+}
+
 // TestRapidQueue compares a queue with a plain list.
 func TestRapidQueue(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := queue.NewBounds(8, 1000)
-		q := queue.New[int](b)
-		items := map[int]*queue.Item[int]{}
-		work := map[int]int{}
-		next := 0
-		t.Repeat(map[string]func(*rapid.T){
-			"push": func(t *rapid.T) {
-				next++
-				w := rapid.IntRange(0, 9).Draw(t, "work")
-				it := q.Push(next, float64(rapid.IntRange(0, 5).Draw(t, "key")), w, 10)
-				if (it == nil) != (len(items) >= 8) {
-					t.Fatalf("push with %d items: %v", len(items), it)
-				}
-				if it != nil {
-					items[next], work[next] = it, w
-				}
-			},
-			"remove": func(t *rapid.T) {
-				n := rapid.IntRange(1, next+1).Draw(t, "n")
-				it := items[n]
-				if it == nil {
-					t.Skip("not there")
-				}
-				if !q.Remove(it) || q.Remove(it) {
-					t.Fatal("an item is there once")
-				}
-				delete(items, n)
-			},
-			"": func(t *rapid.T) {
-				total := 0
-				for i := range q.Len() {
-					total += work[q.At(i).Value()]
-					if i > 0 && q.At(i).Key() < q.At(i-1).Key() {
-						t.Fatal("out of order")
-					}
-				}
-				if q.Len() != len(items) || b.Count() != len(items) || b.Bytes() != 10*len(items) || q.Work() != total {
-					t.Fatalf("%d items, queue %d, count %d, bytes %d, work %d of %d", len(items), q.Len(), b.Count(), b.Bytes(), q.Work(), total)
-				}
-			},
-		})
+		p := &plain{bounds: b, queue: queue.New[int](b), items: map[int]*queue.Item[int]{}, work: map[int]int{}}
+		t.Repeat(map[string]func(*rapid.T){"push": p.push, "remove": p.remove, "": p.check})
 	})
 }
