--- a/internal/entry/server/configlog.go
+++ b/internal/entry/server/configlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/charmbracelet/log"
 
@@ -9,6 +10,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/configrelay"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/configwire"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/membership"
 	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
 )
 
@@ -22,6 +24,7 @@
 	changes   *logservice.Appender
 	snapshots *logservice.Appender
 	relay     *configrelay.Relay
+	peers     atomic.Pointer[peers]
 }
 
 // ConfigLogState is the part of the state dump about the ways to the log.
@@ -36,12 +39,13 @@
 	c := &s.configLog
 	c.client = logservice.NewClient(s.cfg.Network, s.cfg.LogURL)
 	c.limiter = logservice.NewLimiter(logservice.DefaultEntryAppends)
-	c.changes = logservice.NewAppender(logservice.AppenderConfig{Append: c.client.Appends(resource.Stream), Limiter: c.limiter})
+	c.changes = logservice.NewAppender(logservice.AppenderConfig{Append: c.client.Appends(resource.Stream), Limiter: c.limiter, RetryFor: configrelay.RetryFor})
 	c.snapshots = logservice.NewAppender(logservice.AppenderConfig{Append: c.client.Appends(config.SnapshotStream), Limiter: c.limiter})
 	c.relay = configrelay.New(configrelay.Seams{
 		Read:   c.client.Reads(resource.Stream),
 		Append: c.changes.Append,
 		Peers:  s.configPeers,
+		Rank:   s.readerRank,
 		Do:     s.link.Do,
 	})
 	s.store = config.NewStore(config.Seams{
@@ -50,24 +54,67 @@
 		ReadSnapshots:  c.client.ReadsFew(config.SnapshotStream, snapshotPage),
 		AppendSnapshot: c.snapshots.Append,
 		PeerState:      c.relay.PeerState,
+		Rank:           s.writerRank,
 	}, config.Settings{Retention: s.cfg.LogRetention}, logger)
 	s.link.Handle(configwire.ConfigRelayPathPrefix, configrelay.NewServer(configrelay.ServerSeams{
 		Records: s.store.Records,
 		State:   s.store.Encoded,
 		Append:  func(ctx context.Context, rec []byte) (uint64, error) { return c.changes.Append(ctx, rec) },
-		Source:  func() (int, bool) { return c.relay.Hops(), s.store.Healthy() },
+		Source:  c.relay.Source,
 	}))
 }
 
+// joinConfig lets the configuration use what is known of the other entries. Until
+// then the seeds are asked.
+func (s *Server) joinConfig() { s.configLog.peers.Store(s.peers) }
+
 // configPeers returns the entries that the configuration can be had from.
 func (s *Server) configPeers() []configrelay.Peer {
 	var out []configrelay.Peer
+	if p := s.configLog.peers.Load(); p != nil {
+		for _, e := range p.Peers() {
+			if e.VM() != s.cfg.VM && e.State() != membership.StateGone {
+				out = append(out, configrelay.Peer{VM: e.VM(), Address: e.Address(), Own: e.Domain() == s.cfg.FailureDomain})
+			}
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
 	for _, addr := range s.cfg.Seeds {
-		out = append(out, configrelay.Peer{VM: addr, Address: addr})
+		if addr != s.PeerAddr() {
+			out = append(out, configrelay.Peer{VM: addr, Address: addr})
+		}
 	}
 	return out
 }
 
+// readerRank returns this entry's place among the live ones of its failure domain.
+func (s *Server) readerRank() (rank, of int) {
+	if p := s.configLog.peers.Load(); p != nil {
+		return p.Rank()
+	}
+	return 0, 1
+}
+
+// writerRank returns this entry's place among all live entries: the first ones of
+// each failure domain come before the second ones.
+func (s *Server) writerRank() (rank, of int) {
+	p := s.configLog.peers.Load()
+	if p == nil {
+		return 0, 1
+	}
+	rank, of = p.Rank()
+	domains, before := 1, 0
+	for _, d := range p.node.Summaries() {
+		domains++
+		if d.GetDomain() < s.cfg.FailureDomain {
+			before++
+		}
+	}
+	return rank*domains + before, of * domains
+}
+
 func (s *Server) stopConfig() {
 	s.configLog.changes.Close()
 	s.configLog.snapshots.Close()
--- a/internal/peer/membership/node.go
+++ b/internal/peer/membership/node.go
@@ -21,19 +21,21 @@
 
 const (
 	beatEvery    = time.Second
-	randomEvery  = 2 * time.Second
+	randomEvery  = 3 * time.Second
 	probeTimeout = 250 * time.Millisecond
 	directTries  = 5
 	reachHelpers = 2
 	reachTimeout = 3 * probeTimeout
 	pushFan      = 4
+	spreadTime   = time.Millisecond
+	closeDice    = 100 // number of the random numbers of Close
 	pushGap      = 100 * time.Millisecond
 	// isolatedAfter is how long no call succeeds until all others count as suspect.
 	isolatedAfter = 3 * time.Second
 	isolatedMin   = 4 // live entries; among fewer each one is suspected by itself
 	// An entry reports at most once in reportPerEntry for each live entry of its
 	// failure domain, so that the bytes do not grow with it.
-	reportPerEntry = 100 * time.Millisecond
+	reportPerEntry = 200 * time.Millisecond
 	reportLeast    = time.Second
 	offsetEvery    = 200 * time.Millisecond
 	// In a small failure domain a new offset is told at once.
@@ -60,9 +62,10 @@
 	List func(ctx context.Context) ([]vmlist.VM, error)
 	// Offset returns the offset of the configuration in force here.
 	Offset func() uint64
-	// Report fills in the demands and, while bytes are left, the loads that this
-	// entry reports.
-	Report func(r *memberwire.Report, left int)
+	// Report fills in the demands that this entry tells.
+	Report func(r *memberwire.Report)
+	// Loads fills in the loads of its upstreams while bytes are left.
+	Loads func(r *memberwire.Report, left int)
 	// Spent returns the bytes that this entry spent on control beside the link.
 	Spent func() int64
 	// Spare tells what the failure domain can take over from others.
@@ -82,9 +85,9 @@
 	stop   context.CancelFunc
 
 	mu        sync.Mutex
-	rand      *rand.Rand
 	table     *table
 	reports   *feed[*memberwire.Report]
+	loads     *feed[*memberwire.Report]
 	summaries *feed[*memberwire.Summary]
 	cursors   map[string]*cursor
 	clients   map[string]memberwire.Member
@@ -93,7 +96,6 @@
 	budget    budget
 	started   time.Time
 	contacted time.Time // when a call last succeeded
-	reported  time.Time
 	suspected int64
 
 	settled    []string // entries that own duties, of a state of the table and a time
@@ -109,8 +111,8 @@
 		now:       time.Now,
 		kicked:    make(chan struct{}, 1),
 		done:      make(chan struct{}),
-		rand:      rand.New(rand.NewPCG(cfg.Rand, cfg.Incarnation)),
 		reports:   newFeed[*memberwire.Report](),
+		loads:     newFeed[*memberwire.Report](),
 		summaries: newFeed[*memberwire.Summary](),
 		cursors:   map[string]*cursor{},
 		clients:   map[string]memberwire.Member{},
@@ -129,20 +131,22 @@
 func (n *Node) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
+	n.publish()
 	go n.run(ctx)
 }
 
 // run runs the duties and waits for them.
 func (n *Node) run(ctx context.Context) {
 	defer close(n.done)
-	duties := []func(context.Context){
-		func(ctx context.Context) { n.watch(ctx, 0) },
-		func(ctx context.Context) { n.watch(ctx, 1) },
+	duties := []func(context.Context, *rand.Rand){
+		func(ctx context.Context, r *rand.Rand) { n.watch(ctx, r, 0) },
+		func(ctx context.Context, r *rand.Rand) { n.watch(ctx, r, 1) },
 		n.wander, n.push, n.join, n.follow, n.report, n.bridge,
 	}
 	var wg sync.WaitGroup
-	for _, duty := range duties {
-		wg.Go(func() { duty(ctx) })
+	for i, duty := range duties {
+		r := n.dice(uint64(i))
+		wg.Go(func() { duty(ctx, r) })
 	}
 	wg.Wait()
 }
@@ -160,7 +164,7 @@
 	n.mu.Lock()
 	n.table.tell(memberwire.State_GONE, n.table.self.GetSeq()+1)
 	n.mu.Unlock()
-	n.tellSome(context.Background())
+	n.tellSome(context.Background(), n.dice(closeDice))
 	n.stop()
 	<-n.done
 }
@@ -188,16 +192,23 @@
 	return n.budget.left(c.Sent()+c.Received()+n.cfg.Spent(), n.now())
 }
 
+// dice returns the random numbers of a duty, which are its own so that a run in
+// virtual time can be repeated.
+func (n *Node) dice(duty uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(n.cfg.Rand+duty, n.cfg.Incarnation))
+}
+
 // jitter returns a time within a tenth of d.
-func (n *Node) jitter(d time.Duration) time.Duration {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return d - d/10 + time.Duration(n.rand.Int64N(int64(d/5)+1))
+func jitter(r *rand.Rand, d time.Duration) time.Duration {
+	return d - d/10 + time.Duration(r.Int64N(int64(d/5)+1))
 }
 
-// watch probes a successor in the ring, again and again.
-func (n *Node) watch(ctx context.Context, slot int) {
-	for wait(ctx, n.jitter(beatEvery)) {
+// spread returns a moment, so that calls made together don't leave at once.
+func spread(r *rand.Rand) time.Duration { return time.Duration(r.Int64N(int64(spreadTime))) }
+
+// watch probes a successor in the ring, again and again, the near one more often.
+func (n *Node) watch(ctx context.Context, r *rand.Rand, slot int) {
+	for wait(ctx, jitter(r, beatEvery*time.Duration(1+slot))) {
 		n.mu.Lock()
 		next := successors(n.table.live(), n.cfg.VM)
 		var p *memberwire.Peer
@@ -206,23 +217,23 @@
 		}
 		n.mu.Unlock()
 		if p != nil {
-			n.check(ctx, targetOf(p), true)
+			n.check(ctx, r, targetOf(p), true)
 		}
 	}
 }
 
 // wander probes entries at random, half of the time such that can't be reached.
-func (n *Node) wander(ctx context.Context) {
-	for wait(ctx, n.jitter(randomEvery)) {
-		if p, live := n.anyone(); p != nil && live {
-			n.check(ctx, targetOf(p), false)
+func (n *Node) wander(ctx context.Context, r *rand.Rand) {
+	for wait(ctx, jitter(r, randomEvery)) {
+		if p, live := n.anyone(r); p != nil && live {
+			n.check(ctx, r, targetOf(p), false)
 		} else if p != nil {
 			_ = n.exchange(ctx, targetOf(p), false) // it was known not to answer
 		}
 	}
 }
 
-func (n *Node) anyone() (p *memberwire.Peer, live bool) {
+func (n *Node) anyone(r *rand.Rand) (p *memberwire.Peer, live bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var up, down []*memberwire.Peer
@@ -235,20 +246,20 @@
 			up = append(up, p)
 		}
 	}
-	if len(down) > 0 && (len(up) == 0 || n.rand.IntN(2) == 0) {
-		return down[n.rand.IntN(len(down))], false
+	if len(down) > 0 && (len(up) == 0 || r.IntN(2) == 0) {
+		return down[r.IntN(len(down))], false
 	}
 	if len(up) > 0 {
-		return up[n.rand.IntN(len(up))], true
+		return up[r.IntN(len(up))], true
 	}
 	return nil, false
 }
 
 // reached reports whether one of several probes succeeds. After the second miss
 // others are asked to probe as well.
-func reached(direct func() bool, ask func() (answer func() bool)) bool {
+func reached(tries int, direct func() bool, ask func() (answer func() bool)) bool {
 	indirect := func() bool { return false }
-	for i := range directTries {
+	for i := range tries {
 		if direct() {
 			return true
 		}
@@ -260,10 +271,11 @@
 }
 
 // check probes an entry and suspects it where nobody reaches it.
-func (n *Node) check(ctx context.Context, to target, full bool) {
+func (n *Node) check(ctx context.Context, r *rand.Rand, to target, full bool) {
 	ok := reached(
+		directTries,
 		func() bool { return n.probe(ctx, to, full) },
-		func() func() bool { return n.askOthers(ctx, to) },
+		func() func() bool { return n.askOthers(ctx, r, to) },
 	)
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -289,12 +301,14 @@
 }
 
 // askOthers has some entries probe another one. The answer waits for them.
-func (n *Node) askOthers(ctx context.Context, to target) (answer func() bool) {
+func (n *Node) askOthers(ctx context.Context, r *rand.Rand, to target) (answer func() bool) {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
-	helpers := n.some(reachHelpers, to.vm)
+	helpers := n.some(r, reachHelpers, to.vm)
 	answers := make(chan bool, len(helpers))
 	for _, h := range helpers {
+		pause := spread(r)
 		go func() {
+			wait(ctx, pause)
 			r, err := n.client(h.address).Reach(ctx, &memberwire.ReachRequest{Vm: to.vm, Address: to.address})
 			answers <- err == nil && r.GetReached()
 		}()
@@ -310,7 +324,7 @@
 }
 
 // some returns up to so many other live entries at random.
-func (n *Node) some(count int, but string) []target {
+func (n *Node) some(r *rand.Rand, count int, but string) []target {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var out []target
@@ -319,38 +333,42 @@
 			out = append(out, targetOf(p))
 		}
 	}
-	n.rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	r.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out[:min(count, len(out))]
 }
 
 // push tells urgent news to some entries at once, and each of them does so in turn.
-func (n *Node) push(ctx context.Context) {
+func (n *Node) push(ctx context.Context, r *rand.Rand) {
 	for {
 		select {
 		case <-n.kicked:
 		case <-ctx.Done():
 			return
 		}
-		wait(ctx, n.jitter(pushGap/5))
-		n.tellSome(ctx)
-		wait(ctx, n.jitter(pushGap))
+		wait(ctx, jitter(r, pushGap/5))
+		n.tellSome(ctx, r)
+		wait(ctx, jitter(r, pushGap))
 	}
 }
 
-func (n *Node) tellSome(ctx context.Context) {
+func (n *Node) tellSome(ctx context.Context, r *rand.Rand) {
 	var wg sync.WaitGroup
-	for _, to := range n.some(pushFan, "") {
-		wg.Go(func() { _ = n.exchange(ctx, to, false) }) // heartbeats repeat what was lost
+	for _, to := range n.some(r, pushFan, "") {
+		pause := spread(r)
+		wg.Go(func() {
+			wait(ctx, pause)
+			_ = n.exchange(ctx, to, false) // heartbeats repeat what was lost
+		})
 	}
 	wg.Wait()
 }
 
 // join contacts seeds and listed entries until another entry is met, and a random
 // one of them from time to time, so that parts that lost each other meet again.
-func (n *Node) join(ctx context.Context) {
+func (n *Node) join(ctx context.Context, r *rand.Rand) {
 	delay := joinFirst
 	for ctx.Err() == nil {
-		for _, to := range n.candidates() {
+		for _, to := range n.candidates(r) {
 			if err := n.exchange(ctx, to, true); err == nil {
 				break
 			}
@@ -360,12 +378,12 @@
 		} else {
 			delay = rejoinEvery
 		}
-		wait(ctx, n.jitter(delay))
+		wait(ctx, jitter(r, delay))
 	}
 }
 
 // candidates returns addresses of entries that are not known as live, in random order.
-func (n *Node) candidates() []target {
+func (n *Node) candidates(r *rand.Rand) []target {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	known := map[string]bool{n.cfg.Address: true}
@@ -385,7 +403,7 @@
 			out = append(out, target{address: c.address})
 		}
 	}
-	n.rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	r.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out
 }
 
@@ -403,45 +421,53 @@
 
 // report publishes what this entry tells about itself: a new offset soon, all else
 // at its pace.
-func (n *Node) report(ctx context.Context) {
-	var due time.Time
-	offset := n.cfg.Offset()
+func (n *Node) report(ctx context.Context, r *rand.Rand) {
+	offset, due := n.cfg.Offset(), n.now().Add(jitter(r, reportLeast))
 	for {
 		if next := n.cfg.Offset(); next != offset || !n.now().Before(due) {
 			offset = next
-			due = n.now().Add(n.jitter(n.publish()))
+			due = n.now().Add(jitter(r, n.publish()))
 		}
-		if !wait(ctx, n.jitter(offsetEvery)) {
+		if !wait(ctx, jitter(r, offsetEvery)) {
 			return
 		}
 	}
 }
 
-// publish puts out a report where it differs from the last one or that is old. It
-// returns the time until the next one.
+// publish puts out what is new of this entry. It returns the time until the next one.
 func (n *Node) publish() time.Duration {
 	n.mu.Lock()
 	left := n.budgetLeft()
 	n.mu.Unlock()
 	r := &memberwire.Report{Vm: n.cfg.VM, Incarnation: n.cfg.Incarnation, Offset: n.cfg.Offset()}
-	n.cfg.Report(r, left)
+	n.cfg.Report(r)
+	l := &memberwire.Report{Vm: n.cfg.VM, Incarnation: n.cfg.Incarnation}
+	n.cfg.Loads(l, left)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.forget()
 	n.measure()
-	every := max(reportLeast, reportPerEntry*time.Duration(len(n.table.live())))
-	old, known := n.reports.get(n.cfg.VM)
-	r.Version = old.GetVersion()
-	if known && proto.Equal(old, r) && n.now().Sub(n.reported) < reportRefresh {
-		return every
-	}
-	if r.GetOffset() != old.GetOffset() && len(n.table.live()) <= pushOffsets {
+	old, _ := n.reports.get(n.cfg.VM)
+	if n.putOwn(n.reports, r) && r.GetOffset() != old.GetOffset() && len(n.table.live()) <= pushOffsets {
 		n.urgent()
 	}
+	n.putOwn(n.loads, l)
+	return max(reportLeast, reportPerEntry*time.Duration(len(n.table.live())))
+}
+
+// putOwn puts out a report of this entry where it differs from the last one or that
+// is old.
+func (n *Node) putOwn(f *feed[*memberwire.Report], r *memberwire.Report) bool {
+	it := f.items[n.cfg.VM]
+	if it != nil {
+		r.Version = it.val.GetVersion()
+		if proto.Equal(it.val, r) && n.now().Sub(it.at) < reportRefresh {
+			return false
+		}
+	}
 	r.Version++
-	n.reported = n.now()
-	n.reports.put(n.cfg.VM, r, n.cfg.VM, n.now())
-	return every
+	f.put(n.cfg.VM, r, n.cfg.VM, n.now())
+	return true
 }
 
 // forget drops what is kept of entries that are gone for long.
@@ -452,7 +478,9 @@
 			delete(n.cursors, vm)
 		}
 	}
-	n.reports.drop(func(it *item[*memberwire.Report]) bool { return n.now().Sub(it.at) >= forgetAfter })
+	old := func(it *item[*memberwire.Report]) bool { return n.now().Sub(it.at) >= forgetAfter }
+	n.reports.drop(old)
+	n.loads.drop(old)
 	if len(n.clients) > maxClients {
 		clear(n.clients)
 	}
