--- a/internal/prompt/scheduler/place.go
+++ b/internal/prompt/scheduler/place.go
@@ -28,6 +28,8 @@
 	// jitterShare spreads entries that see the same.
 	jitterShare = 0.05
 	jitterSteps = 1024
+	// riskShare is the share of a big prompt's time from which medium ones give way.
+	riskShare = 0.05
 	// minBlocks is the number of blocks from which a cached prefix is looked for.
 	minBlocks = 4
 	// blockTokens is the length of a block.
@@ -87,12 +89,22 @@
 	case c.Big():
 		return p.credit > 0 || !p.busy()
 	case c == length.Medium:
-		return p.bigs == 0 || p.use(length.Large) <= mediumUse
+		return p.use(length.Large) <= mediumUse || !p.bigAtRisk(now)
 	default:
 		return true
 	}
 }
 
+// bigAtRisk reports whether a big prompt under way has used up much of its time.
+func (p *Pool) bigAtRisk(now time.Time) bool {
+	for t := range p.bigs {
+		if float64(now.Sub(t.placedAt)) > riskShare*float64(t.job.Deadline.Sub(t.placedAt)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Pool) grant(t *Ticket, members []*model.Engine, prefill int, now time.Time) {
 	t.state, t.members, t.placedAt = statePlaced, members, now
 	t.sends = t.sends[:0]
@@ -101,7 +113,7 @@
 		e.Circuit().Sent(now)
 	}
 	if t.class.Big() {
-		p.bigs++
+		p.bigs[t] = struct{}{}
 	}
 	if t.class.Big() && p.busy() {
 		p.credit -= float64(prefill * len(members))
@@ -153,7 +165,7 @@
 	if !e.Usable(now) || t.job.Tried[e.Name()] {
 		return option{}
 	}
-	if e.Free() < t.job.need()+int(keepFree[t.class]*float64(e.Memory())) && e.Streams() > 0 || t.job.need() > e.Memory() {
+	if !roomFor(t, e) {
 		return option{}
 	}
 	if t.class.Big() && e.RunsBig(now) {
@@ -184,6 +196,14 @@
 	return option{engine: e, score: score, wait: wait, ideal: ideal, prefill: prefill}
 }
 
+// roomFor reports whether an engine's memory has room for a request and leaves
+// what its class leaves to shorter ones. An empty engine takes what it holds.
+func roomFor(t *Ticket, e *model.Engine) bool {
+	free, need := e.Free(), t.job.need()
+	kept := int(keepFree[t.class] * float64(e.Memory()))
+	return free >= need+kept || free >= need && free == e.Memory()
+}
+
 func (p *Pool) placeGroup(t *Ticket, now time.Time) bool {
 	for _, d := range p.domains {
 		for _, e := range d {
@@ -250,7 +270,7 @@
 
 func (p *Pool) prefilled(t *Ticket) {
 	if t.class.Big() {
-		p.bigs--
+		delete(p.bigs, t)
 	}
 }
 
--- a/internal/prompt/scheduler/pool.go
+++ b/internal/prompt/scheduler/pool.go
@@ -109,7 +109,7 @@
 	stretch [length.Count]estimate.Moving // time to the first token over the ideal
 	flows   [length.Count]estimate.Flow   // tokens sent
 	gap     estimate.Moving               // seconds between tokens
-	bigs    int                           // big prompts before their first token
+	bigs    map[*Ticket]struct{}          // big prompts before their first token
 	entries int                           // that share the engines, as counted last
 	counted time.Time
 	credit  float64 // tokens that big prompts may use while shorter ones take most
@@ -128,7 +128,7 @@
 
 // New returns a pool without engines.
 func New(cfg Settings, shared Shared) *Pool {
-	p := &Pool{cfg: cfg, shared: shared, epoch: cfg.Now(), groups: map[string]int{}, clock: fair.NewClock(), gap: estimate.NewMoving(gapWindow)}
+	p := &Pool{cfg: cfg, shared: shared, epoch: cfg.Now(), groups: map[string]int{}, bigs: map[*Ticket]struct{}{}, clock: fair.NewClock(), gap: estimate.NewMoving(gapWindow)}
 	for c := range p.lanes {
 		p.lanes[c] = queue.New[*Ticket](shared.Bounds)
 		p.stretch[c] = estimate.NewMoving(stretchWindow)
