Let the tests of the daemon wait for idle entries before they stop them

Cause: a caller has the last byte of its answer a little before the entry counts the request as ended; a test that stopped the entry at once, as at a second signal, sometimes found one request in progress (TestMillionTokens).

Change: the clean-up waits until the entry is idle; it still fails where a request never ends.

--- a/internal/command/cli/cli_test.go
+++ b/internal/command/cli/cli_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/golden"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
+	"github.com/dogwoodmill/dogwoodmill/internal/entry/server"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/engine"
 )
 
@@ -49,6 +50,7 @@
 		now, cancel := context.WithCancel(context.Background())
 		cancel()
 		for _, s := range w.entries {
+			awaitIdle(t, s)
 			if err := s.Shutdown(now); err != nil {
 				t.Errorf("shutdown: %v", err)
 			}
@@ -60,6 +62,17 @@
 	return w
 }
 
+// awaitIdle waits until the entry has ended the requests whose answers were read:
+// a caller has the last byte a little before that.
+func awaitIdle(t *testing.T, s *server.Server) {
+	t.Helper()
+	for end := time.Now().Add(time.Minute); s.State().Busy > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s still has %d requests", s.VM(), s.State().Busy)
+		}
+	}
+}
+
 // freePorts returns a network in which the ports of the entries are always free:
 // each listens on a port that the machine chose.
 func freePorts() *netio.Network {
