Hold a long answer in memory only for those who wait for it

Cause: while the log was down each finished order kept its whole answer, up to 16 MiB, until its outcome could be appended.

Change: 5 s after its end a flight keeps what the log would keep.

Measured: TestLongAnswerIsNotHeldForAnOutage.

--- a/internal/caller/service/order.go
+++ b/internal/caller/service/order.go
@@ -54,6 +54,7 @@
 	if err != nil {
 		return orderError(err)
 	}
+	h.metrics.Counter("orders_answered").Inc(1)
 	if answer.GetOmitted() > 0 {
 		return &reply.Error{
 			Status: fasthttp.StatusGone, Type: "invalid_request_error", Code: "answer_not_kept", Ran: reply.RanPartial,
--- a/internal/order/executor/executor.go
+++ b/internal/order/executor/executor.go
@@ -35,6 +35,9 @@
 	settleWait = time.Second
 	// voidWait bounds the time that a caller waits for a void to be recorded.
 	voidWait = 2 * time.Second
+	// wholeAnswer is how long an answer that is too long for the log stays in memory,
+	// for the calls that waited for it.
+	wholeAnswer = 5 * time.Second
 	// pendingLimit is the age of an intent at which its holder counts as lost.
 	pendingLimit = 11 * time.Minute
 	// lostCheck is the time between two looks at whether a holder is lost.
@@ -82,8 +85,30 @@
 type flight struct {
 	fingerprint ledger.Fingerprint
 	done        chan struct{} // closed when answer and err are set
-	answer      *ledger.StoredAnswer
-	err         error
+
+	mu     sync.Mutex
+	answer *ledger.StoredAnswer
+	err    error
+}
+
+func (f *flight) end(answer *ledger.StoredAnswer, err error) {
+	f.trim(answer)
+	f.err = err
+	close(f.done)
+}
+
+// trim replaces the answer, by what the log keeps of it.
+func (f *flight) trim(answer *ledger.StoredAnswer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answer = answer
+}
+
+// result returns what came of a flight that has ended.
+func (f *flight) result() (*ledger.StoredAnswer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answer, f.err
 }
 
 // Executor executes orders. Its methods may be called from any goroutine.
@@ -156,14 +181,18 @@
 	if !leads {
 		return f.join(ctx, o.Fingerprint)
 	}
-	recorded := x.lead(ctx, o, send, f)
-	close(f.done)
-	if recorded == nil {
+	t := &try{x: x, shelf: x.shelf(o.Workspace, o.Key), order: o, send: send}
+	answer, err := t.run(ctx)
+	f.end(answer, err)
+	if t.unrecorded == nil {
 		x.land(k, f)
-		return f.answer, f.err
+		return answer, err
 	}
-	x.recorder.add(recorded, func() { x.land(k, f) })
-	return f.answer, f.err
+	if kept := t.unrecorded.GetAnswer(); kept.GetOmitted() > 0 {
+		time.AfterFunc(wholeAnswer, func() { f.trim(kept) })
+	}
+	x.recorder.add(t.unrecorded, func() { x.land(k, f) })
+	return answer, err
 }
 
 // board returns the flight of the key, and whether the caller leads it.
@@ -199,20 +228,12 @@
 	}
 	select {
 	case <-f.done:
-		return f.answer, f.err
+		return f.result()
 	case <-ctx.Done():
 		return nil, fail("join", KindPending, ctx.Err())
 	}
 }
 
-// lead sets the flight's answer and error. It returns the record that still has
-// to be appended, or nil.
-func (x *Executor) lead(ctx context.Context, o Order, send Send, f *flight) *ledger.Record {
-	t := &try{x: x, shelf: x.shelf(o.Workspace, o.Key), order: o, send: send}
-	f.answer, f.err = t.run(ctx)
-	return t.unrecorded
-}
-
 // check refuses a key that this entry may not know, or whose time has not come.
 func (x *Executor) check(s *shelf, key uuid.UUID) error {
 	now, at := x.seams.Now(), ledger.KeyTime(key)
--- a/internal/order/executor/failures_test.go
+++ b/internal/order/executor/failures_test.go
@@ -1,6 +1,7 @@
 package executor_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/order/executor"
+	"github.com/dogwoodmill/dogwoodmill/internal/order/ledger"
 )
 
 const patience = 30 * time.Second
@@ -171,3 +173,25 @@
 		is.NoErr(m.order(1).err)
 	})
 }
+
+func TestLongAnswerIsNotHeldForAnOutage(t *testing.T) {
+	scene(t, func(is *is.I, m *machine) {
+		long := make([]byte, ledger.MaxAnswer+1)
+		x := m.w.nodes[0].x
+		o := executor.Order{Workspace: "guild", Key: m.keys[0]}
+		send := func(context.Context) (*ledger.StoredAnswer, bool, error) {
+			m.w.set(func() { m.w.outage = true })
+			return &ledger.StoredAnswer{Status: 200, Body: long}, true, nil
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), testWindow)
+		defer cancel()
+		answer, err := x.Run(ctx, o, send)
+		is.NoErr(err)
+		is.Equal(len(answer.Body), len(long))
+		pass(time.Minute)
+		answer, err = x.Run(ctx, o, send)
+		is.NoErr(err)
+		is.Equal(answer.Omitted, uint64(len(long)))
+		is.Equal(len(answer.Body), 0)
+	})
+}
--- a/internal/order/executor/state.go
+++ b/internal/order/executor/state.go
@@ -93,10 +93,11 @@
 	default:
 		return ledger.StatePending, nil, nil
 	}
+	answer, err := f.result()
 	switch {
-	case f.err == nil:
-		return ledger.StateDone, f.answer, nil
-	case fault.Is(f.err, KindVoid):
+	case err == nil:
+		return ledger.StateDone, answer, nil
+	case fault.Is(err, KindVoid):
 		return ledger.StateVoid, nil, nil
 	default:
 		return ledger.StateLost, nil, nil
