Ask an engine of another failure domain before it gets a prompt

Cause: the owner of an engine tells its own failure domain of a leaving engine within 3 s; entries of other domains polled it every 10 to 20 s. The state machine over the product (two faults: engines leaving, the log losing answers) saw two entries send a prompt to an engine that had been leaving for 9 s.

Change: a grant at an engine of another domain is confirmed by a poll where its report is older than a second, and waits for another engine where that one is leaving or silent. Long prompts take a slot from the engine's owner, and prefixes that entries tell of reach the choice of the engine.

--- a/internal/entry/server/prompts.go
+++ b/internal/entry/server/prompts.go
@@ -11,6 +11,7 @@
 func (s *Server) startPrompts(owner engine.Owner, logger *log.Logger) {
 	s.placer = placement.New(owner, s.cfg.FailureDomain, s.fleet, placement.Seams{
 		View:    s.store.View,
+		Slot:    s.peers.Slot,
 		Entries: func() int { return s.peers.InForce(0).Of },
 		Metrics: s.metrics.scope,
 	}, logger)
--- a/internal/prompt/placement/grant.go
+++ b/internal/prompt/placement/grant.go
@@ -16,8 +16,13 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/fleet"
 )
 
-// blockBytes is the length of text in a block of an engine's prefix cache.
-const blockBytes = 1024
+const (
+	// blockBytes is the length of text in a block of an engine's prefix cache.
+	blockBytes = 1024
+	// spillFresh is the age up to which a report of an engine of another failure
+	// domain is believed.
+	spillFresh = time.Second
+)
 
 // Grant is the right to run a prompt at an engine. Done must be called once.
 type Grant struct {
@@ -44,8 +49,9 @@
 	members := w.ticket.Members()
 	g.engine = w.pool.engines[members[0]]
 	p.mu.Unlock()
-	broken, err := "", error(nil)
+	broken, err := "", p.confirm(ctx, w, members)
 	switch {
+	case err != nil:
 	case w.ticket.Grouped():
 		g.held, err = group.Take(ctx, fmt.Sprintf("%s-%d", w.prompt.ID, w.takes), members, w.ticket.Share(), p.calls(w))
 		if m := (*group.MemberError)(nil); errors.As(err, &m) && engineFailed(ctx, err) {
@@ -69,6 +75,23 @@
 	return nil, nil
 }
 
+// confirm asks the chosen engines of another failure domain whether they take new
+// work: those that look after them tell only their own domain within the limit.
+func (p *Placer) confirm(ctx context.Context, w *waiter, members []string) error {
+	for _, name := range members {
+		p.mu.Lock()
+		e := w.pool.engines[name]
+		p.mu.Unlock()
+		if e.Upstream().Spec().FailureDomain == p.domain {
+			continue
+		}
+		if err := e.Confirm(ctx, spillFresh); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // calls returns the calls of the engines of a waiter's pool.
 func (p *Placer) calls(w *waiter) group.Calls {
 	client := func(upstream string) *engine.Client {
@@ -123,6 +146,24 @@
 	defer p.mu.Unlock()
 	g.waiter.pool.FirstToken(g.waiter.ticket)
 	g.waiter.pool.Dispatch()
+	for _, i := range prefixMarks {
+		if i <= len(g.waiter.blocks) {
+			g.engine.Hit(uint32(g.waiter.blocks[i-1]))
+		}
+	}
+}
+
+// prefixMarks are the lengths of prefixes, in blocks, that entries tell of.
+var prefixMarks = []int{64, 16, 4}
+
+// cached returns how many leading blocks the engine has likely cached.
+func cached(e *fleet.Engine, blocks []uint64) int {
+	for _, i := range prefixMarks {
+		if i <= len(blocks) && e.Cached(uint32(blocks[i-1])) {
+			return i
+		}
+	}
+	return 0
 }
 
 // Done ends the grant and releases what it holds.
--- a/internal/prompt/placement/placement.go
+++ b/internal/prompt/placement/placement.go
@@ -53,8 +53,6 @@
 	// Slot takes the right to run a long prefill at an upstream from whoever
 	// grants it. An error means that the upstream has none free.
 	Slot func(ctx context.Context, upstream string, tokens int) (release func(), err error)
-	// Cached returns how many leading blocks an upstream probably has cached.
-	Cached func(upstream string, blocks []uint64) int
 	// Entries returns how many live entries share the engines.
 	Entries func() int
 	Metrics tally.Scope
@@ -84,6 +82,14 @@
 	engines    map[string]*fleet.Engine
 }
 
+// cached returns how many leading blocks an upstream has likely cached.
+func (pl *pool) cached(upstream string, blocks []uint64) int {
+	if e := pl.engines[upstream]; e != nil {
+		return cached(e, blocks)
+	}
+	return 0
+}
+
 // New returns a placer for the entry of the owner in the failure domain.
 func New(owner engine.Owner, domain string, f *fleet.Fleet, seams Seams, logger *log.Logger) *Placer {
 	p := &Placer{
@@ -106,6 +112,7 @@
 // waiter is a request between its arrival and its grant.
 type waiter struct {
 	prompt Prompt
+	blocks []uint64 // hashes of the prompt's beginnings
 	pool   *pool
 	ticket *scheduler.Ticket
 	ready  chan struct{}
@@ -157,10 +164,8 @@
 	if ws := view.Workspace(pr.Workspace); ws != nil {
 		job.Weight = ws.Spec().Weight
 	}
-	if p.seams.Cached != nil {
-		job.Blocks = blocks(pr.Text)
-	}
-	w := &waiter{prompt: pr, ready: make(chan struct{}, 1)}
+	job.Blocks = blocks(pr.Text)
+	w := &waiter{prompt: pr, blocks: job.Blocks, ready: make(chan struct{}, 1)}
 	job.Notify = func() { w.ready <- struct{}{} } // once for each wait: never blocks
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -227,9 +232,10 @@
 func (p *Placer) pool(d *resource.Deployment) *pool {
 	pl := p.pools[d.Name()]
 	if pl == nil {
-		pl = &pool{Pool: scheduler.New(scheduler.Settings{
-			Domain: p.domain, Now: time.Now, Rand: rand.IntN, Cached: p.seams.Cached, Entries: p.seams.Entries,
-		}, p.shared)}
+		pl = &pool{}
+		pl.Pool = scheduler.New(scheduler.Settings{
+			Domain: p.domain, Now: time.Now, Rand: rand.IntN, Cached: pl.cached, Entries: p.seams.Entries,
+		}, p.shared)
 		p.pools[d.Name()] = pl
 	}
 	if pl.deployment == d {
--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -5,14 +5,17 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/zeebo/errs"
 	"github.com/zeebo/xxh3"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/work"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
@@ -35,12 +38,14 @@
 	strangerRate  = 4.0 // polls a second of engines that others own
 	strangerBurst = 32.0
 	// pollBytes stands for the bytes of a poll both ways.
-	pollBytes   = 400
-	deadPolls   = 3 // failed polls in a row
-	maxLoads    = 32
-	thousand    = 1000
-	loadSteps   = 16 // memory in use is told in such parts
-	prefillStep = 4  // thousands of tokens
+	pollBytes = 400
+	deadPolls = 3 // failed polls in a row
+	// confirmLimit bounds the poll of an engine that a prompt waits for.
+	confirmLimit = 500 * time.Millisecond
+	maxLoads     = 32
+	thousand     = 1000
+	loadSteps    = 16 // memory in use is told in such parts
+	prefillStep  = 4  // thousands of tokens
 )
 
 // Seams are what a fleet asks of the rest of the entry.
@@ -125,6 +130,41 @@
 	e.load, e.reported, e.failures, e.polled = l, time.Now(), 0, true
 }
 
+// Kind classifies the errors of this package.
+type Kind string
+
+// KindUnfit is the kind of an engine that is leaving or can't be reached.
+const KindUnfit Kind = "unfit"
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+var class = errs.Class("fleet")
+
+// Confirm polls the engine where its newest report is older than fresh. It returns
+// an error of KindUnfit where the engine is leaving or does not answer.
+func (e *Engine) Confirm(ctx context.Context, fresh time.Duration) error {
+	if _, reported, _ := e.Load(); time.Since(reported) > fresh {
+		ctx, cancel := context.WithTimeout(ctx, confirmLimit)
+		defer cancel()
+		e.poll(ctx)
+	}
+	l, _, failures := e.Load()
+	switch {
+	case l.Leaving:
+		return fault.New(&class, "confirm", KindUnfit, errLeaving)
+	case failures > 0:
+		return fault.New(&class, "confirm", KindUnfit, errSilent)
+	default:
+		return nil
+	}
+}
+
+var (
+	errLeaving = errors.New("it is leaving")
+	errSilent  = errors.New("it does not answer")
+)
+
 // seen returns what a poll showed of the engine.
 func (e *Engine) seen() membership.State {
 	e.mu.Lock()
--- a/internal/upstream/fleet/fleet_test.go
+++ b/internal/upstream/fleet/fleet_test.go
@@ -3,16 +3,19 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/membership"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/memberwire"
+	standin "github.com/dogwoodmill/dogwoodmill/internal/standin/engine"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
 )
 
@@ -163,3 +166,20 @@
 		is.Equal(f.Spare("b")[0].GetEngines(), uint32(0))
 	})
 }
+
+func TestConfirmAsksAnEngineWhoseReportIsOld(t *testing.T) {
+	is := is.New(t)
+	e := standin.New(standin.Default("engine-1", "m"))
+	defer e.Close()
+	srv := httptest.NewServer(e.Handler())
+	defer srv.Close()
+	stranger := &Engine{client: engine.NewClient(netio.TCP(), "engine-1", srv.Listener.Addr().String())}
+	is.NoErr(stranger.Confirm(t.Context(), time.Minute))
+	e.SetLeaving(true)
+	is.NoErr(stranger.Confirm(t.Context(), time.Hour)) // the report is fresh enough
+	is.True(fault.Is(stranger.Confirm(t.Context(), 0), KindUnfit))
+	e.SetLeaving(false)
+	is.NoErr(stranger.Confirm(t.Context(), 0))
+	e.Die()
+	is.True(fault.Is(stranger.Confirm(t.Context(), 0), KindUnfit))
+}
