--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -80,6 +80,7 @@
 	dead        bool
 	paused      bool
 	leaving     bool
+	leftAt      time.Time // when leaving began
 	slow        float64
 	silencedAt  time.Time
 	loseNext    int
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -70,8 +70,8 @@
 	Stream  string
 	Owner   Owner
 	Time    time.Time
-	Taken   bool // the engine ran it or a part of it
-	Leaving bool // the engine was leaving
+	Taken   bool          // the engine ran it or a part of it
+	Leaving time.Duration // for how long the engine had been leaving
 }
 
 // Opened lists the last maxOpened requests for a stream, in order. It outlives a
@@ -166,7 +166,7 @@
 	defer e.mu.Unlock()
 	s := newStream(req)
 	err := e.check(s)
-	e.remember(Opening{Stream: req.Stream, Owner: req.Owner, Time: time.Now(), Taken: err == nil, Leaving: e.leaving})
+	e.remember(req, err == nil)
 	if err != nil {
 		return err
 	}
@@ -185,7 +185,11 @@
 	return nil
 }
 
-func (e *Engine) remember(o Opening) {
+func (e *Engine) remember(req StreamRequest, taken bool) {
+	o := Opening{Stream: req.Stream, Owner: req.Owner, Time: time.Now(), Taken: taken}
+	if e.leaving {
+		o.Leaving = o.Time.Sub(e.leftAt)
+	}
 	if len(e.opened) == maxOpened {
 		e.opened = e.opened[1:]
 	}
--- a/internal/standin/engine/switches.go
+++ b/internal/standin/engine/switches.go
@@ -39,6 +39,9 @@
 func (e *Engine) SetLeaving(leaving bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if leaving && !e.leaving {
+		e.leftAt = time.Now()
+	}
 	e.leaving = leaving
 }
 
