Poll no engine whose owner still tells of it

Cause: a load that has not changed is not told anew, and after 20 s the other entries took it for stale: in dev an idle engine's report was 14 s old after 16 s, and at 20 s both entries would poll it. With 280 idle engines that is 4 polls a second at each entry, 1.6 KB (computed). Idle engines also fell out of the spare capacity after 40 s.

Change: an engine is stale when its owner's report no longer has it. The age of the load itself stays, so that what was sent since is still counted on top.

Measured: go test ./internal/upstream/fleet: an engine that its owner still tells is not due after 20 s, one that it no longer tells is.

--- a/internal/upstream/fleet/fleet.go
+++ b/internal/upstream/fleet/fleet.go
@@ -27,7 +27,7 @@
 	pollQueue   = 1024
 	// An owner polls often enough that a leaving engine is told within 3 seconds.
 	ownEvery = 2 * time.Second
-	// staleAfter is the age of a report from which others poll the engine, too.
+	// staleAfter is how long nobody tells of an engine until others poll it, too.
 	staleAfter    = 20 * time.Second
 	strangerEvery = 10 * time.Second
 	// retryEvery follows a failed poll until the engine counts as dead.
@@ -65,6 +65,7 @@
 	upstream *resource.Upstream
 	load     engine.Load
 	reported time.Time // zero where no report came yet
+	heard    time.Time // when the report was last known to be the newest
 	failures int       // polls that failed since the last good one
 	due      time.Time // of the next poll
 	polled   bool      // the report is of a poll
@@ -122,7 +123,8 @@
 		e.failures++
 		return
 	}
-	e.load, e.reported, e.failures, e.polled = l, time.Now(), 0, true
+	now := time.Now()
+	e.load, e.reported, e.heard, e.failures, e.polled = l, now, now, 0, true
 }
 
 // seen returns what a poll showed of the engine.
@@ -143,8 +145,9 @@
 func (e *Engine) tell(vm string, version uint32, l *memberwire.Load, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.heard = now
 	if e.teller == vm && e.version == version {
-		return
+		return // a load that has not changed is not told anew
 	}
 	e.teller, e.version, e.polled = vm, version, false
 	e.load = engine.Load{
@@ -326,7 +329,7 @@
 func (e *Engine) ready(owns bool, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !now.Before(e.due) && (owns || now.Sub(e.reported) >= staleAfter)
+	return !now.Before(e.due) && (owns || now.Sub(e.heard) >= staleAfter)
 }
 
 // plan sets the time of the next poll.
--- a/internal/upstream/fleet/fleet_test.go
+++ b/internal/upstream/fleet/fleet_test.go
@@ -49,7 +49,7 @@
 func (e *Engine) polledAs(l engine.Load) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.load, e.reported, e.polled, e.failures = l, time.Now(), true, 0
+	e.load, e.reported, e.heard, e.polled, e.failures = l, time.Now(), time.Now(), true, 0
 }
 
 func TestOwnerPollsAndOthersListen(t *testing.T) {
@@ -79,8 +79,16 @@
 		is.True(!e.ready(false, time.Now()))
 
 		time.Sleep(staleAfter)
-		other.listen(other.engines, time.Now()) // the same report again is no news
+		other.listen(other.engines, time.Now()) // the owner still tells it: nothing has changed
+		is.True(!e.ready(false, time.Now()))
+		_, reported, _ := e.Load()
+		is.Equal(time.Since(reported), staleAfter) // what was sent since is not in it
+		told := report.GetLoads()
+		report.Loads = nil // the owner has gone, or can't reach the engine
+		time.Sleep(staleAfter)
+		other.listen(other.engines, time.Now())
 		is.True(e.ready(false, time.Now()))
+		report.Loads = told
 
 		state = membership.StateLeaving
 		other.listen(other.engines, time.Now())
--- a/internal/upstream/fleet/spare.go
+++ b/internal/upstream/fleet/spare.go
@@ -25,11 +25,11 @@
 
 // addTo adds what the engine can take over, where it serves and its load is known.
 func (e *Engine) addTo(s *memberwire.Spare) {
-	l, reported, failures := e.Load()
+	l, _, failures := e.Load()
 	e.mu.Lock()
-	state := e.state
+	state, heard := e.state, e.heard
 	e.mu.Unlock()
-	if state != membership.StateLive || l.Leaving || failures >= deadPolls || time.Since(reported) >= 2*staleAfter {
+	if state != membership.StateLive || l.Leaving || failures >= deadPolls || time.Since(heard) >= 2*staleAfter {
 		return
 	}
 	s.Engines++
