--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -109,7 +109,7 @@
 	s.startConfig(logger)
 	s.startPeers(logger)
 	s.joinConfig()
-	s.placer = placement.New(owner, s.cfg.FailureDomain, s.fleet, logger)
+	s.startPrompts(owner, logger)
 	s.startStreams(owner, logger)
 	s.startOrders(logger)
 	s.startEngineOrders(logger)
--- a/internal/prompt/scheduler/place.go
+++ b/internal/prompt/scheduler/place.go
@@ -21,9 +21,15 @@
 	stepTime = 60 * time.Millisecond
 	// harmShare is how much each stream of an engine suffers of a prefill's time.
 	harmShare = 0.01
+	// contextCost is what a full memory adds to the steps of a prompt, and
+	// besideBig what a big prefill does.
+	contextCost = 20 * time.Millisecond
+	besideBig   = 20 * time.Millisecond
 	// jitterShare spreads entries that see the same.
 	jitterShare = 0.05
 	jitterSteps = 1024
+	// riskShare is the share of a big prompt's time from which medium ones give way.
+	riskShare = 0.05
 	// minBlocks is the number of blocks from which a cached prefix is looked for.
 	minBlocks = 4
 	// blockTokens is the length of a block.
@@ -83,12 +89,22 @@
 	case c.Big():
 		return p.credit > 0 || !p.busy()
 	case c == length.Medium:
-		return p.bigs == 0 || p.use(length.Large) <= mediumUse
+		return p.use(length.Large) <= mediumUse || !p.bigAtRisk(now)
 	default:
 		return true
 	}
 }
 
+// bigAtRisk reports whether a big prompt under way has used up much of its time.
+func (p *Pool) bigAtRisk(now time.Time) bool {
+	for t := range p.bigs {
+		if float64(now.Sub(t.placedAt)) > riskShare*float64(t.job.Deadline.Sub(t.placedAt)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Pool) grant(t *Ticket, members []*model.Engine, prefill int, now time.Time) {
 	t.state, t.members, t.placedAt = statePlaced, members, now
 	t.sends = t.sends[:0]
@@ -97,7 +113,7 @@
 		e.Circuit().Sent(now)
 	}
 	if t.class.Big() {
-		p.bigs++
+		p.bigs[t] = struct{}{}
 	}
 	if t.class.Big() && p.busy() {
 		p.credit -= float64(prefill * len(members))
@@ -149,7 +165,7 @@
 	if !e.Usable(now) || t.job.Tried[e.Name()] {
 		return option{}
 	}
-	if e.Free() < t.job.need()+int(keepFree[t.class]*float64(e.Memory())) && e.Streams() > 0 || t.job.need() > e.Memory() {
+	if !roomFor(t, e) {
 		return option{}
 	}
 	if t.class.Big() && e.RunsBig(now) {
@@ -173,16 +189,28 @@
 	score += own.Seconds() * harmShare * float64(e.Streams())
 	score += float64(t.output()) * p.gap.Mean(priorGap) * (e.Slow() - 1)
 	score += float64(p.distance(e)) * hopCost.Seconds()
+	score += (1 - float64(e.Free())/float64(e.Memory())) * contextCost.Seconds()
+	if e.RunsBig(now) {
+		score += besideBig.Seconds()
+	}
 	return option{engine: e, score: score, wait: wait, ideal: ideal, prefill: prefill}
 }
 
+// roomFor reports whether an engine's memory has room for a request and leaves
+// what its class leaves to shorter ones. An empty engine takes what it holds.
+func roomFor(t *Ticket, e *model.Engine) bool {
+	free, need := e.Free(), t.job.need()
+	kept := int(keepFree[t.class] * float64(e.Memory()))
+	return free >= need+kept || free >= need && free == e.Memory()
+}
+
 func (p *Pool) placeGroup(t *Ticket, now time.Time) bool {
 	for _, d := range p.domains {
 		for _, e := range d {
 			e.Sync()
 		}
 		name := d[0].Domain()
-		members := group.Members(d, t.job.need(), p.groups[name], now)
+		members := group.Members(d, t.job.need(), p.groups[name], t.job.Tried, now)
 		if members == nil {
 			continue
 		}
@@ -215,6 +243,14 @@
 	stretch.Add(ratio)
 }
 
+// Leave ends a ticket whose caller left before it ran, and frees what it has.
+func (p *Pool) Leave(t *Ticket) {
+	p.Done(t, Outcome{})
+	if t.err == nil {
+		t.err = refuse("wait", KindGone, minRetryAfter, "the caller left")
+	}
+}
+
 // Done ends a ticket, placed or waiting, and frees what it has.
 func (p *Pool) Done(t *Ticket, out Outcome) {
 	now := p.cfg.Now()
@@ -224,7 +260,6 @@
 	case stateWaiting:
 		p.lanes[t.class].Remove(t.item)
 		p.clock.Refund(t.job.Workspace, t.weight(), t.work())
-		t.err = refuse("wait", KindGone, minRetryAfter, "the caller left")
 	case statePlaced:
 		p.release(t, now)
 		p.learn(t, out, now)
@@ -235,7 +270,7 @@
 
 func (p *Pool) prefilled(t *Ticket) {
 	if t.class.Big() {
-		p.bigs--
+		delete(p.bigs, t)
 	}
 }
 
@@ -273,12 +308,18 @@
 	}
 }
 
-// HoldFailed lets a group's request wait again after its engines could not be held.
-func (p *Pool) HoldFailed(t *Ticket) {
+// HoldFailed lets a request wait again after its engines could not be held. The
+// broken one is the engine that failed, or "" where one was only full.
+func (p *Pool) HoldFailed(t *Ticket, broken string) {
 	if t.state != statePlaced {
 		return
 	}
 	now := p.cfg.Now()
+	for _, e := range t.members {
+		if e.Name() == broken {
+			e.Circuit().Failed(now)
+		}
+	}
 	p.release(t, now)
 	t.state, t.members = stateWaiting, nil
 	t.notBefore = now.Add(holdRetry + seconds(holdRetry.Seconds()*float64(p.cfg.Rand(jitterSteps))/jitterSteps))
--- a/internal/prompt/scheduler/pool.go
+++ b/internal/prompt/scheduler/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -23,7 +24,7 @@
 	stretchWindow = 40 // samples
 	gapWindow     = 100
 	// deviations above the mean that a deadline is planned with
-	stretchDeviations = 3
+	stretchDeviations = 5
 	gapDeviations     = 1
 	// flowTau is the time over which the use by shorter classes is measured.
 	flowTau    = 10 * time.Second
@@ -54,6 +55,8 @@
 	lookAhead = 4
 	// holdRetry is the shortest wait after a group could not be held.
 	holdRetry = 250 * time.Millisecond
+	// countEvery is how often the entries are counted.
+	countEvery = time.Second
 	// tooLargeRetry is when to come back where the fleet as it stands is too small.
 	tooLargeRetry = 30 * time.Second
 )
@@ -106,8 +109,10 @@
 	stretch [length.Count]estimate.Moving // time to the first token over the ideal
 	flows   [length.Count]estimate.Flow   // tokens sent
 	gap     estimate.Moving               // seconds between tokens
-	bigs    int                           // big prompts before their first token
-	credit  float64                       // tokens that big prompts may use while shorter ones take most
+	bigs    map[*Ticket]struct{}          // big prompts before their first token
+	entries int                           // that share the engines, as counted last
+	counted time.Time
+	credit  float64 // tokens that big prompts may use while shorter ones take most
 	credAt  time.Time
 	counts  Counts
 }
@@ -123,7 +128,7 @@
 
 // New returns a pool without engines.
 func New(cfg Settings, shared Shared) *Pool {
-	p := &Pool{cfg: cfg, shared: shared, epoch: cfg.Now(), groups: map[string]int{}, clock: fair.NewClock(), gap: estimate.NewMoving(gapWindow)}
+	p := &Pool{cfg: cfg, shared: shared, epoch: cfg.Now(), groups: map[string]int{}, bigs: map[*Ticket]struct{}{}, clock: fair.NewClock(), gap: estimate.NewMoving(gapWindow)}
 	for c := range p.lanes {
 		p.lanes[c] = queue.New[*Ticket](shared.Bounds)
 		p.stretch[c] = estimate.NewMoving(stretchWindow)
@@ -168,11 +173,13 @@
 
 // share returns the prefill tokens a second that are this entry's part.
 func (p *Pool) share() float64 {
-	n := 1
-	if p.cfg.Entries != nil {
-		n = max(1, p.cfg.Entries())
+	if p.cfg.Entries == nil {
+		return p.rate
 	}
-	return p.rate / float64(n)
+	if now := p.cfg.Now(); p.entries == 0 || now.Sub(p.counted) > countEvery {
+		p.entries, p.counted = max(1, p.cfg.Entries()), now
+	}
+	return p.rate / float64(p.entries)
 }
 
 // Waiting returns how many requests wait.
@@ -187,6 +194,30 @@
 // Counts returns the totals.
 func (p *Pool) Counts() Counts { return p.counts }
 
+// ClassEstimate is what a pool has learned of a class of length.
+type ClassEstimate struct {
+	Class         string  `json:"class"`
+	Waiting       int     `json:"waiting"`
+	WaitingTokens int     `json:"waitingTokens"`
+	DrainRate     float64 `json:"drainRate"` // tokens a second that leave the queue
+	SentRate      float64 `json:"sentRate"`  // tokens a second sent to engines
+	Stretch       float64 `json:"stretch"`   // time to the first token over that on an idle engine
+}
+
+// Estimates returns what the pool has learned, by class.
+func (p *Pool) Estimates() []ClassEstimate {
+	now := p.cfg.Now()
+	var out []ClassEstimate
+	for c, lane := range p.lanes {
+		out = append(out, ClassEstimate{
+			Class: length.Class(c).String(), Waiting: lane.Len(), WaitingTokens: lane.Work(),
+			DrainRate: math.Round(p.meters[c].Rate()), SentRate: math.Round(p.flows[c].Rate(now)),
+			Stretch: p.stretch[c].Mean(priorStretch),
+		})
+	}
+	return out
+}
+
 // Submit admits a request or refuses it at once. The ticket is placed or waits.
 func (p *Pool) Submit(j Job) (*Ticket, error) {
 	now := p.cfg.Now()
