--- a/internal/peer/membership/bench_test.go
+++ b/internal/peer/membership/bench_test.go
@@ -391,7 +391,7 @@
 			t.Fatalf("%d of %d entries know", len(all), size.entries)
 		}
 		p99, settle := quantile(all, 0.99), limits.SettleTime(size.entries)
-		fmt.Printf("report_spread entries=%d load=%s p50_ms=%d p99_ms=%d settle_ms=%d\n", size.entries, load,
+		fmt.Printf("spread entries=%d load=%s p50_ms=%d p99_ms=%d settle_ms=%d\n", size.entries, load,
 			quantile(all, 0.5).Milliseconds(), p99.Milliseconds(), settle.Milliseconds())
 		if p99 > settle {
 			t.Errorf("%d entries: a report takes %s, more than the %s that shares wait", size.entries, p99, settle)
