Test that a caller which leaves the queue is noticed

Cause: the tests of callers that leave had none for a request that waits for memory.

Change: a test over sockets; its prompt never reaches the engine.

--- a/internal/entry/server/streams_test.go
+++ b/internal/entry/server/streams_test.go
@@ -410,6 +410,24 @@
 	}
 }
 
+func TestCallerGoneWhileQueued(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, engines(1, func(cfg *engine.Config) { cfg.Memory = 1200 }))
+	b.Engines[0].SetSlow(20)
+	first := b.open(b.entries[0], "exact", promptOf(100)).read(1)
+	conn, err := net.Dial("tcp", b.entries[0].Addr())
+	is.NoErr(err)
+	body := `{"model":"exact","prompt":"second"}`
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", guildKey, len(body), body)
+	is.NoErr(err)
+	b.await("both are in progress", func() bool { return b.entries[0].State().Streams.Open == 2 })
+	is.NoErr(conn.Close())
+	b.await("the second is gone", func() bool { return b.entries[0].State().Streams.Open == 1 })
+	first.close()
+	b.awaitFree()
+	is.Equal(len(b.Engines[0].Opened()), 1) // the second never reached it
+}
+
 func TestNextRequestOnTheConnectionIsServed(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, 1, engines(1, nil))
