Use hints of cached prefixes for placement

Cause: the scheduler's seam for cached prefixes had no provider in the daemon, and the bench did not play hints.

The bench's engines tell a cached prefix 1 s late and lose every fifth hint. Placement tells what an engine has prefilled.

--- a/internal/prompt/bench/dogwoodmill.go
+++ b/internal/prompt/bench/dogwoodmill.go
@@ -41,6 +41,7 @@
 	o.pool = scheduler.New(scheduler.Settings{
 		Domain: domainName(s.domainOf(entry)), Now: o.clock, Rand: r.IntN,
 		Entries: func() int { return len(s.entries) },
+		Cached:  o.cached,
 	}, scheduler.Shared{
 		Bounds: queue.NewBounds(queueCount, queueBytes), Retries: retry.New(), Running: rule.NewCounter(),
 	})
@@ -53,6 +54,25 @@
 	return o
 }
 
+// cached returns the blocks of a prefix that an engine told to have. The first
+// block names the prefix.
+func (o *ours) cached(upstream string, blocks []uint64) int {
+	if o.sim.hints[o.index[upstream]][int(blocks[0])] {
+		return len(blocks)
+	}
+	return 0
+}
+
+// blocksOf returns the blocks of the prefix that a request shares with others.
+func blocksOf(r *request) []uint64 {
+	if r.prefix == 0 {
+		return nil
+	}
+	out := make([]uint64, r.prefixTokens/blockTokens)
+	out[0] = uint64(r.prefix)
+	return out
+}
+
 func domainName(i int) string { return string(rune('a' + i)) }
 
 func (o *ours) clock() time.Time { return at(o.sim.now) }
@@ -67,7 +87,7 @@
 	t, err := o.pool.Submit(scheduler.Job{
 		ID: fmt.Sprint(r.id), Workspace: workspace, Tokens: r.prompt, MaxTokens: r.maxTokens,
 		Output: o.sizes.Output(workspace, r.maxTokens), Bytes: r.prompt * 4,
-		Deadline: at(r.deadline()), Tried: o.tried[r],
+		Blocks: blocksOf(r), Deadline: at(r.deadline()), Tried: o.tried[r],
 		Notify: func() { o.settled(r) },
 	})
 	if err != nil {
--- a/internal/prompt/bench/engine.go
+++ b/internal/prompt/bench/engine.go
@@ -14,6 +14,8 @@
 	stepPerStream  = 150 * time.Microsecond
 	stepPerContext = 8 * time.Nanosecond // for each token of memory in use
 	blockTokens    = 256                 // tokens of a block of the prefix cache
+	hintLag        = time.Second
+	hintGap        = 5 // every fifth hint is lost
 )
 
 // load is a report of an engine, as it was at a time.
@@ -51,6 +53,7 @@
 	parts    []*part // by priority, then arrival
 	used     int
 	cache    []cached // oldest first
+	told     int
 	stepping bool
 	chunks   []chunk
 	decoders []*part
@@ -122,9 +125,18 @@
 		return
 	}
 	e.cache = append(e.cache, cached{prefix: r.prefix, tokens: r.prefixTokens})
+	e.tell(r.prefix)
 	e.shrink()
 }
 
+// tell publishes a cached prefix late and with gaps. An eviction is never told.
+func (e *engine) tell(prefix int) {
+	if e.told++; e.told%hintGap == 0 {
+		return
+	}
+	e.sim.after(hintLag, func() { e.sim.hints[e.id][prefix] = true })
+}
+
 func (e *engine) shrink() {
 	total := 0
 	for _, c := range e.cache {
--- a/internal/prompt/bench/sim.go
+++ b/internal/prompt/bench/sim.go
@@ -102,6 +102,8 @@
 	r       *rand.Rand
 	res     *result
 	open    int // requests that are not over
+	// hints are the prefixes that engines told to have cached, by engine.
+	hints []map[int]bool
 }
 
 func (s *sim) after(d time.Duration, fn func()) {
@@ -122,6 +124,7 @@
 func run(sc scenario, trace []request, newPolicy func(s *sim, entry int) policy) *result {
 	s := &sim{domains: sc.dep.domains, r: rand.New(rand.NewPCG(sc.seed, 7)), res: newResult(sc, trace), open: len(trace)}
 	for i := range sc.dep.engines {
+		s.hints = append(s.hints, map[int]bool{})
 		s.engines = append(s.engines, &engine{id: i, domain: i % sc.dep.domains, sim: s, slow: 1})
 	}
 	for i := range sc.dep.entries {
--- a/internal/prompt/placement/grant.go
+++ b/internal/prompt/placement/grant.go
@@ -119,6 +119,9 @@
 func (g *Grant) FirstToken() {
 	g.release()
 	p := g.placer
+	if p.seams.Ran != nil && g.held == nil {
+		p.seams.Ran(g.engine.Client().Name(), g.waiter.blocks)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g.waiter.pool.FirstToken(g.waiter.ticket)
--- a/internal/prompt/placement/placement.go
+++ b/internal/prompt/placement/placement.go
@@ -55,6 +55,8 @@
 	Slot func(ctx context.Context, upstream string, tokens int) (release func(), err error)
 	// Cached returns how many leading blocks an upstream probably has cached.
 	Cached func(upstream string, blocks []uint64) int
+	// Ran notes that an upstream has prefilled the blocks.
+	Ran func(upstream string, blocks []uint64)
 	// Entries returns how many live entries share the engines.
 	Entries func() int
 	Metrics tally.Scope
@@ -106,6 +108,7 @@
 // waiter is a request between its arrival and its grant.
 type waiter struct {
 	prompt Prompt
+	blocks []uint64 // of the prompt's text, where somebody asks for them
 	pool   *pool
 	ticket *scheduler.Ticket
 	ready  chan struct{}
@@ -157,10 +160,11 @@
 	if ws := view.Workspace(pr.Workspace); ws != nil {
 		job.Weight = ws.Spec().Weight
 	}
+	w := &waiter{prompt: pr, ready: make(chan struct{}, 1)}
 	if p.seams.Cached != nil {
-		job.Blocks = blocks(pr.Text)
+		w.blocks = blocks(pr.Text)
+		job.Blocks = w.blocks
 	}
-	w := &waiter{prompt: pr, ready: make(chan struct{}, 1)}
 	job.Notify = func() { w.ready <- struct{}{} } // once for each wait: never blocks
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/prompt/placement/placement_test.go
+++ b/internal/prompt/placement/placement_test.go
@@ -209,12 +209,16 @@
 
 func TestCachedPrefixIsAHint(t *testing.T) {
 	is := is.New(t)
-	f := newFixture(t, 3, placement.Seams{Cached: func(upstream string, blocks []uint64) int {
-		if upstream == "engine-2" {
-			return len(blocks)
-		}
-		return 0
-	}})
+	ran := map[string]int{}
+	f := newFixture(t, 3, placement.Seams{
+		Cached: func(upstream string, blocks []uint64) int {
+			if upstream == "engine-2" {
+				return len(blocks)
+			}
+			return 0
+		},
+		Ran: func(upstream string, blocks []uint64) { ran[upstream] += len(blocks) },
+	})
 	for i := range 5 {
 		g, err := f.Place(t.Context(), f.prompt(fmt.Sprint(i), 20_000), nil)
 		is.NoErr(err)
@@ -222,4 +226,5 @@
 		g.FirstToken()
 		g.Done(placement.Outcome{})
 	}
+	is.Equal(ran, map[string]int{"engine-2": 5 * 20_000 * 4 / 1024})
 }
