--- a/internal/order/ledger/ledger_test.go
+++ b/internal/order/ledger/ledger_test.go
@@ -19,6 +19,7 @@
 	a1    = ledger.Attempt{VM: "entry-1", Incarnation: 1, Number: 1}
 	a2    = ledger.Attempt{VM: "entry-2", Incarnation: 1, Number: 1}
 	a3    = ledger.Attempt{VM: "entry-1", Incarnation: 2, Number: 1}
+	a4    = ledger.Attempt{VM: "entry-1", Incarnation: 1, Number: 2}
 )
 
 // keyAt returns the n-th UUIDv7 of a time.
@@ -48,14 +49,15 @@
 		ledger.Intent("w", key, a2, ledger.FingerprintOf([]byte("y"))),
 		ledger.Void("w", key, a2),
 		ledger.Void("w", key, a3), // the same VM, another incarnation
+		ledger.Void("w", key, a4), // another attempt of the same one
 		ledger.Outcome("w", key, a2, done),
 	} {
 		is.NoErr(l.Apply(uint64(i+1), start, encode(t, r)))
 		is.Equal(l.Get("w", key).State(), ledger.StatePending)
 		is.Equal(l.Get("w", key).Attempt(), a1)
 	}
-	is.NoErr(l.Apply(6, start, encode(t, ledger.Outcome("w", key, a1, done))))
-	is.NoErr(l.Apply(7, start, encode(t, ledger.Void("w", key, a1))))
+	is.NoErr(l.Apply(7, start, encode(t, ledger.Outcome("w", key, a1, done))))
+	is.NoErr(l.Apply(8, start, encode(t, ledger.Void("w", key, a1))))
 	is.Equal(l.Get("w", key).State(), ledger.StateDone)
 	is.Equal(l.Get("other", key).State(), ledger.StateNone)
 }
