--- a/internal/prompt/placement/grant.go
+++ b/internal/prompt/placement/grant.go
@@ -142,28 +142,13 @@
 func (g *Grant) FirstToken() {
 	g.release()
 	p := g.placer
+	if p.seams.Ran != nil && g.held == nil {
+		p.seams.Ran(g.engine.Client().Name(), g.waiter.blocks)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g.waiter.pool.FirstToken(g.waiter.ticket)
 	g.waiter.pool.Dispatch()
-	for _, i := range prefixMarks {
-		if i <= len(g.waiter.blocks) {
-			g.engine.Hit(uint32(g.waiter.blocks[i-1]))
-		}
-	}
-}
-
-// prefixMarks are the lengths of prefixes, in blocks, that entries tell of.
-var prefixMarks = []int{64, 16, 4}
-
-// cached returns how many leading blocks the engine has likely cached.
-func cached(e *fleet.Engine, blocks []uint64) int {
-	for _, i := range prefixMarks {
-		if i <= len(blocks) && e.Cached(uint32(blocks[i-1])) {
-			return i
-		}
-	}
-	return 0
 }
 
 // Done ends the grant and releases what it holds.
--- a/internal/prompt/placement/placement.go
+++ b/internal/prompt/placement/placement.go
@@ -53,6 +53,10 @@
 	// Slot takes the right to run a long prefill at an upstream from whoever
 	// grants it. An error means that the upstream has none free.
 	Slot func(ctx context.Context, upstream string, tokens int) (release func(), err error)
+	// Cached returns how many leading blocks an upstream probably has cached.
+	Cached func(upstream string, blocks []uint64) int
+	// Ran notes that an upstream has prefilled the blocks.
+	Ran func(upstream string, blocks []uint64)
 	// Entries returns how many live entries share the engines.
 	Entries func() int
 	Metrics tally.Scope
@@ -82,14 +86,6 @@
 	engines    map[string]*fleet.Engine
 }
 
-// cached returns how many leading blocks an upstream has likely cached.
-func (pl *pool) cached(upstream string, blocks []uint64) int {
-	if e := pl.engines[upstream]; e != nil {
-		return cached(e, blocks)
-	}
-	return 0
-}
-
 // New returns a placer for the entry of the owner in the failure domain.
 func New(owner engine.Owner, domain string, f *fleet.Fleet, seams Seams, logger *log.Logger) *Placer {
 	p := &Placer{
@@ -112,7 +108,7 @@
 // waiter is a request between its arrival and its grant.
 type waiter struct {
 	prompt Prompt
-	blocks []uint64 // hashes of the prompt's beginnings
+	blocks []uint64 // of the prompt's text, where somebody asks for them
 	pool   *pool
 	ticket *scheduler.Ticket
 	ready  chan struct{}
@@ -164,8 +160,11 @@
 	if ws := view.Workspace(pr.Workspace); ws != nil {
 		job.Weight = ws.Spec().Weight
 	}
-	job.Blocks = blocks(pr.Text)
-	w := &waiter{prompt: pr, blocks: job.Blocks, ready: make(chan struct{}, 1)}
+	w := &waiter{prompt: pr, ready: make(chan struct{}, 1)}
+	if p.seams.Cached != nil {
+		w.blocks = blocks(pr.Text)
+		job.Blocks = w.blocks
+	}
 	job.Notify = func() { w.ready <- struct{}{} } // once for each wait: never blocks
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -234,7 +233,7 @@
 	if pl == nil {
 		pl = &pool{}
 		pl.Pool = scheduler.New(scheduler.Settings{
-			Domain: p.domain, Now: time.Now, Rand: rand.IntN, Cached: pl.cached, Entries: p.seams.Entries,
+			Domain: p.domain, Now: time.Now, Rand: rand.IntN, Cached: p.seams.Cached, Entries: p.seams.Entries,
 		}, p.shared)
 		p.pools[d.Name()] = pl
 	}
