Fuzz ids with the same id in each process

Cause: FuzzID made its id anew in each process, so that under -fuzz a worker did not know the id of the corpus and failed at once (under go test it passed).

Change: a fixed request id.

--- a/internal/caller/openai/fuzz_test.go
+++ b/internal/caller/openai/fuzz_test.go
@@ -6,6 +6,7 @@
 	"time"
 	"unicode/utf8"
 
+	"github.com/google/uuid"
 	"github.com/matryer/is"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/reply"
@@ -66,10 +67,8 @@
 // FuzzID checks that no text but those that were made for a workspace is an id of it.
 func FuzzID(f *testing.F) {
 	s := newIDSigner("key")
-	rid, err := newResponseID()
-	if err != nil {
-		f.Fatal(err)
-	}
+	// The same in each process that fuzzes.
+	rid := responseID{request: uuid.MustParse("0199aaaa-bbbb-7ccc-8ddd-eeeeeeeeeeee")}
 	rid.engine, rid.deployment, rid.attempt, rid.patience, rid.usage = "engine-1", "assistant", 2, time.Minute, true
 	made := s.encode("guild", &rid)
 	f.Add(made, "guild")
