Let what was learned from an outage fade

Cause: a first token that came late while engines were dead made the learned stretch of short prompts so high that every further one was refused at once; with none placed no sample came that could have lowered it. The state machine over the product found an entry that refused a 50-token prompt 90 s after all faults were over (stretch 31, six prompts placed).

Change: averages of stretch, of the time between tokens and of an engine's slowness move back to their priors where no sample came for 30 s (5 minutes for big prompts). The reasons of a refusal have codes of their own: no_engine, too_late, queue_full, retry_budget, refused_by_rule.

--- a/internal/caller/openai/errors.go
+++ b/internal/caller/openai/errors.go
@@ -22,10 +22,8 @@
 	switch {
 	case sent:
 		return lost(reply.RanUnknown)
-	case fault.Is(err, placement.KindTooLarge):
-		return reply.Overloaded("prompt_too_large_now", "No group of engines can hold the prompt at present.", placement.RetryAfter(err))
 	case errors.As(err, &p):
-		return reply.Overloaded("overloaded", "No engine can take the request at present.", placement.RetryAfter(err))
+		return refused(p.Kind(), placement.RetryAfter(err))
 	case fault.Is(err, engine.KindRefused), fault.Is(err, engine.KindUnsent):
 		return reply.Overloaded("overloaded", "No engine took the request.", placement.RetryAfter(err))
 	default:
@@ -33,6 +31,26 @@
 	}
 }
 
+// refused tells a caller why placement refused its request.
+func refused(kind placement.Kind, after time.Duration) *reply.Error {
+	switch kind {
+	case placement.KindTooLarge:
+		return reply.Overloaded("prompt_too_large_now", "No group of engines can hold the prompt at present.", after)
+	case placement.KindNoEngine:
+		return reply.Overloaded("no_engine", "No engine that serves the model can be reached at present.", after)
+	case placement.KindTooLate:
+		return reply.Overloaded("too_late", "The request waited and can't be answered within its time limit any more.", after)
+	case placement.KindQueueFull:
+		return reply.Overloaded("queue_full", "Too many requests wait at this entry.", after)
+	case placement.KindRetries:
+		return reply.Overloaded("retry_budget", "Engines failed the request, and the workspace's budget of retries is used up.", after)
+	case placement.KindRule:
+		return reply.RateLimited("refused_by_rule", "A rule of the operator refuses the request at present.", after)
+	default:
+		return reply.Overloaded("overloaded", "The request can't be answered within its time limit with the work ahead of it.", after)
+	}
+}
+
 func lost(ran reply.Ran) *reply.Error {
 	return &reply.Error{
 		Status: fasthttp.StatusBadGateway, Type: "server_error", Code: "engine_lost",
--- a/internal/prompt/estimate/moving.go
+++ b/internal/prompt/estimate/moving.go
@@ -13,6 +13,7 @@
 	n      float64
 	mean   float64
 	dev    float64
+	fresh  time.Time // of the last sample, or up to when the average was faded
 }
 
 // NewMoving returns an average over about the given number of samples.
@@ -28,6 +29,26 @@
 	m.mean += w * (x - m.mean)
 }
 
+// AddAt takes a sample of the time, for an average that fades.
+func (m *Moving) AddAt(now time.Time, x float64) {
+	m.fresh = now
+	m.Add(x)
+}
+
+// Fade moves the average towards a value while no samples come: after the time
+// quiet at first, and then by a factor of e in each further quiet. What was learned
+// from a failure must not keep the work away that would show its end.
+func (m *Moving) Fade(now time.Time, quiet time.Duration, towards float64) {
+	over := now.Sub(m.fresh) - quiet
+	if m.n == 0 || over <= 0 {
+		return
+	}
+	keep := math.Exp(-over.Seconds() / quiet.Seconds())
+	m.mean = towards + (m.mean-towards)*keep
+	m.dev *= keep
+	m.fresh = now.Add(-quiet)
+}
+
 // Samples returns how many samples came, up to the window.
 func (m *Moving) Samples() int { return int(m.n) }
 
--- a/internal/prompt/model/engine.go
+++ b/internal/prompt/model/engine.go
@@ -26,6 +26,8 @@
 	slowWindow = 20     // samples
 	minSlow    = 1.5    // less is noise
 	maxSlow    = 50
+	// slowFor is how long an engine of which nothing is heard counts as slow as it was.
+	slowFor = 30 * time.Second
 	// drainShare is the share of the rate at which a backlog is taken to shrink.
 	drainShare = 0.6
 )
@@ -132,7 +134,7 @@
 }
 
 // Observe takes the ratio of a measured time to the predicted one.
-func (e *Engine) Observe(ratio float64) { e.slow.Add(min(ratio, maxSlow)) }
+func (e *Engine) Observe(now time.Time, ratio float64) { e.slow.AddAt(now, min(ratio, maxSlow)) }
 
 // Report takes a load report.
 func (e *Engine) Report(r Report) {
@@ -170,6 +172,7 @@
 
 // Usable reports whether the engine takes work at the time.
 func (e *Engine) Usable(now time.Time) bool {
+	e.slow.Fade(now, slowFor, 1)
 	return !e.report.Leaving && e.report.Failures < maxFailures && e.circuit.Allows(now)
 }
 
--- a/internal/prompt/model/engine_test.go
+++ b/internal/prompt/model/engine_test.go
@@ -62,11 +62,11 @@
 	is := is.New(t)
 	e := newEngine()
 	for range 30 {
-		e.Observe(1.1) // noise
+		e.Observe(now, 1.1) // noise
 	}
 	is.Equal(e.Slow(), 1.0)
 	for range 30 {
-		e.Observe(4)
+		e.Observe(now, 4)
 	}
 	is.True(e.Slow() > 3)
 	is.True(e.Rate() < 20_000/3)
--- a/internal/prompt/scheduler/place.go
+++ b/internal/prompt/scheduler/place.go
@@ -237,10 +237,10 @@
 	ratio := now.Sub(t.placedAt).Seconds() / t.ideal.Seconds()
 	stretch := &p.stretch[t.class]
 	for i, s := range t.sends {
-		t.members[i].Observe(ratio / max(stretch.Mean(ratio), 1))
+		t.members[i].Observe(now, ratio/max(stretch.Mean(ratio), 1))
 		s.FirstToken()
 	}
-	stretch.Add(ratio)
+	stretch.AddAt(now, ratio)
 }
 
 // Leave ends a ticket whose caller left before it ran, and frees what it has.
@@ -297,14 +297,14 @@
 	}
 	if t.firstAt.IsZero() {
 		if ratio := now.Sub(t.placedAt).Seconds() / t.ideal.Seconds(); ratio > p.stretch[t.class].Mean(priorStretch) && !out.Failed {
-			p.stretch[t.class].Add(ratio)
+			p.stretch[t.class].AddAt(now, ratio)
 		}
 		return
 	}
 	if out.Answered && out.Tokens > 1 {
 		gap := now.Sub(t.firstAt).Seconds() / float64(out.Tokens-1)
-		t.members[0].Observe(gap / max(p.gap.Mean(gap), 1e-6))
-		p.gap.Add(gap)
+		t.members[0].Observe(now, gap/max(p.gap.Mean(gap), 1e-6))
+		p.gap.AddAt(now, gap)
 	}
 }
 
--- a/internal/prompt/scheduler/pool.go
+++ b/internal/prompt/scheduler/pool.go
@@ -41,6 +41,9 @@
 	// maxCredit is the most that big prompts save of their share, in tokens.
 	maxCredit    = 100_000
 	priorStretch = 1.5
+	// What was learned fades where no samples came for so long. Big prompts are rare.
+	fadeAfter    = 30 * time.Second
+	fadeBigAfter = 5 * time.Minute
 	priorGap     = 0.06 // seconds between tokens
 	meterTau     = 10 * time.Second
 	meterWeight  = 2 * time.Second
@@ -221,6 +224,7 @@
 // Submit admits a request or refuses it at once. The ticket is placed or waits.
 func (p *Pool) Submit(j Job) (*Ticket, error) {
 	now := p.cfg.Now()
+	p.fade(now)
 	t := &Ticket{job: j, class: length.Of(j.Tokens)}
 	err := p.admit(t, now)
 	if err != nil {
@@ -230,6 +234,18 @@
 	return t, nil
 }
 
+// fade lets go of what was learned long ago.
+func (p *Pool) fade(now time.Time) {
+	p.gap.Fade(now, fadeAfter, priorGap)
+	for c := range p.stretch {
+		quiet := fadeAfter
+		if length.Class(c).Big() {
+			quiet = fadeBigAfter
+		}
+		p.stretch[c].Fade(now, quiet, priorStretch)
+	}
+}
+
 func (p *Pool) admit(t *Ticket, now time.Time) error {
 	if by := t.job.Verdict.RefusedBy(); by != "" {
 		return refuse("admit", KindRule, maxRetryAfter, "rule %q refuses it", by)
--- a/internal/prompt/scheduler/pool_test.go
+++ b/internal/prompt/scheduler/pool_test.go
@@ -458,3 +458,21 @@
 		}
 	}
 }
+
+func TestWhatWasLearnedFromAnOutageDoesNotRefuseForEver(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, 10)
+	for _, took := range []time.Duration{100 * time.Millisecond, 30 * time.Second} {
+		tk, err := f.Submit(f.job("guild", 1_000, 2*time.Minute))
+		is.NoErr(err)
+		f.now = f.now.Add(took)
+		f.FirstToken(tk)
+		f.Done(tk, scheduler.Outcome{Answered: true, Tokens: 100})
+	}
+	_, err := f.Submit(f.job("guild", 1_000, 20*time.Second))
+	is.True(fault.Is(err, scheduler.KindBusy)) // nobody knows yet that it is over
+	f.now = f.now.Add(3 * time.Minute)
+	tk, err := f.Submit(f.job("guild", 1_000, 20*time.Second))
+	is.NoErr(err)
+	is.True(tk.Placed())
+}
--- a/internal/proof/product/product_test.go
+++ b/internal/proof/product/product_test.go
@@ -232,6 +232,12 @@
 	}
 }
 
+// noteState notes what an entry thinks of the engines.
+func (r *run) noteState(i int) {
+	b, err := json.Marshal(r.entries[i].server.State().Placement)
+	r.note("%s: %s %v", entryName(i), b, err)
+}
+
 // checkAlive checks that the product serves again after all that happened.
 func (r *run) checkAlive() {
 	ctx := context.Background()
@@ -239,6 +245,7 @@
 		v := r.send(prompt{id: 1000 + i, entry: i, tokens: 50, maxTokens: 20, patience: 10 * time.Second, stream: true, key: callerKey})
 		if !v.whole {
 			r.broken("%s serves no prompt after quiet: status %d ran=%q code=%q cut=%t", entryName(i), v.status, v.ran, v.code, v.cut)
+			r.noteState(i)
 		}
 		o := &order{key: newKey(1000 + uint64(i))}
 		if ran, number, status := r.sendOrder(ctx, o, i); number == 0 {
