--- a/internal/caller/service/order.go
+++ b/internal/caller/service/order.go
@@ -76,7 +76,7 @@
 		Message: "The order log can't be written. This call was not run; call again with the same key.", RetryAfter: time.Second,
 	},
 	executor.KindExpired: {
-		Status: fasthttp.StatusBadRequest, Type: "invalid_request_error", Code: "idempotency_key_expired", Ran: reply.RanNo,
+		Status: fasthttp.StatusBadRequest, Type: "invalid_request_error", Code: "idempotency_key_expired", Ran: reply.RanUnknown,
 		Param:   HeaderIdempotencyKey,
 		Message: "The key is too old. This call was not run, but an earlier one with the key may have been.",
 	},
