Keep the pipe of a test's server open until its caller closes

Change: the server that answers waits for the other side to close, as it did where it is silent. The expectations are the same.

--- a/internal/caller/service/handler_test.go
+++ b/internal/caller/service/handler_test.go
@@ -53,6 +53,7 @@
 		switch manner {
 		case "answers":
 			_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			_, _ = far.Read(make([]byte, 1)) // a pipe, unlike TCP, refuses deadlines once the other side closed
 		case "silent":
 			_, _ = far.Read(make([]byte, 1)) // until the other side closes
 		}
