Give the log stand-in's calls the client's shape in one place

Cause: three packages' tests held the same translation of errors and records.

Change: internal/standin/logcalls; the tests call it. A benchmark of decoding a prompt.

--- a/internal/caller/openai/bench_test.go
+++ b/internal/caller/openai/bench_test.go
@@ -293,3 +293,16 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc + m.StackInuse)
 }
+
+// BenchmarkParse decodes a chat request of 10,000 tokens (40 KB).
+func BenchmarkParse(b *testing.B) {
+	body := []byte(`{"model":"assistant","stream":true,"messages":[{"role":"user","content":"` +
+		strings.Repeat("word", 10_000) + `"}]}`)
+	b.SetBytes(int64(len(body)))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := parse(shapeChat, body); err != nil {
+			b.Fatal(err.Message)
+		}
+	}
+}
--- a/internal/operator/config/store_test.go
+++ b/internal/operator/config/store_test.go
@@ -10,46 +10,23 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
-	"github.com/zeebo/errs"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/config"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
 	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/logcalls"
 	standin "github.com/dogwoodmill/dogwoodmill/internal/standin/logservice"
 )
 
-var logClass = errs.Class("log service")
-
-// translate gives the errors of the stand-in the kinds of the client.
-func translate(err error) error {
-	for from, to := range map[standin.Kind]logservice.Kind{
-		standin.KindUnavailable: logservice.KindUnavailable,
-		standin.KindRateLimited: logservice.KindRateLimited,
-		standin.KindGone:        logservice.KindGone,
-		standin.KindAnswerLost:  logservice.KindUnknown,
-	} {
-		if fault.Is(err, from) {
-			return fault.New(&logClass, "call", to, err)
-		}
-	}
-	return err
-}
-
 // seams connects a store to a stand-in without sockets.
 func seams(l *standin.Log) config.Seams {
 	return config.Seams{
 		Read: func(ctx context.Context, from uint64, wait time.Duration) ([]logservice.Record, logservice.Bounds, error) {
-			recs, b, err := l.Read(ctx, resource.Stream, from, 100, wait)
-			out := make([]logservice.Record, 0, len(recs))
-			for _, r := range recs {
-				out = append(out, logservice.Record(r))
-			}
-			return out, logservice.Bounds(b), translate(err)
+			return logcalls.Read(ctx, l, resource.Stream, from, wait)
 		},
 		Append: func(ctx context.Context, rec []byte) (uint64, error) {
-			first, _, err := l.Append(ctx, resource.Stream, [][]byte{rec})
-			return first, translate(err)
+			return logcalls.Append(ctx, l, resource.Stream, [][]byte{rec})
 		},
 	}
 }
--- a/internal/peer/configrelay/fleet_test.go
+++ b/internal/peer/configrelay/fleet_test.go
@@ -26,6 +26,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/configwire"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/link"
 	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/logcalls"
 	standin "github.com/dogwoodmill/dogwoodmill/internal/standin/logservice"
 )
 
@@ -259,7 +260,7 @@
 func (f *fleet) append(ctx context.Context, stream string, recs [][]byte) (uint64, error) {
 	first, _, err := f.log.Append(ctx, stream, recs)
 	if err != nil || stream != resource.Stream {
-		return first, translate(err)
+		return first, logcalls.Translate(err)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -298,31 +299,12 @@
 		if err := f.reach(ctx, domain); err != nil {
 			return nil, logservice.Bounds{}, err
 		}
-		recs, b, err := f.log.Read(ctx, stream, from, 100, wait)
-		out := make([]logservice.Record, 0, len(recs))
-		for _, r := range recs {
-			out = append(out, logservice.Record(r))
-		}
-		if err := translate(err); err != nil {
-			return nil, logservice.Bounds(b), err
-		}
-		return out, logservice.Bounds(b), f.reach(ctx, domain)
-	}
-}
-
-// translate gives the errors of the stand-in the kinds of the client.
-func translate(err error) error {
-	for from, to := range map[standin.Kind]logservice.Kind{
-		standin.KindUnavailable: logservice.KindUnavailable,
-		standin.KindRateLimited: logservice.KindRateLimited,
-		standin.KindGone:        logservice.KindGone,
-		standin.KindAnswerLost:  logservice.KindUnknown,
-	} {
-		if fault.Is(err, from) {
-			return fault.New(&class, "call", to, err)
+		recs, b, err := logcalls.Read(ctx, f.log, stream, from, wait)
+		if err != nil {
+			return nil, b, err
 		}
+		return recs, b, f.reach(ctx, domain)
 	}
-	return err
 }
 
 // put returns a change of a deployment.
--- a/internal/platform/logservice/appender_test.go
+++ b/internal/platform/logservice/appender_test.go
@@ -11,47 +11,24 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/zeebo/errs"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/logcalls"
 	standin "github.com/dogwoodmill/dogwoodmill/internal/standin/logservice"
 )
 
 const stream = "s"
 
-var class = errs.Class("test")
-
-// translate gives the errors of the stand-in the kinds of the client.
-func translate(err error) error {
-	for from, to := range map[standin.Kind]logservice.Kind{
-		standin.KindUnavailable: logservice.KindUnavailable,
-		standin.KindRateLimited: logservice.KindRateLimited,
-		standin.KindGone:        logservice.KindGone,
-		standin.KindAnswerLost:  logservice.KindUnknown,
-	} {
-		if fault.Is(err, from) {
-			return fault.New(&class, "call", to, err)
-		}
-	}
-	return err
-}
-
 func appends(l *standin.Log) func(context.Context, [][]byte) (uint64, error) {
 	return func(ctx context.Context, recs [][]byte) (uint64, error) {
-		first, _, err := l.Append(ctx, stream, recs)
-		return first, translate(err)
+		return logcalls.Append(ctx, l, stream, recs)
 	}
 }
 
 func read(l *standin.Log) func(context.Context, uint64, time.Duration) ([]logservice.Record, logservice.Bounds, error) {
 	return func(ctx context.Context, from uint64, wait time.Duration) ([]logservice.Record, logservice.Bounds, error) {
-		recs, b, err := l.Read(ctx, stream, from, 100, wait)
-		out := make([]logservice.Record, 0, len(recs))
-		for _, r := range recs {
-			out = append(out, logservice.Record(r))
-		}
-		return out, logservice.Bounds(b), translate(err)
+		return logcalls.Read(ctx, l, stream, from, wait)
 	}
 }
 
