Read long prompts without decoding them twice, and guard the harness's entries

And a prompt's text went through the JSON decoder twice.

Change: the places are read under the cluster's lock. A string without escapes is taken as it is; a fuzz target checks that both ways agree.

--- a/internal/caller/openai/fuzz_test.go
+++ b/internal/caller/openai/fuzz_test.go
@@ -133,3 +133,20 @@
 	_, err = newIDSigner("another key").decode("guild", text)
 	is.True(err != nil)
 }
+
+// FuzzPlain checks that a string read without decoding is the one that decoding gives.
+func FuzzPlain(f *testing.F) {
+	for _, s := range []string{`"word"`, `""`, `"печат"`, `"a\nb"`, `"\u00e9"`, "\"\xff\"", `null`, `[1]`} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		text, ok := plain(b)
+		if !ok || !json.Valid(b) {
+			return
+		}
+		var want string
+		if err := json.Unmarshal(b, &want); err != nil || want != text {
+			t.Fatalf("%q: got %q, want %q (%v)", b, text, want, err)
+		}
+	})
+}
--- a/internal/caller/openai/request.go
+++ b/internal/caller/openai/request.go
@@ -1,10 +1,12 @@
 package openai
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/reply"
 )
@@ -60,6 +62,10 @@
 
 // UnmarshalJSON reads text, null or a list of parts.
 func (c *content) UnmarshalJSON(b []byte) error {
+	if text, ok := plain(b); ok {
+		*c = content(text)
+		return nil
+	}
 	var text *string
 	if err := json.Unmarshal(b, &text); err == nil {
 		if text != nil {
@@ -85,6 +91,15 @@
 	return nil
 }
 
+// plain returns the text of a valid JSON string without escapes, which is what
+// most of a long prompt's bytes are in: it needs no second decoding.
+func plain(b []byte) (string, bool) {
+	if len(b) < 2 || b[0] != '"' || bytes.IndexByte(b, '\\') >= 0 || !utf8.Valid(b) {
+		return "", false
+	}
+	return string(b[1 : len(b)-1]), true
+}
+
 type textBody struct {
 	common
 	Prompt promptText `json:"prompt"`
@@ -95,6 +110,10 @@
 
 // UnmarshalJSON reads text or a list of one text.
 func (p *promptText) UnmarshalJSON(b []byte) error {
+	if text, ok := plain(b); ok {
+		*p = promptText(text)
+		return nil
+	}
 	var text string
 	if err := json.Unmarshal(b, &text); err == nil {
 		*p = promptText(text)
--- a/internal/proof/product/cluster_test.go
+++ b/internal/proof/product/cluster_test.go
@@ -45,11 +45,11 @@
 type cluster struct {
 	net     *network.Network
 	world   *world.World
-	entries [entries]*entry
 	start   time.Time
 	covered *coverage
 
 	mu      sync.Mutex
+	entries [entries]*entry
 	failed  []string // promises that were broken
 	trace   []string
 	outages []*outage
@@ -94,10 +94,17 @@
 
 func peerAddr(i int) string { return fmt.Sprintf("10.0.0.%d:81", i+1) }
 
+// at returns the instance that has an entry's place now.
+func (c *cluster) at(i int) *entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.entries[i]
+}
+
 // boot starts a new instance of an entry.
 func (c *cluster) boot(i int) {
 	e := &entry{instance: 1, served: make(chan struct{})}
-	if old := c.entries[i]; old != nil {
+	if old := c.at(i); old != nil {
 		e.instance = old.instance + 1
 	}
 	e.host = fmt.Sprintf("%s/%d", entryName(i), e.instance)
@@ -120,14 +127,16 @@
 		defer close(e.served)
 		_ = s.Serve() // ends at shutdown
 	}()
+	c.mu.Lock()
 	c.entries[i] = e
+	c.mu.Unlock()
 	c.world.VMs.Put(vmlist.VM{Name: entryName(i), Address: peerAddr(i), FailureDomain: domainOf(i), State: vmlist.StateLive})
 }
 
 // kill ends an instance as a lost VM would. Its goroutines run on without a
 // network until they have wound down.
 func (c *cluster) kill(i int) {
-	e := c.entries[i]
+	e := c.at(i)
 	c.net.Kill(e.host)
 	gone, cancel := context.WithCancel(context.Background())
 	cancel()
@@ -136,7 +145,7 @@
 
 // shutdown drains an instance and reports what was left.
 func (c *cluster) shutdown(i int) error {
-	e := c.entries[i]
+	e := c.at(i)
 	err := e.server.Shutdown(context.Background())
 	<-e.served
 	return err
@@ -190,7 +199,8 @@
 func (c *cluster) close() {
 	now, cancel := context.WithCancel(context.Background())
 	cancel()
-	for _, e := range c.entries {
+	for i := range entries {
+		e := c.at(i)
 		_ = e.server.Shutdown(now) // the run is over
 		<-e.served
 	}
--- a/internal/proof/product/product_test.go
+++ b/internal/proof/product/product_test.go
@@ -164,7 +164,8 @@
 			return
 		case <-time.After(watchEvery):
 		}
-		for i, e := range r.entries {
+		for i := range entries {
+			e := r.at(i)
 			now := seen{e.instance, e.server.State().Config.Offset}
 			if now.instance == last[i].instance && now.offset < last[i].offset {
 				r.broken("the configuration of %s went back from %d to %d", entryName(i), last[i].offset, now.offset)
@@ -207,8 +208,9 @@
 	for _, o := range r.orders {
 		r.checkOrder(o)
 	}
-	offset := r.entries[0].server.State().Config.Offset
-	for i, e := range r.entries {
+	offset := r.at(0).server.State().Config.Offset
+	for i := range entries {
+		e := r.at(i)
 		if st := e.server.State(); st.Config.Offset != offset {
 			r.broken("%s has the configuration of offset %d, %s that of %d", entryName(i), st.Config.Offset, entryName(0), offset)
 		}
@@ -234,7 +236,7 @@
 
 // noteState notes what an entry thinks of the engines.
 func (r *run) noteState(i int) {
-	b, err := json.Marshal(r.entries[i].server.State().Placement)
+	b, err := json.Marshal(r.at(i).server.State().Placement)
 	r.note("%s: %s %v", entryName(i), b, err)
 }
 
