Let only short prompts' averages fade soon, and take a plain string only whole

And the fuzz target found that a string with a space behind it would be read with its quote; the decoder never passes one.

Change: short prompts' averages fade after 30 s, others' after 5 minutes, an engine's slowness after one; the last byte has to be the quote.

--- a/internal/caller/openai/fuzz_test.go
+++ b/internal/caller/openai/fuzz_test.go
@@ -136,7 +136,7 @@
 
 // FuzzPlain checks that a string read without decoding is the one that decoding gives.
 func FuzzPlain(f *testing.F) {
-	for _, s := range []string{`"word"`, `""`, `"печат"`, `"a\nb"`, `"\u00e9"`, "\"\xff\"", `null`, `[1]`} {
+	for _, s := range []string{`"word"`, `""`, `"печат"`, `"a\nb"`, `"\u00e9"`, "\"\xff\"", `null`, `[1]`, `"" `} {
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/internal/caller/openai/request.go
+++ b/internal/caller/openai/request.go
@@ -94,7 +94,7 @@
 // plain returns the text of a valid JSON string without escapes, which is what
 // most of a long prompt's bytes are in: it needs no second decoding.
 func plain(b []byte) (string, bool) {
-	if len(b) < 2 || b[0] != '"' || bytes.IndexByte(b, '\\') >= 0 || !utf8.Valid(b) {
+	if len(b) < 2 || b[0] != '"' || b[len(b)-1] != '"' || bytes.IndexByte(b, '\\') >= 0 || !utf8.Valid(b) {
 		return "", false
 	}
 	return string(b[1 : len(b)-1]), true
--- a/internal/prompt/model/engine.go
+++ b/internal/prompt/model/engine.go
@@ -27,7 +27,7 @@
 	minSlow    = 1.5    // less is noise
 	maxSlow    = 50
 	// slowFor is how long an engine of which nothing is heard counts as slow as it was.
-	slowFor = 30 * time.Second
+	slowFor = time.Minute
 	// drainShare is the share of the rate at which a backlog is taken to shrink.
 	drainShare = 0.6
 )
--- a/internal/prompt/scheduler/pool.go
+++ b/internal/prompt/scheduler/pool.go
@@ -41,12 +41,12 @@
 	// maxCredit is the most that big prompts save of their share, in tokens.
 	maxCredit    = 100_000
 	priorStretch = 1.5
-	// What was learned fades where no samples came for so long. Big prompts are rare.
-	fadeAfter    = 30 * time.Second
-	fadeBigAfter = 5 * time.Minute
-	priorGap     = 0.06 // seconds between tokens
-	meterTau     = 10 * time.Second
-	meterWeight  = 2 * time.Second
+	// What was learned fades where no samples came for so long. All but short prompts are rare.
+	fadeAfter     = 30 * time.Second
+	fadeRareAfter = 5 * time.Minute
+	priorGap      = 0.06 // seconds between tokens
+	meterTau      = 10 * time.Second
+	meterWeight   = 2 * time.Second
 	// margin is kept before a deadline, beside a share of the patience left.
 	margin      = 200 * time.Millisecond
 	marginShare = 0.04
@@ -239,8 +239,8 @@
 	p.gap.Fade(now, fadeAfter, priorGap)
 	for c := range p.stretch {
 		quiet := fadeAfter
-		if length.Class(c).Big() {
-			quiet = fadeBigAfter
+		if length.Class(c) != length.Short {
+			quiet = fadeRareAfter
 		}
 		p.stretch[c].Fade(now, quiet, priorStretch)
 	}
