Refuse what stands behind an object

Cause: a spec or body with a closing brace too many was accepted: the decoder's More is false before a brace. Found by FuzzSpec in make fuzz (the input {}}): the object could then not be encoded again.

Change: after the object only the end of the input is allowed; both inputs are in the table of violations.

--- a/internal/operator/resource/object.go
+++ b/internal/operator/resource/object.go
@@ -6,7 +6,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"regexp"
 	"slices"
 	"strings"
@@ -144,7 +146,7 @@
 	d.DisallowUnknownFields()
 	err := d.Decode(v)
 	if err == nil {
-		if d.More() {
+		if _, end := d.Token(); !errors.Is(end, io.EOF) {
 			return Invalid(path, "more than one value", "one JSON object")
 		}
 		return nil
--- a/internal/operator/resource/resource_test.go
+++ b/internal/operator/resource/resource_test.go
@@ -127,6 +127,8 @@
 		{resource.TypeDeployment, `{"model":"m","contextTokens":"x"}`, "spec.contextTokens"},
 		{resource.TypeDeployment, `{"model":"m","contextTokens":1,"colour":1}`, "spec.colour"},
 		{resource.TypeDeployment, ``, "spec"},
+		{resource.TypeDeployment, `{"model":"m","contextTokens":1}}`, "spec"},
+		{resource.TypeDeployment, `{"model":"m","contextTokens":1} {}`, "spec"},
 		{resource.TypeWorkspace, `{"keys":["secret"]}`, "spec.keys[0]"},
 		{resource.TypeWorkspace, `{"patience":-1}`, "spec.patience"},
 		{resource.TypeRule, `{"priority":99}`, "spec.priority"},
