Place prompts on engines that work in passes

Cause: the users' engines write in passes and read prompts between them, so a long read holds up every stream of its engine.

The engines are emulated in virtual time (internal/standin/passengine, fleet), and `experiment` plays load files on them with four policies side by side. A budget of retries that starts with a share of its most, and a circuit with a bound of its own wait, are what the entries there need. One refusal type serves both schedulers.

The group's test woke at the moment at which a renewal was due, so that one of two goroutines won by chance; it lets the renewal pass before it looks.

--- /dev/null
+++ b/internal/base/events/loop_test.go
@@ -0,0 +1,31 @@
+package events_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/events"
+)
+
+func ExampleLoop() {
+	start := time.Unix(0, 0)
+	l := events.New(start)
+	say := func(what string) func() {
+		return func() { fmt.Println(l.Now().Sub(start), what) }
+	}
+	l.After(2*time.Second, say("third"))
+	l.After(time.Second, func() {
+		say("first")()
+		l.After(0, say("second"))
+	})
+	l.After(time.Hour, say("last"))
+	l.RunFor(time.Minute)
+	fmt.Println(l.Now().Sub(start))
+	l.Run()
+	// Output:
+	// 1s first
+	// 1s second
+	// 2s third
+	// 1m0s
+	// 1h0m0s last
+}
--- a/internal/base/netio/netio.go
+++ b/internal/base/netio/netio.go
@@ -30,6 +30,15 @@
 	)
 }
 
+// Within returns the network with a shorter time limit of a dial.
+func (n *Network) Within(limit time.Duration) *Network {
+	return New(func(ctx context.Context, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		return n.dial(ctx, addr)
+	}, n.listen)
+}
+
 // Dial connects to the address.
 func (n *Network) Dial(ctx context.Context, addr string) (net.Conn, error) { return n.dial(ctx, addr) }
 
--- /dev/null
+++ b/internal/command/experiment/plan.go
@@ -0,0 +1,241 @@
+// Package experiment plays a load and its faults on emulated engines, by several
+// policies side by side.
+package experiment
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/fleet"
+)
+
+// Plan describes an experiment. Its file is YAML with the names of the tags; times are
+// written as in "300ms".
+type Plan struct {
+	Name    string        `yaml:"name"`
+	Seed    uint64        `yaml:"seed"` // of the first day; each further one has the next
+	Days    int           `yaml:"days"`
+	Entries Entries       `yaml:"entries"`
+	Engines Engines       `yaml:"engines"`
+	Domains int           `yaml:"domains"` // failure domains, with the same number of engines and entries each
+	Kinds   []Request     `yaml:"kinds"`
+	Load    []Phase       `yaml:"load"`
+	Faults  []fleet.Fault `yaml:"faults"`
+	// Policies are the policies to play; none means all.
+	Policies []fleet.Policy `yaml:"policies"`
+}
+
+// Entries are the entries of a fleet.
+type Entries struct {
+	Count int           `yaml:"count"`
+	Lag   time.Duration `yaml:"lag"` // until they hear of each other
+}
+
+// Engines are the engines of a fleet, which are all alike.
+type Engines struct {
+	Count          int           `yaml:"count"`
+	Slots          int           `yaml:"slots"`
+	Queue          int           `yaml:"queue"`
+	MemoryTokens   int           `yaml:"memoryTokens"`
+	Stride         int           `yaml:"stride"` // steps of a pass that writes
+	ChunkTokens    int           `yaml:"chunkTokens"`
+	Step           time.Duration `yaml:"step"`
+	StepPerWriter  time.Duration `yaml:"stepPerWriter"`
+	StepPerContext time.Duration `yaml:"stepPerContext"` // for a thousand tokens of context
+	ReadTokens     float64       `yaml:"readTokensPerSecond"`
+	ReadPairs      time.Duration `yaml:"readPairs"` // for a million pairs of tokens
+	StepPerHelpers time.Duration `yaml:"stepPerHelpers"`
+	ReadLongerBy   float64       `yaml:"readLongerBy"` // what reads take over what is declared, as a share
+}
+
+// Request is a kind of request.
+type Request struct {
+	Name     string        `yaml:"name"`
+	Tokens   Size          `yaml:"tokens"`
+	Events   Size          `yaml:"events"`
+	Target   time.Duration `yaml:"target"` // to the first event
+	Pause    time.Duration `yaml:"pause"`  // longest between events
+	Patience time.Duration `yaml:"patience"`
+	Worth    float64       `yaml:"worth"`
+	Late     float64       `yaml:"late"`    // worth of a late answer
+	Returns  int           `yaml:"returns"` // times that a caller comes back after a refusal
+	Storms   bool          `yaml:"storms"`  // it comes back at once
+}
+
+// Size is a distribution of lengths.
+type Size struct {
+	Mean   float64 `yaml:"mean"`
+	Spread float64 `yaml:"spread"` // standard deviation over the mean
+	Most   int     `yaml:"most"`
+}
+
+// Phase is a stretch of the load: requests a second by the name of their kind.
+type Phase struct {
+	For   time.Duration      `yaml:"for"`
+	Rates map[string]float64 `yaml:"rates"`
+}
+
+// Read reads a description and checks it. Unknown fields are an error.
+func Read(r io.Reader) (*Plan, error) {
+	b, err := io.ReadAll(r)
+	if err != nil {
+		return nil, fail("read", KindFile, "%w", err)
+	}
+	p := &Plan{Seed: 1, Days: 1, Domains: 1, Entries: Entries{Count: 1}}
+	if err := yaml.NewDecoder(bytes.NewReader(b), yaml.Strict()).Decode(p); err != nil {
+		return nil, fail("read", KindFile, "%s", firstLine(err))
+	}
+	if err := p.check(); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// Override replaces the policies and the days of the description, where some are given.
+func (p *Plan) Override(policies []string, days int) error {
+	if len(policies) > 0 {
+		p.Policies = nil
+	}
+	for _, name := range policies {
+		p.Policies = append(p.Policies, fleet.Policy(name))
+	}
+	if days != 0 {
+		p.Days = days
+	}
+	return p.check()
+}
+
+// firstLine returns an error without the excerpt of the file that follows it.
+func firstLine(err error) string {
+	line, _, _ := strings.Cut(err.Error(), "\n")
+	return line
+}
+
+// check names the first field that can't be played.
+func (p *Plan) check() error {
+	for _, f := range []struct {
+		name string
+		ok   bool
+	}{
+		{"days", p.Days >= 1},
+		{"domains", p.Domains >= 1},
+		{"entries.count", p.Entries.Count >= 1},
+		{"entries.lag", p.Entries.Lag >= 0},
+		{"engines.count", p.Engines.Count >= 1},
+		{"engines.slots", p.Engines.Slots >= 1},
+		{"engines.memoryTokens", p.Engines.MemoryTokens >= 1},
+		{"engines.stride", p.Engines.Stride >= 1},
+		{"engines.step", p.Engines.Step > 0},
+		{"engines.readTokensPerSecond", p.Engines.ReadTokens > 0},
+		{"engines.chunkTokens", p.Engines.ChunkTokens >= 1},
+		{"engines.readLongerBy", p.Engines.ReadLongerBy >= 0},
+		{"kinds", len(p.Kinds) > 0},
+		{"load", len(p.Load) > 0},
+	} {
+		if !f.ok {
+			return fail("check", KindFile, "%s is missing or out of range", f.name)
+		}
+	}
+	return errors.Join(p.checkKinds(), p.checkLoad(), p.checkFaults(), p.checkPolicies())
+}
+
+func (p *Plan) checkKinds() error {
+	for i, k := range p.Kinds {
+		if k.Name == "" || slices.ContainsFunc(p.Kinds[:i], func(o Request) bool { return o.Name == k.Name }) {
+			return fail("check", KindFile, "kinds[%d].name is missing or used twice", i)
+		}
+		if k.Tokens.Mean <= 0 || k.Tokens.Most < 1 || k.Events.Mean < 1 || k.Tokens.Spread < 0 || k.Events.Spread < 0 {
+			return fail("check", KindFile, "kinds[%d].tokens or events is missing or out of range", i)
+		}
+		if k.Target <= 0 || k.Pause <= 0 || k.Patience < k.Target || k.Worth <= 0 || k.Late < 0 || k.Late > k.Worth || k.Returns < 0 {
+			return fail("check", KindFile, "kinds[%d]: target, pause, patience, worth, late or returns is out of range", i)
+		}
+	}
+	return nil
+}
+
+func (p *Plan) checkLoad() error {
+	for i, ph := range p.Load {
+		if ph.For <= 0 {
+			return fail("check", KindFile, "load[%d].for is missing", i)
+		}
+		for name, rate := range ph.Rates {
+			if !slices.ContainsFunc(p.Kinds, func(k Request) bool { return k.Name == name }) || rate < 0 {
+				return fail("check", KindFile, "load[%d].rates: %q is no kind, or its rate is negative", i, name)
+			}
+		}
+	}
+	return nil
+}
+
+func (p *Plan) checkFaults() error {
+	for i, f := range p.Faults {
+		most := p.Engines.Count
+		switch f.Kind {
+		case fleet.Freeze:
+			most = p.Entries.Count
+		case fleet.Slow:
+			if f.Factor <= 0 {
+				return fail("check", KindFile, "faults[%d].factor is missing", i)
+			}
+		case fleet.Crash, fleet.Cut, fleet.Deaf:
+		default:
+			return fail("check", KindFile, "faults[%d].kind: %q is none of crash, cut, deaf, freeze, slow", i, f.Kind)
+		}
+		if f.First < 0 || f.Count < 0 || f.First+f.Count > most || f.At < 0 || f.For < 0 {
+			return fail("check", KindFile, "faults[%d] falls on more than the %d that there are, or has a negative time", i, most)
+		}
+	}
+	return nil
+}
+
+func (p *Plan) checkPolicies() error {
+	for i, name := range p.Policies {
+		if !slices.Contains(fleet.Policies(), name) {
+			return fail("check", KindFile, "policies[%d]: %q is none of %v", i, name, fleet.Policies())
+		}
+	}
+	return nil
+}
+
+// policies returns the policies to play.
+func (p *Plan) policies() []fleet.Policy {
+	if len(p.Policies) == 0 {
+		return fleet.Policies()
+	}
+	return p.Policies
+}
+
+// settings returns the fleet of a day.
+func (p *Plan) settings(policy fleet.Policy, day int) fleet.Settings {
+	e := p.Engines
+	out := fleet.Settings{
+		Seed: p.Seed + uint64(day), Engines: e.Count, Entries: p.Entries.Count, Domains: p.Domains,
+		Queue: e.Queue, Lag: p.Entries.Lag, Overrun: 1 + e.ReadLongerBy, Faults: p.Faults, Policy: policy,
+		Figures: passes.Figures{
+			Slots: e.Slots, Memory: e.MemoryTokens, Stride: e.Stride, Chunk: e.ChunkTokens, Step: e.Step, PerWriter: e.StepPerWriter,
+			PerContext: e.StepPerContext, ReadRate: e.ReadTokens, PerPairs: e.ReadPairs, PerHop: e.StepPerHelpers,
+		},
+	}
+	for _, k := range p.Kinds {
+		out.Kinds = append(out.Kinds, fleet.Kind{
+			Name: k.Name, Tokens: k.Tokens.Mean, Spread: k.Tokens.Spread, Most: k.Tokens.Most, Events: k.Events.Mean, Varies: k.Events.Spread,
+			Target: k.Target, Gap: k.Pause, Patience: k.Patience, Worth: k.Worth, Late: k.Late, Returns: k.Returns, Storms: k.Storms,
+		})
+	}
+	for _, ph := range p.Load {
+		one := fleet.Phase{For: ph.For}
+		for _, k := range p.Kinds {
+			one.Rates = append(one.Rates, ph.Rates[k.Name])
+		}
+		out.Load = append(out.Load, one)
+	}
+	return out
+}
--- a/internal/prompt/circuit/breaker.go
+++ b/internal/prompt/circuit/breaker.go
@@ -32,13 +32,17 @@
 	state    State
 	failures int // in a row
 	wait     time.Duration
-	until    time.Time // Open: when a probe may go; HalfOpen: when the probe is given up
+	most     time.Duration // that wait grows to
+	until    time.Time     // Open: when a probe may go; HalfOpen: when the probe is given up
 	changed  time.Time
 }
 
 // New returns a closed circuit. Jitter returns numbers from 0 to 1.
-func New(jitter func() float64) *Breaker {
-	return &Breaker{jitter: jitter, state: Closed, wait: minOpen}
+func New(jitter func() float64) *Breaker { return NewWithin(jitter, maxOpen) }
+
+// NewWithin returns a closed circuit that opens for no longer than most.
+func NewWithin(jitter func() float64, most time.Duration) *Breaker {
+	return &Breaker{jitter: jitter, state: Closed, wait: minOpen, most: most}
 }
 
 // State returns the state at the time.
@@ -75,5 +79,5 @@
 	}
 	b.state, b.changed = Open, now
 	b.until = now.Add(time.Duration(float64(b.wait) * (1 + b.jitter()) / 2))
-	b.wait = min(2*b.wait, maxOpen)
+	b.wait = min(2*b.wait, b.most)
 }
--- a/internal/prompt/group/group_test.go
+++ b/internal/prompt/group/group_test.go
@@ -97,6 +97,7 @@
 		h, err := group.Take(ctx, "r1", names, share, calls(engines))
 		is.NoErr(err)
 		time.Sleep(10 * group.TTL)
+		synctest.Wait()
 		is.Equal(engines["engine-2"].MemoryUsed(), share)
 		is.Equal(engines["engine-3"].MemoryUsed(), share)
 		is.Equal(h.Lapsed(), 0)
@@ -121,6 +122,7 @@
 		is.True(errors.Is(err, dead))
 		is.Equal(used(engines), 2*share)
 		time.Sleep(group.TTL + time.Second)
+		synctest.Wait()
 		is.Equal(used(engines), 0)
 	})
 }
@@ -132,12 +134,14 @@
 		defer h.Close()
 		is.NoErr(engines["engine-2"].Release(h.Hold(1))) // as if the entry had been paused
 		time.Sleep(group.TTL)
+		synctest.Wait() // a renewal is due at this moment: let it pass before the next step
 		is.Equal(engines["engine-2"].MemoryUsed(), share)
 		is.Equal(h.Lapsed(), 0)
 
 		is.NoErr(engines["engine-3"].Release(h.Hold(2)))
 		is.NoErr(engines["engine-3"].Hold(engine.HoldRequest{Hold: "other", Tokens: 200_000, TTL: time.Minute}))
 		time.Sleep(group.TTL)
+		synctest.Wait()
 		is.True(h.Lapsed() > 0)
 	})
 }
--- /dev/null
+++ b/internal/prompt/passes/planner_test.go
@@ -0,0 +1,199 @@
+package passes
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// A large fleet: a decision looks at a part of it, the own failure domain first.
+func TestViewOfALargeFleetIsBounded(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p := New(Settings{Domain: "own", Now: func() time.Time { return now }, Rand: func() float64 { return 0.7 }}, UsersFigures())
+	var list []Engine
+	for i := range 10 * maxView {
+		e := Engine{Name: fmt.Sprint(i), Address: fmt.Sprint(i), Domain: "other"}
+		if i%40 == 0 {
+			e.Domain = "own"
+		}
+		list = append(list, e)
+	}
+	p.SetEngines(list)
+	view := p.look(now)
+	if len(view) != maxView {
+		t.Fatalf("%d engines in view, want %d", len(view), maxView)
+	}
+	for i, c := range view {
+		if own := c.engine.domain == "own"; own != (i < len(list)/40) {
+			t.Fatalf("engine %d of the view is of domain %s", i, c.engine.domain)
+		}
+	}
+}
+
+// A stream that broke off long after its request came finds all engines full: it waits
+// for one until its caller would leave, and no longer.
+func TestStreamThatBrokeOffWaitsForItsCaller(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p := New(Settings{Now: func() time.Time { return now }, Rand: func() float64 { return 0 }}, UsersFigures())
+	p.SetEngines([]Engine{{Name: "a", Address: "a"}})
+	var full []Send
+	for range UsersFigures().Slots {
+		full = append(full, Send{Engine: "a", Context: 5000, Gap: 200 * time.Millisecond, Weight: 1, At: now, Writing: true})
+	}
+	p.Tell(map[string][]Send{"other": full})
+	job := Job{
+		Tokens: 5000, MaxTokens: 1000, Target: 200 * time.Millisecond, Gap: 200 * time.Millisecond, Tried: map[string]bool{},
+		Arrived: now, Deadline: now.Add(3 * time.Second), Leaves: now.Add(2 * time.Second),
+	}
+	ticket, err := p.Submit(job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := p.Submit(job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(1600 * time.Millisecond)
+	p.Tell(map[string][]Send{"other": full[1:]})
+	p.Dispatch()
+	if !ticket.Placed() || ticket.Err() != nil {
+		t.Errorf("not placed where an engine had room: %v", ticket.Err())
+	}
+	now = now.Add(201 * time.Millisecond)
+	p.Dispatch()
+	if other.Placed() || other.Err() == nil {
+		t.Error("it waits longer than its caller")
+	}
+}
+
+// shortOnes places short prompts on the planner's only engine and starts to write them.
+func shortOnes(t *testing.T, p *Planner, n int, now time.Time) []*Ticket {
+	t.Helper()
+	var out []*Ticket
+	for range n {
+		ticket, err := p.Submit(Job{
+			Tokens: 2000, MaxTokens: 1500, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond,
+			Arrived: now, Deadline: now.Add(10 * time.Second),
+		})
+		if err != nil || !ticket.Placed() {
+			t.Fatalf("a short prompt was not placed: %v", err)
+		}
+		p.FirstEvent(ticket)
+		out = append(out, ticket)
+	}
+	return out
+}
+
+// Short streams that are late already, after a burst of long prompts, do not keep an
+// engine from the long prompts that follow.
+func TestLateStreamsAllowLongReads(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p := New(Settings{Now: func() time.Time { return now }, Rand: func() float64 { return 0 }}, UsersFigures())
+	p.SetEngines([]Engine{{Name: "a", Address: "a"}})
+	short := shortOnes(t, p, 3, now)
+	long, err := p.Submit(Job{
+		Tokens: 70_000, MaxTokens: 1000, Target: 3 * time.Second, Gap: 800 * time.Millisecond,
+		Arrived: now, Deadline: now.Add(15 * time.Second),
+	})
+	if err != nil || long.Placed() {
+		t.Fatalf("a read of %s is placed beside streams that allow 200 ms, or refused: %v", long.Read(), err)
+	}
+	for _, s := range short[1:] {
+		p.Late(s)
+	}
+	if p.Dispatch(); long.Placed() {
+		t.Fatal("placed beside a stream that is on time")
+	}
+	p.Late(short[0])
+	if p.Dispatch(); !long.Placed() {
+		t.Error("not placed beside streams that are late already")
+	}
+	for _, s := range p.Sends() {
+		if s.Gap > 800*time.Millisecond {
+			t.Errorf("a stream of %s allows pauses of %s", s.Engine, s.Gap)
+		}
+	}
+}
+
+// A prompt that is placed after its target, or whose first event comes after it, is late.
+func TestFirstEventAfterTheTargetIsLate(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p := New(Settings{Now: func() time.Time { return now }, Rand: func() float64 { return 0 }}, UsersFigures())
+	p.SetEngines([]Engine{{Name: "a", Address: "a"}})
+	job := Job{Tokens: 2000, MaxTokens: 1500, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond, Arrived: now, Deadline: now.Add(10 * time.Second)}
+	ticket, err := p.Submit(job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := p.Sends()[0].Gap; got != job.Gap {
+		t.Errorf("a stream that may be on time allows %s, want %s", got, job.Gap)
+	}
+	now = now.Add(job.Target + time.Millisecond)
+	p.FirstEvent(ticket)
+	if got := p.Sends()[0]; got.Gap != lateGap || got.Weight != 0 {
+		t.Errorf("a stream whose first event is late allows %s and weighs %v", got.Gap, got.Weight)
+	}
+	if _, err = p.Submit(job); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range p.Sends() {
+		if s.Gap != lateGap || s.Weight != 0 {
+			t.Errorf("a stream that was placed late allows %s and weighs %v", s.Gap, s.Weight)
+		}
+	}
+}
+
+// A long prompt is weighed against what it costs itself: streams that other reads make
+// late anyway are not counted once more.
+func TestHarmIsNotCountedTwice(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	pause := Send{Gap: 200 * time.Millisecond, Weight: 1, Writing: true}
+	first := Send{Gap: 200 * time.Millisecond, Weight: 1, Due: now.Add(300 * time.Millisecond)}
+	for _, c := range []struct {
+		name   string
+		stream Send
+		reads  time.Duration // under way
+		read   time.Duration
+		harmed bool
+	}{
+		{"a pause stays short enough", pause, 0, 50 * time.Millisecond, false},
+		{"a pause gets too long", pause, 0, 150 * time.Millisecond, true},
+		{"a pause is too long already", pause, 300 * time.Millisecond, 150 * time.Millisecond, false},
+		{"a first event stays in time", first, 0, 200 * time.Millisecond, false},
+		{"a first event gets late", first, 0, 300 * time.Millisecond, true},
+		{"a first event is late already", first, 400 * time.Millisecond, 300 * time.Millisecond, false},
+	} {
+		l := load{pass: 60 * time.Millisecond, reads: c.reads, ahead: c.reads, streams: []Send{c.stream}}
+		if got := l.harm(c.read, now) > 0; got != c.harmed {
+			t.Errorf("%s: harmed %v", c.name, got)
+		}
+	}
+}
+
+// A choice tells the engines with most room that were not chosen, and why.
+func TestChoiceTellsTheOthers(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p := New(Settings{Now: func() time.Time { return now }, Rand: func() float64 { return 0 }}, UsersFigures())
+	var list []Engine
+	busy := map[string][]Send{}
+	for i := range 6 {
+		name := fmt.Sprint(i)
+		list = append(list, Engine{Name: name, Address: name})
+		busy["other"] = append(busy["other"], Send{Engine: name, Context: 5000, Gap: time.Duration(200+100*i) * time.Millisecond, Weight: 1, At: now, Writing: true})
+	}
+	p.SetEngines(list)
+	p.Tell(busy)
+	ticket, err := p.Submit(Job{
+		Tokens: 1000, MaxTokens: 1000, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond, Arrived: now, Deadline: now.Add(10 * time.Second),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	others := ticket.Seen().Others
+	if len(others) != maxOthers || others[0].Name != "5" || others[1].Name != "4" || others[2].Name != "3" {
+		t.Fatalf("others: %v", others)
+	}
+	if got, want := others[0].String(), "5 streams=1 ahead=0s room=570ms"; got != want {
+		t.Errorf("%q, want %q", got, want)
+	}
+}
--- a/internal/prompt/retry/budget.go
+++ b/internal/prompt/retry/budget.go
@@ -12,11 +12,23 @@
 
 // Budget counts retries by workspace. It belongs to one goroutine.
 type Budget struct {
-	left map[string]float64
+	perRequest float64
+	most       float64
+	first      float64 // share of the most that is there at first
+	left       map[string]float64
 }
 
 // New returns a budget that is full for each workspace.
-func New() *Budget { return &Budget{left: map[string]float64{}} }
+func New() *Budget { return NewWithin(perRequest, maxBudget, 1) }
+
+// NewWithin returns a budget to which each first try adds so much, up to the most, and
+// which has a share of the most at first.
+func NewWithin(perRequest, most, first float64) *Budget {
+	return &Budget{perRequest: perRequest, most: most, first: first, left: map[string]float64{}}
+}
+
+// SetMost changes the most that may be left.
+func (b *Budget) SetMost(most float64) { b.most = most }
 
 // Request notes a first try.
 func (b *Budget) Request(workspace string) {
@@ -25,9 +37,9 @@
 		if len(b.left) >= maxWorkspaces {
 			return
 		}
-		left = maxBudget
+		left = b.first * b.most
 	}
-	b.left[workspace] = min(left+perRequest, maxBudget)
+	b.left[workspace] = min(left+b.perRequest, b.most)
 }
 
 // Retry takes a retry out of the budget and reports whether there was one.
--- a/internal/prompt/scheduler/errors.go
+++ b/internal/prompt/scheduler/errors.go
@@ -1,13 +1,12 @@
 package scheduler
 
 import (
-	"errors"
-	"fmt"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/refusal"
 )
 
 // Kind classifies the errors of this package. Nothing ran where one is returned.
@@ -38,30 +37,14 @@
 
 var class = errs.Class("placement")
 
-// refusal is the cause of an error, with the time after which to come back.
-type refusal struct {
-	text  string
-	after time.Duration
-}
-
-// Error returns the text.
-func (r *refusal) Error() string { return r.text }
-
 const (
 	minRetryAfter = time.Second
 	maxRetryAfter = time.Minute
 )
 
 func refuse(op string, kind Kind, after time.Duration, format string, args ...any) error {
-	after = min(max(after, minRetryAfter), maxRetryAfter)
-	return fault.New(&class, op, kind, &refusal{text: fmt.Sprintf(format, args...), after: after})
+	return fault.New(&class, op, kind, refusal.New(after, minRetryAfter, maxRetryAfter, format, args...))
 }
 
 // RetryAfter returns when to come back after an error of this package.
-func RetryAfter(err error) time.Duration {
-	var r *refusal
-	if errors.As(err, &r) {
-		return r.after
-	}
-	return 2 * minRetryAfter
-}
+func RetryAfter(err error) time.Duration { return refusal.After(err, 2*minRetryAfter) }
--- /dev/null
+++ b/internal/standin/passengine/engine_test.go
@@ -0,0 +1,248 @@
+package passengine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/events"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/passengine"
+)
+
+// round figures: a pass of ten steps of 1 ms, and 100 tokens read in a millisecond.
+func figures() *passes.Figures {
+	return &passes.Figures{Slots: 2, Memory: 10_000, Stride: 10, Chunk: 1000, Step: time.Millisecond, ReadRate: 100_000}
+}
+
+// world holds engines in virtual time.
+type world struct {
+	*is.I
+	loop  *events.Loop
+	start time.Time
+	notes []string
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	start := time.Unix(1_000_000, 0)
+	return &world{I: is.New(t), loop: events.New(start), start: start}
+}
+
+func (w *world) clock() passengine.Clock {
+	return passengine.Clock{Now: w.loop.Now, After: w.loop.After}
+}
+
+// pass lets time pass.
+func (w *world) pass(d time.Duration) { w.loop.RunFor(d) }
+
+func (w *world) engine(name string) *passengine.Engine {
+	return passengine.New(passengine.Settings{
+		Name: name, Figures: figures(), Queue: 1, Lag: 200 * time.Millisecond, Stall: 300 * time.Millisecond, MaxHold: 2 * time.Second,
+	}, w.clock())
+}
+
+// request returns one that notes its events with their time.
+func (w *world) request(id string, prompt, output int) *passengine.Request {
+	note := func(what string) {
+		w.notes = append(w.notes, fmt.Sprintf("%s %s %s", id, what, w.loop.Now().Sub(w.start)))
+	}
+	return &passengine.Request{ID: id, Prompt: prompt, Output: output, Event: func(last bool) {
+		if note("event"); last {
+			note("end")
+		}
+	}, Cut: func() { note("cut") }}
+}
+
+// The first event follows the pass that reads, and then comes one in each pass.
+func TestReadsThenWrites(t *testing.T) {
+	w := newWorld(t)
+	e := w.engine("a")
+	w.NoErr(e.Open(w.request("r", 1000, 30))) // 10 ms to read
+	w.pass(time.Second)
+	w.Equal(w.notes, []string{"r event 20ms", "r event 30ms", "r event 40ms", "r end 40ms"})
+}
+
+// A read in a pass holds up the streams that are written in it.
+func TestReadHoldsUpStreams(t *testing.T) {
+	w := newWorld(t)
+	e := w.engine("a")
+	w.NoErr(e.Open(w.request("r", 1000, 40)))
+	w.pass(25 * time.Millisecond)
+	w.NoErr(e.Open(w.request("s", 5000, 10))) // it waits for the pass that runs, until 30 ms
+	w.pass(time.Second)
+	w.Equal(w.notes, []string{"r event 20ms", "r event 30ms", "r event 90ms", "s event 90ms", "s end 90ms", "r event 100ms", "r end 100ms"})
+}
+
+// A pass that writes reads no more than its steps allow.
+func TestChunkBoundsAPass(t *testing.T) {
+	w := newWorld(t)
+	f := figures()
+	f.Chunk = 100 // 1,000 tokens in the ten steps of a pass
+	e := passengine.New(passengine.Settings{Name: "a", Figures: f, Queue: 1}, w.clock())
+	w.NoErr(e.Open(w.request("r", 1000, 50)))
+	w.pass(25 * time.Millisecond)
+	w.NoErr(e.Open(w.request("s", 2000, 10)))
+	w.pass(time.Second)
+	w.Equal(w.notes[2:], []string{"r event 50ms", "r event 70ms", "s event 70ms", "s end 70ms", "r event 80ms", "r end 80ms"})
+}
+
+// Parts are read by all at the same time; the first event follows the last of them.
+func TestHelpersRead(t *testing.T) {
+	w := newWorld(t)
+	a, b, c := w.engine("a"), w.engine("b"), w.engine("c")
+	w.NoErr(b.Open(w.request("other", 3000, 10)))
+	w.pass(time.Millisecond)
+	r := w.request("r", 3000, 10)
+	r.Helpers = []passengine.Helper{{Engine: b}, {Engine: c}}
+	w.NoErr(a.Open(r))
+	w.pass(time.Second)
+	// b reads another prompt until 40 ms, and then its part in 10 ms and a pass.
+	w.Equal(w.notes, []string{"other event 40ms", "other end 40ms", "r event 60ms", "r end 60ms"})
+	again := w.request("again", 100, 10)
+	again.Helpers = []passengine.Helper{{Engine: b}, {Engine: b}}
+	w.True(fault.Is(a.Open(again), passengine.KindInvalid))
+}
+
+// Work that depends on a dead engine stalls, and is cut off then.
+func TestDeadHelperStalls(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.engine("a"), w.engine("b")
+	r := w.request("r", 4000, 10)
+	r.Helpers = []passengine.Helper{{Engine: b}}
+	w.NoErr(a.Open(r))
+	w.NoErr(b.Open(w.request("s", 100, 1000)))
+	w.pass(5 * time.Millisecond)
+	b.Die()
+	w.pass(time.Second)
+	w.Equal(w.notes, []string{"s cut 5ms", "r cut 305ms"})
+	w.True(fault.Is(b.Open(w.request("t", 1, 1)), passengine.KindGone))
+	b.Restart()
+	w.NoErr(b.Open(w.request("t", 1, 1)))
+	w.pass(time.Second)
+}
+
+// Requests wait for slots; what is more than that is rejected.
+func TestQueue(t *testing.T) {
+	w := newWorld(t)
+	e := w.engine("a")
+	w.NoErr(e.Open(w.request("r1", 1000, 10)))
+	w.NoErr(e.Open(w.request("r2", 1000, 20)))
+	w.NoErr(e.Open(w.request("r3", 1000, 10)))
+	w.True(fault.Is(e.Open(w.request("r4", 1000, 10)), passengine.KindFull))
+	w.pass(time.Second)
+	w.Equal(w.notes, []string{
+		"r1 event 20ms", "r1 end 20ms", // read alone, in the pass that began with it
+		"r2 event 50ms", "r3 event 50ms", "r3 end 50ms", "r2 event 60ms", "r2 end 60ms",
+	})
+	w.Equal(e.Use().Rejected, 1)
+}
+
+// Of what waits the most urgent goes first.
+func TestUrgency(t *testing.T) {
+	w := newWorld(t)
+	f := figures()
+	f.Slots = 1
+	e := passengine.New(passengine.Settings{Name: "a", Figures: f, Queue: 2}, w.clock())
+	w.NoErr(e.Open(w.request("r1", 1000, 10)))
+	w.NoErr(e.Open(w.request("r2", 1000, 10)))
+	urgent := w.request("r3", 1000, 10)
+	urgent.Urgency = -1
+	w.NoErr(e.Open(urgent))
+	w.pass(time.Second)
+	w.Equal(w.notes, []string{"r1 event 20ms", "r1 end 20ms", "r3 event 40ms", "r3 end 40ms", "r2 event 60ms", "r2 end 60ms"})
+}
+
+// Where memory runs out the newest is put back, and read again with what it has written.
+func TestPreemption(t *testing.T) {
+	w := newWorld(t)
+	e := w.engine("a")
+	w.NoErr(e.Open(w.request("r", 5000, 100)))
+	w.NoErr(e.Open(w.request("s", 4960, 100)))
+	w.pass(2 * time.Second)
+	w.Equal(e.Use().Preempted, 1)
+	ends := 0
+	for _, n := range w.notes {
+		if len(n) > 5 && n[2:5] == "end" {
+			ends++
+		}
+	}
+	w.Equal(ends, 2) // both are answered in full
+	events := 0
+	for _, n := range w.notes {
+		if n[0] == 's' && n[2:7] == "event" {
+			events++
+		}
+	}
+	w.Equal(events, 10) // none is written twice
+}
+
+// A reservation holds memory until it lapses; one that waits gets what comes free.
+func TestReservations(t *testing.T) {
+	w := newWorld(t)
+	e := w.engine("a")
+	state, free, err := e.Reserve("t1", 6000, time.Second, false)
+	w.NoErr(err)
+	w.Equal(state, passengine.Held)
+	w.Equal(free, 4000)
+	_, _, err = e.Reserve("t2", 6000, time.Second, false)
+	w.True(fault.Is(err, passengine.KindFull))
+	state, free, err = e.Reserve("t2", 6000, 3*time.Second, true)
+	w.NoErr(err)
+	w.Equal(state, passengine.Waiting)
+	w.Equal(free, 0)
+	w.pass(900 * time.Millisecond)
+	_, _, err = e.Reserve("t1", 6000, time.Second, false) // renewed
+	w.NoErr(err)
+	w.pass(500 * time.Millisecond)
+	w.Equal(e.Tickets()[0].ID, "t1")
+	w.pass(600 * time.Millisecond)
+	w.Equal(len(e.Tickets()), 0) // t2 lapsed as it waited: two seconds are the most
+	_, _, err = e.Reserve("t3", 10_001, time.Second, true)
+	w.True(fault.Is(err, passengine.KindInvalid))
+}
+
+// A prompt that is larger than an engine is held by reservations at its helpers. One that
+// lapses cuts it off, and its end leaves the others.
+func TestPromptOverReservations(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.engine("a"), w.engine("b")
+	large := func(id string, output int) *passengine.Request {
+		r := w.request(id, 15_000, output)
+		r.Helpers = []passengine.Helper{{Engine: b, Ticket: "t"}}
+		return r
+	}
+	w.True(fault.Is(a.Open(w.request("r0", 15_000, 10)), passengine.KindFull))
+	w.True(fault.Is(a.Open(large("r0", 10)), passengine.KindFull))
+	_, _, err := b.Reserve("t", 8000, time.Second, false)
+	w.NoErr(err)
+	w.NoErr(a.Open(large("r1", 20)))
+	w.True(fault.Is(a.Open(large("r2", 20)), passengine.KindHelper)) // it is used already
+	w.pass(500 * time.Millisecond)
+	w.Equal(w.notes, []string{"r1 event 85ms", "r1 event 95ms", "r1 end 95ms"})
+	w.Equal(b.Tickets()[0].State, passengine.Held)
+	w.NoErr(a.Open(large("r3", 2000)))
+	w.pass(time.Second)
+	w.Equal(w.notes[len(w.notes)-1], "r3 cut 1s")
+}
+
+// Reports are as old as the engine's lag.
+func TestReportLags(t *testing.T) {
+	w := newWorld(t)
+	e := w.engine("a")
+	_, err := e.Report()
+	w.NoErr(err)
+	w.NoErr(e.Open(w.request("r", 5000, 2000)))
+	w.pass(100 * time.Millisecond)
+	r, err := e.Report()
+	w.NoErr(err)
+	w.Equal(r.Running, 0)
+	w.pass(250 * time.Millisecond)
+	r, err = e.Report()
+	w.NoErr(err)
+	w.Equal(r.Running, 1)
+	w.pass(3 * time.Second)
+}
