Speak the users' store, and keep the log in its topics

Cause: the log service of before was a guess. The users' platform has a store with topics, conditions and keyed records, which both daemons can use.

A stand-in of the store replaces that of the guessed service. A wrong method answers 405 with what is allowed, and an object that was read, edited and written is taken with the id that it carries. A request is written beside the reading of its answer, and its memory is not used again before.

Ruled out: keeping both clients; each would need its own proofs.

Measured: the tests of the operators' interface, relays and the product's state machine run on the new stand-in.

--- a/internal/caller/openai/responses.go
+++ b/internal/caller/openai/responses.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -69,7 +68,7 @@
 	case ctx.IsDelete():
 		h.remove(ctx, rid, client)
 	default:
-		h.refuse(ctx, reply.NotFound("unknown_url", fmt.Sprintf("There is nothing at %s %s.", ctx.Method(), ctx.Path())))
+		reply.MethodNotAllowed(ctx, "GET, DELETE")
 	}
 }
 
--- a/internal/caller/openai/source.go
+++ b/internal/caller/openai/source.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/placement"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/engine"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/orphan"
@@ -130,7 +131,7 @@
 		return s.lost(ctx, err)
 	}
 	if s.cuts > 0 {
-		sleep(ctx, resumeDelay<<(s.cuts-1))
+		pause.For(ctx, resumeDelay<<(s.cuts-1))
 	}
 	s.cuts++
 	return nil
@@ -219,7 +220,7 @@
 	var err error
 	for i := range maxResumes {
 		if i > 0 {
-			sleep(ctx, resumeDelay)
+			pause.For(ctx, resumeDelay)
 		}
 		s.resumes++
 		if s.stream, err = s.run.resume(ctx, s.at); err == nil {
@@ -289,10 +290,3 @@
 	errCancelled = errors.New("the caller cancelled the answer")
 	errEnded     = errors.New("the engine ended the stream for somebody else")
 )
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/caller/reply/reply.go
+++ b/internal/caller/reply/reply.go
@@ -100,6 +100,15 @@
 	}
 }
 
+// MethodNotAllowed answers with a 405 error that names the methods of the path.
+func MethodNotAllowed(ctx *fasthttp.RequestCtx, allowed string) {
+	(&Error{
+		Status: fasthttp.StatusMethodNotAllowed, Type: "invalid_request_error", Code: "method_not_allowed",
+		Message: string(ctx.Method()) + " is not served here; allowed: " + allowed + ".", Ran: RanNo,
+	}).Write(ctx)
+	ctx.Response.Header.Set(fasthttp.HeaderAllow, allowed)
+}
+
 // Overloaded returns a 503 error that tells when to come back.
 func Overloaded(code, message string, retryAfter time.Duration) *Error {
 	return &Error{
--- a/internal/entry/server/configlog.go
+++ b/internal/entry/server/configlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 
 	"github.com/charmbracelet/log"
@@ -12,11 +13,9 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/configwire"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/membership"
 	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
+	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
-// snapshotPage is the number of records of the snapshots' stream read at once.
-const snapshotPage = 16
-
 // configLog is what joins the configuration to the log and to other entries.
 type configLog struct {
 	client    *logservice.Client
@@ -37,7 +36,7 @@
 // startConfig starts what follows and changes the configuration.
 func (s *Server) startConfig(logger *log.Logger) {
 	c := &s.configLog
-	c.client = logservice.NewClient(s.cfg.Network, s.cfg.LogURL)
+	c.client = logservice.NewClient(platform.NewStore(s.cfg.Network, strings.TrimPrefix(s.cfg.LogURL, "http://")))
 	c.limiter = logservice.NewLimiter(logservice.DefaultEntryAppends)
 	c.changes = logservice.NewAppender(logservice.AppenderConfig{Append: c.client.Appends(resource.Stream), Limiter: c.limiter, RetryFor: configrelay.RetryFor})
 	c.snapshots = logservice.NewAppender(logservice.AppenderConfig{Append: c.client.Appends(config.SnapshotStream), Limiter: c.limiter})
@@ -51,7 +50,7 @@
 	s.store = config.NewStore(config.Seams{
 		Read:           c.relay.Read,
 		Append:         c.relay.Append,
-		ReadSnapshots:  c.client.ReadsFew(config.SnapshotStream, snapshotPage),
+		ReadSnapshots:  c.client.Reads(config.SnapshotStream),
 		AppendSnapshot: c.snapshots.Append,
 		PeerState:      c.relay.PeerState,
 		Rank:           s.writerRank,
--- a/internal/entry/server/leave.go
+++ b/internal/entry/server/leave.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
 )
 
 const (
@@ -22,7 +24,7 @@
 	s.leaving.Store(true)
 	s.peers.leave()
 	s.log.Info("Leaving.", "in_progress", s.busy.Load(), "drain", s.cfg.Drain)
-	wait(ctx, acceptWhileLeaving)
+	pause.For(ctx, acceptWhileLeaving)
 	s.refusing.Store(true)
 	s.drain(ctx, s.cfg.Drain)
 	left := s.busy.Load()
@@ -46,13 +48,6 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for s.busy.Load() > 0 && ctx.Err() == nil {
-		wait(ctx, drainPoll)
-	}
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+		pause.For(ctx, drainPoll)
 	}
 }
--- a/internal/entry/server/orders.go
+++ b/internal/entry/server/orders.go
@@ -87,7 +87,7 @@
 
 // fetchOrder reads a record of an orders' stream again.
 func (s *Server) fetchOrder(ctx context.Context, stream int, offset uint64) ([]byte, error) {
-	recs, _, err := s.configLog.client.ReadsFew(ledger.Stream(stream), 1)(ctx, offset, 0)
+	recs, _, err := s.configLog.client.Read(ctx, ledger.Stream(stream), offset, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/server/peers.go
+++ b/internal/entry/server/peers.go
@@ -54,7 +54,7 @@
 		Spare:       func() []*memberwire.Spare { return s.fleet.Spare(s.cfg.FailureDomain) },
 		Rand:        s.incarnation,
 		Log:         logger,
-		Scope:       s.metrics.scope,
+		Scope:       s.metrics.Scope(),
 	})
 	p.slots = slots.New(slots.Seams{
 		Self: fmt.Sprintf("%s/%d", s.cfg.VM, s.incarnation), Owner: p.slotOwner, Link: s.link,
--- a/internal/entry/server/peers_test.go
+++ b/internal/entry/server/peers_test.go
@@ -97,3 +97,19 @@
 	is.True(strings.Contains(body, `"ran":"no"`))
 	is.Equal(b.entries[0].peers.limiter.State().Refused["requests_per_second"], int64(1))
 }
+
+func TestWrongMethodNamesTheAllowedOne(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1, engines(1, nil))
+	for path, allowed := range map[string]string{
+		"/v1/completions": "POST", "/v1/chat/completions": "POST", "/v1/models": "GET", "/v1/orders/x": "GET",
+	} {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPut, "http://"+b.entries[0].Addr()+path, nil)
+		is.NoErr(err)
+		res, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		_ = res.Body.Close()
+		is.Equal(res.StatusCode, http.StatusMethodNotAllowed)
+		is.Equal(res.Header.Get("Allow"), allowed)
+	}
+}
--- a/internal/entry/server/process.go
+++ b/internal/entry/server/process.go
@@ -66,7 +66,7 @@
 	case "/readyz":
 		return s.serveReady
 	case "/metrics":
-		return s.metrics.page
+		return s.metrics.Page
 	case "/debug/state":
 		return s.serveState
 	default:
--- a/internal/entry/server/prompts.go
+++ b/internal/entry/server/prompts.go
@@ -18,7 +18,7 @@
 		Cached:  s.cachedBlocks,
 		Ran:     s.ranBlocks,
 		Entries: func() int { return s.peers.InForce(0).Of },
-		Metrics: s.metrics.scope,
+		Metrics: s.metrics.Scope(),
 	}, logger)
 }
 
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -16,6 +16,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/valyala/fasthttp"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/metrics"
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/openai"
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/reply"
 	"github.com/dogwoodmill/dogwoodmill/internal/caller/service"
@@ -39,7 +40,7 @@
 	log         *log.Logger
 	incarnation uint64
 	started     time.Time
-	metrics     *metrics
+	metrics     *metrics.Metrics
 	configLog   configLog
 	store       *config.Store
 	fleet       *fleet.Fleet
@@ -82,7 +83,7 @@
 		log:         logger.WithPrefix("entry"),
 		incarnation: uint64(time.Now().UnixNano()),
 		started:     time.Now(),
-		metrics:     newMetrics(cfg.VM),
+		metrics:     metrics.New(cfg.VM),
 		ln:          ln,
 	}
 	s.startParts(logger)
@@ -114,7 +115,7 @@
 	s.startOrders(logger)
 	s.startEngineOrders(logger)
 	s.service = service.NewHandler(s.cfg.Network, s.store.View,
-		service.Orders{Run: s.orders.executor.Run, Look: s.orders.executor.Look}, s.metrics.scope, logger)
+		service.Orders{Run: s.orders.executor.Run, Look: s.orders.executor.Look}, s.metrics.Scope(), logger)
 	s.api = api.NewHandler(s.store, api.Seams{Authorized: s.authorized, InForce: s.peers.InForce}, logger)
 }
 
@@ -146,7 +147,7 @@
 	s.stopEngineOrders()
 	s.stopOrders()
 	s.stopConfig()
-	if err := s.metrics.closer.Close(); err != nil {
+	if err := s.metrics.Close(); err != nil {
 		s.log.Warn("Metrics could not be closed.", "err", err)
 	}
 }
@@ -173,14 +174,14 @@
 	release := s.hold()
 	defer release()
 	switch {
-	case path == "/v1/chat/completions" && ctx.IsPost():
-		s.openai.Chat(ctx)
-	case path == "/v1/completions" && ctx.IsPost():
-		s.openai.Completions(ctx)
-	case path == "/v1/models" && ctx.IsGet():
-		s.openai.Models(ctx)
-	case strings.HasPrefix(path, service.OrdersPrefix) && ctx.IsGet():
-		s.service.ServeOrder(ctx)
+	case path == "/v1/chat/completions":
+		only(ctx, fasthttp.MethodPost, s.openai.Chat)
+	case path == "/v1/completions":
+		only(ctx, fasthttp.MethodPost, s.openai.Completions)
+	case path == "/v1/models":
+		only(ctx, fasthttp.MethodGet, s.openai.Models)
+	case strings.HasPrefix(path, service.OrdersPrefix):
+		only(ctx, fasthttp.MethodGet, s.service.ServeOrder)
 	case strings.HasPrefix(path, openai.ResponsesPrefix):
 		s.openai.Responses(ctx)
 	case strings.HasPrefix(path, service.Prefix):
@@ -192,6 +193,15 @@
 	}
 }
 
+// only serves a path that has one method.
+func only(ctx *fasthttp.RequestCtx, method string, serve fasthttp.RequestHandler) {
+	if string(ctx.Method()) != method {
+		reply.MethodNotAllowed(ctx, method)
+		return
+	}
+	serve(ctx)
+}
+
 // hold counts a request, or the streamed body of one, as in progress until the
 // function that it returns is called.
 func (s *Server) hold() func() {
--- a/internal/entry/server/streams.go
+++ b/internal/entry/server/streams.go
@@ -14,11 +14,11 @@
 		View: s.store.View, Place: s.placer.Place, Hold: s.hold,
 		Engine: s.engineClient, Owner: owner, IDKey: s.cfg.PeerKey,
 		Limit: s.peers.Limit,
-	}, s.metrics.scope, logger)
+	}, s.metrics.Scope(), logger)
 	s.orphans = orphan.NewCollector(orphan.Seams{
 		Self: owner, Engines: s.orphanEngines, Serving: s.openai.Streams,
 		Owns: s.peers.Owns, OwnerGone: s.peers.OwnerGone,
-	}, s.metrics.scope, logger)
+	}, s.metrics.Scope(), logger)
 	s.orphans.Run()
 }
 
--- /dev/null
+++ b/internal/gateway/route/table_test.go
@@ -0,0 +1,65 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func table() *Table {
+	return NewTable(Settings{
+		Version: 3,
+		Routes: []*Route{
+			{Name: "root", Host: "H.example", Prefix: "/"},
+			{Name: "deep", Host: "h.example", Prefix: "/a/b/"},
+			{Name: "other", Host: "o.example", Prefix: "/a/"},
+		},
+		Keys: map[string]string{"key": "guild"},
+	})
+}
+
+func ExampleTable_Match() {
+	for _, path := range []string{"/", "/a/b/", "/a/b/c?x=/a/", "/a/b", "/a/bc/"} {
+		fmt.Println(path, table().Match("h.example:80", path).Name)
+	}
+	// Output:
+	// / root
+	// /a/b/ deep
+	// /a/b/c?x=/a/ deep
+	// /a/b root
+	// /a/bc/ root
+}
+
+func TestNoRoute(t *testing.T) {
+	is := is.New(t)
+	is.True(table().Match("o.example", "/b/") == nil)
+	is.True(table().Match("none.example", "/a/") == nil)
+	is.True(table().Match("h.example", "") == nil)
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	is := is.New(t)
+	r := &Route{Shares: []Share{{"a", 90}, {"b", 10}, {"none", 0}}}
+	n := map[string]int{}
+	for i := range 10_000 {
+		id := fmt.Sprint("request-", i)
+		s := r.Service(id)
+		n[s]++
+		is.Equal(s, r.Service(id)) // equal ids go to equal services
+	}
+	is.True(n["a"] > 8_700 && n["a"] < 9_300)
+	is.Equal(n["a"]+n["b"], 10_000)
+	is.Equal((&Route{}).Service("x"), "")
+}
+
+func TestWorkspaceOfAKey(t *testing.T) {
+	is := is.New(t)
+	name, ok := table().Workspace("key")
+	is.True(ok)
+	is.Equal(name, "guild")
+	_, ok = table().Workspace("other")
+	is.True(!ok)
+	is.True(table().Keyed())
+	is.True(!NewTable(Settings{}).Keyed())
+}
--- a/internal/operator/api/handler.go
+++ b/internal/operator/api/handler.go
@@ -119,7 +119,12 @@
 	case method == fasthttp.MethodDelete && name != "":
 		h.delete(ctx, kind, name)
 	default:
-		write(ctx, fasthttp.StatusMethodNotAllowed, Error{Code: "method_not_allowed", Message: method + " is not served here."})
+		allowed := "GET, PUT, DELETE"
+		if name == "" {
+			allowed = "GET"
+		}
+		write(ctx, fasthttp.StatusMethodNotAllowed, Error{Code: "method_not_allowed", Message: method + " is not served here.", Allowed: allowed})
+		ctx.Response.Header.Set(fasthttp.HeaderAllow, allowed)
 	}
 }
 
@@ -171,6 +176,9 @@
 		writeError(ctx, resource.Change{}, resource.Outcome{}, err)
 		return
 	}
+	if cur, ok := h.store.View().Object(kind, name); ok && cur.Metadata.Version == o.Metadata.Version && cur.Metadata.ChangeID == o.Metadata.ChangeID {
+		o.Metadata.ChangeID = "" // the object as it was read: the id is that of its last change
+	}
 	c := resource.Change{
 		ID: o.Metadata.ChangeID, Op: resource.OpPut, Kind: kind, Name: name,
 		Replaces: o.Metadata.Version, Spec: o.Spec,
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/rest"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/api"
 	"github.com/dogwoodmill/dogwoodmill/internal/operator/resource"
@@ -230,10 +231,7 @@
 		case !fault.Is(err, KindUnreachable) && !fault.Is(err, KindUnknown):
 			return err
 		}
-		select {
-		case <-time.After(delay):
-		case <-ctx.Done():
-		}
+		pause.For(ctx, delay)
 	}
 }
 
--- a/internal/operator/config/chunk.go
+++ b/internal/operator/config/chunk.go
@@ -18,7 +18,7 @@
 const SnapshotStream = "config-snapshots"
 
 const (
-	chunkSize = 256 << 10 // bytes
+	chunkSize = 192 << 10 // bytes: a record of the store, with its head, has at most 256 KiB
 	// firstTail is the number of records at the end of the stream that are searched
 	// first for the newest snapshot.
 	firstTail = 16
--- a/internal/operator/config/keeper.go
+++ b/internal/operator/config/keeper.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
 	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
 )
 
@@ -20,6 +21,8 @@
 	staggerSteps = 8
 	// staggerRecords is the number of records that a rank waits longer than the one before.
 	staggerRecords = 128
+	// maxRecords is the largest number of records that another entry gets at once.
+	maxRecords = 1000
 	// checksPerShare is how often within the share of the retention it is looked.
 	checksPerShare = 32
 
@@ -231,19 +234,19 @@
 // Records returns records from the offset on that this entry has folded, and
 // waits for one if none is there. The bounds are those of what it can hand on.
 func (s *Store) Records(ctx context.Context, from uint64, wait time.Duration) ([]logservice.Record, logservice.Bounds, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+	end, stop := pause.Limit(wait)
+	defer stop()
 	for {
 		recs, b, grown := s.kept(from)
 		if from < b.Earliest && from < b.Next {
 			return nil, b, fail("read", KindExpired, nil)
 		}
-		if len(recs) > 0 {
+		if len(recs) > 0 || wait <= 0 {
 			return recs, b, nil
 		}
 		select {
 		case <-grown:
-		case <-timer.C:
+		case <-end:
 			return nil, b, nil
 		case <-ctx.Done():
 			return nil, b, ctx.Err()
@@ -264,5 +267,5 @@
 		return nil, b, s.grown
 	}
 	recs := s.records[from-b.Earliest:]
-	return append([]logservice.Record(nil), recs[:min(len(recs), logservice.MaxRecords)]...), b, s.grown
+	return append([]logservice.Record(nil), recs[:min(len(recs), maxRecords)]...), b, s.grown
 }
--- a/internal/peer/membership/bridge.go
+++ b/internal/peer/membership/bridge.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/memberwire"
 )
 
@@ -18,7 +19,7 @@
 
 // bridge swaps summaries with the failure domains whose bridge this entry is.
 func (n *Node) bridge(ctx context.Context, r *rand.Rand) {
-	for wait(ctx, jitter(r, bridgeEvery)) {
+	for pause.For(ctx, jitter(r, bridgeEvery)) {
 		for _, to := range n.bridges(r) {
 			n.swap(ctx, to)
 		}
--- a/internal/peer/membership/list.go
+++ b/internal/peer/membership/list.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/memberwire"
 	"github.com/dogwoodmill/dogwoodmill/internal/platform/vmlist"
 )
@@ -28,7 +29,7 @@
 		n.mu.Lock()
 		every := listPerEntry * time.Duration(max(1, len(n.table.live())))
 		n.mu.Unlock()
-		if !wait(ctx, jitter(r, every)) {
+		if !pause.For(ctx, jitter(r, every)) {
 			return
 		}
 	}
--- a/internal/peer/membership/node.go
+++ b/internal/peer/membership/node.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/link"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/memberwire"
 	"github.com/dogwoodmill/dogwoodmill/internal/platform/vmlist"
@@ -208,7 +209,7 @@
 
 // watch probes a successor in the ring, again and again, the near one more often.
 func (n *Node) watch(ctx context.Context, r *rand.Rand, slot int) {
-	for wait(ctx, jitter(r, beatEvery*time.Duration(1+slot))) {
+	for pause.For(ctx, jitter(r, beatEvery*time.Duration(1+slot))) {
 		n.mu.Lock()
 		next := successors(n.table.live(), n.cfg.VM)
 		var p *memberwire.Peer
@@ -224,7 +225,7 @@
 
 // wander probes entries at random, half of the time such that can't be reached.
 func (n *Node) wander(ctx context.Context, r *rand.Rand) {
-	for wait(ctx, jitter(r, randomEvery)) {
+	for pause.For(ctx, jitter(r, randomEvery)) {
 		if p, live := n.anyone(r); p != nil && live {
 			n.check(ctx, r, targetOf(p), false)
 		} else if p != nil {
@@ -296,7 +297,7 @@
 	if err := n.exchange(ctx, to, full); err == nil {
 		return true
 	}
-	wait(ctx, probeTimeout-n.now().Sub(begun))
+	pause.For(ctx, probeTimeout-n.now().Sub(begun))
 	return false
 }
 
@@ -306,9 +307,9 @@
 	helpers := n.some(r, reachHelpers, to.vm)
 	answers := make(chan bool, len(helpers))
 	for _, h := range helpers {
-		pause := spread(r)
+		delay := spread(r)
 		go func() {
-			wait(ctx, pause)
+			pause.For(ctx, delay)
 			r, err := n.client(h.address).Reach(ctx, &memberwire.ReachRequest{Vm: to.vm, Address: to.address})
 			answers <- err == nil && r.GetReached()
 		}()
@@ -345,18 +346,18 @@
 		case <-ctx.Done():
 			return
 		}
-		wait(ctx, jitter(r, pushGap/5))
+		pause.For(ctx, jitter(r, pushGap/5))
 		n.tellSome(ctx, r)
-		wait(ctx, jitter(r, pushGap))
+		pause.For(ctx, jitter(r, pushGap))
 	}
 }
 
 func (n *Node) tellSome(ctx context.Context, r *rand.Rand) {
 	var wg sync.WaitGroup
 	for _, to := range n.some(r, pushFan, "") {
-		pause := spread(r)
+		delay := spread(r)
 		wg.Go(func() {
-			wait(ctx, pause)
+			pause.For(ctx, delay)
 			_ = n.exchange(ctx, to, false) // heartbeats repeat what was lost
 		})
 	}
@@ -378,7 +379,7 @@
 		} else {
 			delay = rejoinEvery
 		}
-		wait(ctx, jitter(r, delay))
+		pause.For(ctx, jitter(r, delay))
 	}
 }
 
@@ -428,7 +429,7 @@
 			offset = next
 			due = n.now().Add(jitter(r, n.publish()))
 		}
-		if !wait(ctx, jitter(r, offsetEvery)) {
+		if !pause.For(ctx, jitter(r, offsetEvery)) {
 			return
 		}
 	}
@@ -506,12 +507,3 @@
 	list = append(list, target{vm: vm, address: address})
 	n.contacts[domain] = list[max(0, len(list)-maxContacts):]
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/platform/logservice/appender.go
+++ b/internal/platform/logservice/appender.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
 )
 
 const (
@@ -19,6 +20,8 @@
 	maxGroupBytes   = 1 << 20 // bytes
 	appendFirstWait = 50 * time.Millisecond
 	appendMaxWait   = time.Second
+	// callTimeout bounds an append, beside the store client's own limit.
+	callTimeout = 5 * time.Second
 )
 
 // AppenderConfig holds the settings and seams of an appender. Zero values of
@@ -171,7 +174,7 @@
 // try makes one append call and returns the records that took no effect and are
 // to be tried again.
 func (a *Appender) try(ctx context.Context, group []*pending, wait *backoff) []*pending {
-	if gap := a.cfg.Gap - time.Since(a.last); gap > 0 && !sleep(ctx, gap) {
+	if gap := a.cfg.Gap - time.Since(a.last); gap > 0 && !pause.For(ctx, gap) {
 		return group
 	}
 	if a.cfg.Limiter != nil && a.cfg.Limiter.Wait(ctx) != nil {
@@ -198,7 +201,7 @@
 		a.cfg.Limiter.Refused()
 	}
 	group = a.again(group, err)
-	sleep(ctx, wait.delay())
+	pause.For(ctx, wait.delay())
 	return group
 }
 
--- a/internal/platform/logservice/client.go
+++ b/internal/platform/logservice/client.go
@@ -1,31 +1,27 @@
-// Package logservice is a client of the platform's append-only log service.
+// Package logservice keeps the project's streams in topics of the platform's store.
 package logservice
 
 import (
 	"context"
-	"encoding/json"
+	"encoding/binary"
 	"errors"
-	"fmt"
-	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
-	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
-	"github.com/dogwoodmill/dogwoodmill/internal/base/rest"
+	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
 const (
-	// callTimeout bounds an append.
-	callTimeout = 5 * time.Second
-	// readSlack is added to the time that a read may wait for a record.
-	readSlack = 2 * time.Second
-	// maxCall bounds a read that waits for a record.
-	maxCall = time.Minute
-	// MaxRecords is the largest number of records asked for in one read.
-	MaxRecords = 1000
+	// readMost bounds what one read returns, in bytes; the store's own bound is 1 MiB.
+	readMost = 1 << 20
+	// timeBytes are before each record's data: the writer's time of day, in Unix
+	// nanoseconds. The store keeps no times of its own.
+	timeBytes = 8
+	// storeEpoch is the epoch of every stream: the store loses nothing that it has
+	// acknowledged, so there is never another log.
+	storeEpoch = "1"
 )
 
 // Kind classifies the errors of this package.
@@ -34,11 +30,11 @@
 const (
 	// KindUnavailable is the kind of a call that took no effect.
 	KindUnavailable Kind = "unavailable"
-	// KindRateLimited is the kind of an append over the service's rate limit. It took no effect.
+	// KindRateLimited is the kind of an append over the store's rate limit. It took no effect.
 	KindRateLimited Kind = "rate limited"
 	// KindUnknown is the kind of an append that may have taken effect.
 	KindUnknown Kind = "unknown"
-	// KindGone is the kind of a read of offsets that the service no longer keeps.
+	// KindGone is the kind of a read of offsets that the store no longer keeps.
 	KindGone Kind = "records gone"
 	// KindEpoch is the kind of a log that is another one than the one followed.
 	KindEpoch Kind = "another log"
@@ -47,100 +43,71 @@
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
-var class = errs.Class("log service")
+var class = errs.Class("log")
 
 func fail(op string, kind Kind, err error) error { return fault.New(&class, op, kind, err) }
 
-// Record is a record of a stream.
+// Record is a record of a stream. Its time is its writer's; the clocks of VMs may be
+// seconds apart.
 type Record struct {
-	Offset uint64    `json:"offset"`
-	Time   time.Time `json:"time"`
-	Data   []byte    `json:"data"`
+	Offset uint64
+	Time   time.Time
+	Data   []byte
 }
 
-// Bounds are the ends of a stream: the first offset kept and the next one.
+// Bounds are the ends of a stream: the first offset kept and the next one. Offsets of
+// streams start at 1, since 0 stands for none; those of the store's topics start at 0.
 type Bounds struct {
-	Epoch    string `json:"epoch"`
-	Earliest uint64 `json:"earliest"`
-	Next     uint64 `json:"next"`
+	Epoch    string
+	Earliest uint64
+	Next     uint64
 }
 
-type appendRequest struct {
-	Records [][]byte `json:"records"`
-}
-
-type appendAnswer struct {
-	Bounds
-	First uint64 `json:"first"`
-}
-
-type readAnswer struct {
-	Bounds
-	Records []Record `json:"records"`
-}
-
-// Client calls the log service. Its methods may be called from any goroutine.
+// Client reads and appends to streams. Its methods may be called from any goroutine.
 type Client struct {
-	rc *rest.Client
+	store *platform.Store
 }
 
-// NewClient returns a client of the service at the base URL.
-func NewClient(network *netio.Network, base string) *Client {
-	return &Client{rc: rest.New(network, base, maxCall)}
-}
+// NewClient returns a client that keeps its streams in the store.
+func NewClient(store *platform.Store) *Client { return &Client{store: store} }
 
 // Append adds the records as one group and returns the offset of the first.
 func (c *Client) Append(ctx context.Context, stream string, records [][]byte) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var out appendAnswer
-	err := rest.Call(ctx, c.rc, http.MethodPost, recordsPath(stream), &appendRequest{Records: records}, &out)
+	now := uint64(time.Now().UnixNano())
+	stamped := make([][]byte, 0, len(records))
+	for _, r := range records {
+		stamped = append(stamped, append(binary.BigEndian.AppendUint64(make([]byte, 0, timeBytes+len(r)), now), r...))
+	}
+	first, err := c.store.AppendLog(ctx, stream, stamped)
 	if err != nil {
 		return 0, classify("append", err)
 	}
-	return out.First, nil
+	return first + 1, nil
 }
 
-// Read returns the records from the offset on. With none there it waits up to
-// wait for one and may then return none.
+// Read returns records from the offset on, at most 1 MiB of them. With none there it
+// waits up to wait for one and may then return none.
 func (c *Client) Read(ctx context.Context, stream string, from uint64, wait time.Duration) ([]Record, Bounds, error) {
-	return c.read(ctx, stream, from, MaxRecords, wait)
-}
-
-func (c *Client) read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) ([]Record, Bounds, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
-	defer cancel()
-	path := fmt.Sprintf("%s?from=%d&max=%d&wait_ms=%d", recordsPath(stream), from, limit, wait.Milliseconds())
-	var out readAnswer
-	err := rest.Call[struct{}](ctx, c.rc, http.MethodGet, path, nil, &out)
-	if rest.Status(err) == http.StatusGone {
-		return nil, goneBounds(err), classify("read", err)
+	records, ends, err := c.store.ReadLog(ctx, stream, max(from, 1)-1, readMost, wait)
+	b := Bounds{Epoch: storeEpoch, Earliest: ends.First + 1, Next: ends.Next + 1}
+	if fault.Is(err, platform.KindTrimmed) {
+		b.Next = max(b.Next, b.Earliest) // the store names the first end alone
 	}
 	if err != nil {
-		return nil, Bounds{}, classify("read", err)
+		return nil, b, classify("read", err)
 	}
-	return out.Records, out.Bounds, nil
-}
-
-// goneBounds returns the bounds that an answer 410 carries; none where it has none.
-func goneBounds(err error) Bounds {
-	var st *rest.StatusError
-	var b Bounds
-	if !errors.As(err, &st) || json.Unmarshal(st.Body(), &b) != nil {
-		return Bounds{}
+	out := make([]Record, 0, len(records))
+	for _, r := range records {
+		if len(r.Data) < timeBytes {
+			return nil, b, fail("read", KindUnknown, errNoTime)
+		}
+		at := time.Unix(0, int64(binary.BigEndian.Uint64(r.Data)))
+		out = append(out, Record{Offset: r.Offset + 1, Time: at, Data: r.Data[timeBytes:]})
 	}
-	return b
+	return out, b, nil
 }
 
-// Bounds returns the ends of the stream.
-func (c *Client) Bounds(ctx context.Context, stream string) (Bounds, error) {
-	var out Bounds
-	path := "/v1/streams/" + url.PathEscape(stream)
-	if err := rest.Call[struct{}](ctx, c.rc, http.MethodGet, path, nil, &out); err != nil {
-		return Bounds{}, classify("bounds", err)
-	}
-	return out, nil
-}
+var errNoTime = errors.New("a record without a time")
 
 // Appends returns the seam of an Appender of the stream.
 func (c *Client) Appends(stream string) func(ctx context.Context, records [][]byte) (uint64, error) {
@@ -154,28 +121,14 @@
 	}
 }
 
-// ReadsFew returns a seam that reads at most limit records at once, for streams
-// whose records are large.
-func (c *Client) ReadsFew(stream string, limit int) func(ctx context.Context, from uint64, wait time.Duration) ([]Record, Bounds, error) {
-	return func(ctx context.Context, from uint64, wait time.Duration) ([]Record, Bounds, error) {
-		return c.read(ctx, stream, from, limit, wait)
-	}
-}
-
-func recordsPath(stream string) string { return "/v1/streams/" + url.PathEscape(stream) + "/records" }
-
-// classify says what an error means for the caller. Only the service itself says
-// 503 before it acts; any other status of 500 or more may come from something
-// between that lost the answer.
+// classify says what an error of the store means for a stream.
 func classify(op string, err error) error {
-	switch status := rest.Status(err); {
-	case status == http.StatusTooManyRequests:
+	switch {
+	case fault.Is(err, platform.KindRateLimited):
 		return fail(op, KindRateLimited, err)
-	case status == http.StatusGone:
+	case fault.Is(err, platform.KindTrimmed):
 		return fail(op, KindGone, err)
-	case status == http.StatusServiceUnavailable,
-		status >= http.StatusBadRequest && status < http.StatusInternalServerError,
-		fault.Is(err, rest.KindUnreachable), fault.Is(err, rest.KindRequest):
+	case fault.Is(err, platform.KindRefused):
 		return fail(op, KindUnavailable, err)
 	default:
 		return fail(op, KindUnknown, err)
--- a/internal/platform/logservice/follower.go
+++ b/internal/platform/logservice/follower.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
 )
 
 const (
@@ -125,7 +126,7 @@
 		}
 		f.note(err)
 		if err != nil {
-			sleep(ctx, retry.delay())
+			pause.For(ctx, retry.delay())
 			wait = 0 // the end of an outage shows at once
 			continue
 		}
--- a/internal/platform/logservice/limiter.go
+++ b/internal/platform/logservice/limiter.go
@@ -119,15 +119,3 @@
 }
 
 func (b *backoff) reset() { b.next = b.first }
-
-// sleep waits for d and reports whether the context is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/logservice/errors.go
+++ b/internal/standin/store/errors.go
@@ -1,4 +1,4 @@
-package logservice
+package store
 
 import (
 	"github.com/zeebo/errs"
@@ -23,6 +23,6 @@
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
-var class = errs.Class("log stand-in")
+var class = errs.Class("store stand-in")
 
 func fail(op string, kind Kind, err error) error { return fault.New(&class, op, kind, err) }
--- /dev/null
+++ b/internal/standin/store/http.go
@@ -0,0 +1,171 @@
+package store
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+)
+
+const (
+	sizeBytes = 4 // before each record
+	// defaultMost is how much a read returns that doesn't say, in bytes.
+	defaultMost = 1 << 20
+	maxRecord   = 262_144 // bytes, as in the platform's settings
+	headTimeout = time.Minute
+)
+
+// Handler returns the published calls.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /dogwoodmill/log-append", s.serveAppend)
+	mux.HandleFunc("GET /dogwoodmill/log-read", s.serveRead)
+	mux.HandleFunc("GET /dogwoodmill/log-newest", s.serveNewest)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.calls++
+		down := s.outage
+		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	records, ok := split(body)
+	if !ok {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	first, b, err := s.Append(r.Context(), r.URL.Query().Get("topic"), records)
+	if err != nil {
+		writeError(w, b, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]uint64{"offset": first, "end_offset": b.Next})
+}
+
+// split returns the records of an append's body.
+func split(b []byte) (records [][]byte, ok bool) {
+	for len(b) > 0 {
+		if len(b) < sizeBytes {
+			return nil, false
+		}
+		n := int(binary.BigEndian.Uint32(b))
+		if n > maxRecord || len(b) < sizeBytes+n {
+			return nil, false
+		}
+		records = append(records, b[sizeBytes:sizeBytes+n])
+		b = b[sizeBytes+n:]
+	}
+	return records, true
+}
+
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, err := strconv.ParseUint(q.Get("from"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	most, wait := number(q, "max_kilobytes")<<10, time.Duration(number(q, "wait_ms"))*time.Millisecond
+	if most == 0 {
+		most = defaultMost
+	}
+	recs, b, err := s.Read(r.Context(), q.Get("topic"), from, most, wait)
+	if err != nil {
+		writeError(w, b, err)
+		return
+	}
+	out := binary.BigEndian.AppendUint64(nil, b.Next)
+	out = binary.BigEndian.AppendUint64(out, b.First)
+	for _, rec := range recs {
+		out = append(binary.BigEndian.AppendUint32(out, uint32(len(rec.Data))), rec.Data...)
+	}
+	_, _ = w.Write(out) // a reader that left has nobody to tell
+}
+
+// number returns a number of the query, or 0.
+func number(q url.Values, name string) int {
+	n, err := strconv.Atoi(q.Get(name))
+	if err != nil {
+		return 0 // not given
+	}
+	return n
+}
+
+func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
+	type item struct {
+		Key    string `json:"key"`
+		Value  []byte `json:"value"`
+		Offset uint64 `json:"offset"`
+	}
+	page, more, end := s.page(r.URL.Query().Get("topic"), r.URL.Query().Get("after"))
+	items := []item{}
+	for _, k := range page {
+		items = append(items, item{k.key, k.value, k.offset})
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": more, "end_offset": end})
+}
+
+func writeError(w http.ResponseWriter, b Bounds, err error) {
+	switch {
+	case fault.Is(err, KindAnswerLost):
+		panic(http.ErrAbortHandler) // closes the connection with no answer
+	case fault.Is(err, KindRateLimited):
+		w.WriteHeader(http.StatusTooManyRequests)
+	case fault.Is(err, KindGone):
+		writeJSON(w, http.StatusGone, map[string]uint64{"first_offset": b.First})
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // a reader that left has nobody to tell
+}
+
+// Served is a store that answers on a listener.
+type Served struct {
+	*Store
+
+	srv  *http.Server
+	ln   net.Listener
+	done chan struct{}
+}
+
+// Serve starts a store on the listener. Close ends it.
+func Serve(ln net.Listener) *Served {
+	v := &Served{Store: New(), ln: ln, done: make(chan struct{})}
+	v.srv = &http.Server{Handler: v.Handler(), ReadHeaderTimeout: headTimeout}
+	go func() {
+		defer close(v.done)
+		_ = v.srv.Serve(ln) // ends with Close
+	}()
+	return v
+}
+
+// Addr returns the store's host:port.
+func (v *Served) Addr() string { return v.ln.Addr().String() }
+
+// Close ends the store and every call.
+func (v *Served) Close() {
+	_ = v.srv.Close() // nothing is kept
+	<-v.done
+}
--- /dev/null
+++ b/internal/standin/store/http_test.go
@@ -0,0 +1,123 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
+	"github.com/dogwoodmill/dogwoodmill/internal/platform/logservice"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/store"
+	"github.com/dogwoodmill/dogwoodmill/platform"
+)
+
+func serve(t *testing.T) (*store.Served, *platform.Store) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := store.Serve(ln)
+	t.Cleanup(s.Close)
+	return s, platform.NewStore(netio.TCP(), s.Addr())
+}
+
+func TestStreamsOverTheStore(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s, calls := serve(t)
+	c := logservice.NewClient(calls)
+
+	recs, b, err := c.Read(ctx, "s", 1, 0)
+	is.NoErr(err)
+	is.Equal(len(recs), 0)
+	is.Equal(b.Earliest, uint64(1))
+	is.Equal(b.Next, uint64(1))
+
+	before := time.Now()
+	first, err := c.Append(ctx, "s", [][]byte{[]byte("a"), nil, []byte("c")})
+	is.NoErr(err)
+	is.Equal(first, uint64(1))
+	recs, b, err = c.Read(ctx, "s", 2, 0)
+	is.NoErr(err)
+	is.Equal(len(recs), 2)
+	is.Equal(string(recs[1].Data), "c")
+	is.Equal(recs[1].Offset, uint64(3))
+	is.True(!recs[1].Time.Before(before.Truncate(0)))
+	is.Equal(b.Next, uint64(4))
+
+	_, b, err = c.Read(ctx, "s", 1<<62, 0) // ends alone
+	is.NoErr(err)
+	is.Equal(b.Next, uint64(4))
+
+	s.Expire("s", 2)
+	_, b, err = c.Read(ctx, "s", 1, 0)
+	is.True(fault.Is(err, logservice.KindGone))
+	is.Equal(b.Earliest, uint64(3))
+
+	s.LoseAnswers(1)
+	_, err = c.Append(ctx, "s", [][]byte{[]byte("lost")})
+	is.True(!logservice.NoEffect(err)) // it may have been appended, and was
+	s.SetRate(0)
+	_, err = c.Append(ctx, "s", [][]byte{[]byte("refused")})
+	is.True(fault.Is(err, logservice.KindRateLimited))
+	s.SetOutage(true)
+	_, err = c.Append(ctx, "s", [][]byte{[]byte("refused")})
+	is.True(fault.Is(err, logservice.KindUnavailable))
+	s.SetOutage(false)
+	_, b, err = c.Read(ctx, "s", 5, 0)
+	is.NoErr(err)
+	is.Equal(b.Next, uint64(5))
+}
+
+func TestReadReturnsAboutAMegabyte(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	_, calls := serve(t)
+	c := logservice.NewClient(calls)
+	for range 8 {
+		_, err := c.Append(ctx, "s", [][]byte{make([]byte, 250<<10)})
+		is.NoErr(err)
+	}
+	next := uint64(1)
+	for reads := 1; next <= 8; reads++ {
+		recs, _, err := c.Read(ctx, "s", next, 0)
+		is.NoErr(err)
+		is.True(len(recs) > 0)
+		is.True(reads <= 2)
+		next += uint64(len(recs))
+	}
+}
+
+func TestNewestOfEachKey(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s, calls := serve(t)
+	const keys = 1100 // more than two pages
+	for i := range keys {
+		is.NoErr(calls.Put(ctx, "keyed.status", fmt.Sprintf("vm-%04d", i), []byte("old")))
+		if i == 100 {
+			s.SetRate(1e6)
+		}
+	}
+	is.NoErr(calls.Put(ctx, "keyed.status", "vm-0003", []byte("new")))
+	s.Put("keyed.status", "vm-0004", nil)
+	s.Trim("keyed.status")
+	newest, next, err := calls.Newest(ctx, "keyed.status")
+	is.NoErr(err)
+	is.Equal(len(newest), keys-1)
+	is.Equal(string(newest[3].Value), "new")
+	is.Equal(next, uint64(keys+2))
+	_, _, err = calls.Read(ctx, "keyed.status", 0, 0)
+	is.True(fault.Is(err, platform.KindTrimmed))
+	s.Put("keyed.status", "vm-0003", nil)
+	records, next, err := calls.Read(ctx, "keyed.status", next, time.Second)
+	is.NoErr(err)
+	is.Equal(next, uint64(keys+3))
+	is.Equal(records[0], platform.Keyed{Key: "vm-0003", Offset: keys + 2})
+}
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -10,9 +10,9 @@
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/engine"
-	"github.com/dogwoodmill/dogwoodmill/internal/standin/logservice"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/orderdesk"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/registry"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/store"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/vmlist"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/weightstore"
 )
@@ -28,7 +28,7 @@
 	Engines  []*engine.Engine
 	Desk     *orderdesk.Desk
 	Registry *registry.Registry
-	Log      *logservice.Log
+	Store    *store.Store
 	VMs      *vmlist.List
 	Weights  *weightstore.Store
 
@@ -36,7 +36,7 @@
 	engines  []string // addresses
 	desk     string
 	registry string
-	log      string
+	store    string
 	vms      string
 	weights  string
 }
@@ -55,7 +55,7 @@
 	w := &World{
 		Desk:     orderdesk.NewDesk(),
 		Registry: registry.New(),
-		Log:      logservice.NewLog(),
+		Store:    store.New(),
 		VMs:      vmlist.New(listLag),
 		Weights:  weightstore.New(weightRate, weightWait),
 	}
@@ -72,7 +72,7 @@
 	}
 	w.desk = serve("desk", plain(w.Desk.Handler()))
 	w.registry = serve("registry", plain(w.Registry.Handler()))
-	w.log = serve("platform", plain(w.Log.Handler()))
+	w.store = serve("platform", plain(w.Store.Handler()))
 	w.vms = serve("platform", plain(w.VMs.Handler()))
 	w.weights = serve("platform", plain(w.Weights.Handler()))
 	if err := errors.Join(errList...); err != nil {
@@ -82,8 +82,8 @@
 	return w, nil
 }
 
-// LogURL returns the URL of the log service.
-func (w *World) LogURL() string { return "http://" + w.log }
+// LogURL returns the URL of the platform's store.
+func (w *World) LogURL() string { return "http://" + w.store }
 
 // VMListURL returns the URL of the VM list.
 func (w *World) VMListURL() string { return "http://" + w.vms }
--- a/internal/upstream/httpconn/conn.go
+++ b/internal/upstream/httpconn/conn.go
@@ -38,6 +38,7 @@
 	body   io.Reader
 	limits Limits
 	stop   func() bool
+	wrote  chan struct{} // closed once nothing of the request is written any more
 }
 
 // Do connects to the address of the network and sends the request. The exchange that it
@@ -47,7 +48,7 @@
 	if err != nil {
 		return nil, fail("dial", KindUnsent, err)
 	}
-	x := &Exchange{conn: conn, limits: limits, resp: fasthttp.AcquireResponse()}
+	x := &Exchange{conn: conn, limits: limits, resp: fasthttp.AcquireResponse(), wrote: make(chan struct{})}
 	x.stop = context.AfterFunc(ctx, func() { _ = conn.Close() }) // unblocks reads and writes
 	if err := x.exchange(req); err != nil {
 		x.Close()
@@ -61,15 +62,13 @@
 
 func (x *Exchange) exchange(req *fasthttp.Request) error {
 	if err := x.conn.SetDeadline(time.Now().Add(x.limits.First)); err != nil {
+		close(x.wrote) // the context ended first: nothing is written
 		return err
 	}
-	bw := bufio.NewWriter(x.conn)
-	if err := req.Write(bw); err != nil {
-		return err
-	}
-	if err := bw.Flush(); err != nil {
-		return err
-	}
+	go func() {
+		defer close(x.wrote)
+		_ = x.write(req) // an answer may come before all is written; a failure shows in what is read
+	}()
 	x.resp.StreamBody = true
 	size := x.limits.Buffer
 	if size == 0 {
@@ -85,6 +84,14 @@
 	return nil
 }
 
+func (x *Exchange) write(req *fasthttp.Request) error {
+	bw := bufio.NewWriter(x.conn)
+	if err := req.Write(bw); err != nil {
+		return err
+	}
+	return bw.Flush()
+}
+
 // Status returns the HTTP status of the answer.
 func (x *Exchange) Status() int { return x.resp.StatusCode() }
 
@@ -110,10 +117,15 @@
 	}
 }
 
-// Close closes the connection.
+// Close closes the connection. The request is not used any more afterwards.
 func (x *Exchange) Close() {
+	if x.wrote == nil {
+		return
+	}
 	x.stop()
 	_ = x.conn.Close() // nothing more is read from it
+	<-x.wrote
+	x.wrote = nil
 }
 
 type emptyBody struct{}
