Run on the users' machines

Cause: the users' machines have no disk and none is set aside for control; entries there meet servers that fail in every way while keeping promises about what ran.

Change: `dogwoodmill gateway`, one role on every entry VM. It follows configuration and servers in the store, tells its sends to the other entries, relays streams and goes on with them at another engine in one answer, sends once what may not be repeated, shares the retry budget, finds upstreams that can't be connected to, takes records over from other entries where the store turns it away, and leaves without cutting answers. `explain` tells from the log lines of all entries what became of a request.

--- a/internal/command/cli/options.go
+++ b/internal/command/cli/options.go
@@ -43,15 +43,28 @@
 	LogLevel  string `help:"Least level that is logged: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
 	LogFormat string `help:"Format of the log: text or json." default:"text" enum:"text,json"`
 
-	Entry  EntryOptions  `cmd:"" help:"Run the daemon of an entry VM."`
-	Dev    DevOptions    `cmd:"" help:"Run everything in one process: two entries, engines, services and the platform."`
-	Apply  ApplyOptions  `cmd:"" help:"Create or change the objects of a YAML or JSON file."`
-	Get    GetOptions    `cmd:"" help:"Show objects."`
-	Delete DeleteOptions `cmd:"" help:"Delete an object."`
-	Watch  WatchOptions  `cmd:"" help:"Print changes of a kind as they take effect."`
-	Settle SettleOptions `cmd:"" help:"Decide a change whose answer was lost."`
-	Dump   DumpOptions   `cmd:"" help:"Print the state of an entry as JSON."`
-	Load   LoadOptions   `cmd:"" help:"Send prompts of mixed lengths and report the time to first token."`
+	Entry   EntryOptions   `cmd:"" help:"Run the daemon of an entry VM."`
+	Gateway GatewayOptions `cmd:"" help:"Run the daemon of an entry VM on the users' platform."`
+	Dev     DevOptions     `cmd:"" help:"Run everything in one process: two entries, engines, services and the platform."`
+	Apply   ApplyOptions   `cmd:"" help:"Create or change the objects of a YAML or JSON file."`
+	Get     GetOptions     `cmd:"" help:"Show objects."`
+	Delete  DeleteOptions  `cmd:"" help:"Delete an object."`
+	Watch   WatchOptions   `cmd:"" help:"Print changes of a kind as they take effect."`
+	Settle  SettleOptions  `cmd:"" help:"Decide a change whose answer was lost."`
+	Dump    DumpOptions    `cmd:"" help:"Print the state of an entry as JSON."`
+	Load    LoadOptions    `cmd:"" help:"Send prompts of mixed lengths and report the time to first token."`
+	Explain ExplainOptions `cmd:"" help:"Tell from log lines what became of requests, and why."`
+
+	Experiment ExperimentOptions `cmd:"" help:"Play a load and its faults on emulated engines, by several policies."`
+}
+
+// ExperimentOptions describe what is played.
+type ExperimentOptions struct {
+	File   string   `arg:"" help:"YAML file that describes fleet, load and faults; see deploy/experiments."`
+	Policy []string `help:"Policies to play; those of the file if none is given."`
+	Days   int      `help:"Days to play; those of the file if 0."`
+	Output string   `help:"Format: text or json." short:"o" default:"text" enum:"text,json"`
+	Plots  string   `help:"Directory for plots as SVG; none are drawn if it is empty."`
 }
 
 // EntryOptions are the settings of an entry.
@@ -62,7 +75,7 @@
 	PeerListen     string        `help:"Address for other entries, host:port." default:"127.0.0.1:8090"`
 	PeerKey        string        `help:"Key that all entries share; at least 8 characters." required:"true"`
 	Seeds          []string      `help:"Peer addresses of some entries, host:port; none starts alone."`
-	LogURL         string        `help:"Platform's log service, http://host:port." required:"true"`
+	LogURL         string        `help:"Platform's store, http://host:port; the log is topics of it." required:"true"`
 	LogRetention   time.Duration `help:"How long the log keeps a record; snapshots of the configuration are written well before." default:"24h"`
 	VMListURL      string        `help:"Platform's VM list, http://host:port." required:"true"`
 	WeightStoreURL string        `help:"Platform's weight store, http://host:port." required:"true"`
@@ -71,6 +84,18 @@
 	Drain          time.Duration `help:"Longest time that a leaving entry waits for requests in progress." default:"2m"`
 }
 
+// GatewayOptions are the settings of an entry on the users' platform.
+type GatewayOptions struct {
+	Boot string `help:"File with the platform's settings of this process." required:"true"`
+}
+
+// ExplainOptions are the settings of explain.
+type ExplainOptions struct {
+	ID   []string `arg:"" optional:"" help:"Ids of requests. With one its whole story is told, with none all requests of the logs are counted."`
+	IDs  string   `name:"ids" help:"File with ids, separated by white space."`
+	Logs string   `help:"File with the JSON log lines of all entries, in any order; - reads standard input." default:"-"`
+}
+
 // DevOptions are the settings of dev.
 type DevOptions struct {
 	Port int `help:"Port of the first entry; the second has the next one." default:"8080"`
--- /dev/null
+++ b/internal/command/explain/explain_test.go
@@ -0,0 +1,110 @@
+package explain_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/golden"
+	"github.com/dogwoodmill/dogwoodmill/internal/command/explain"
+)
+
+// The lines of testdata/day.log were written by entries on two heavy days of the users' bench.
+var stories = map[string]struct {
+	id   string
+	want explain.Outcome
+}{
+	"refused_long_prompt": {"059c301d45a64a69", explain.Refused},
+	"cut_stream":          {"0755c9ae45e494b9", explain.Failed},
+	"unknown_order":       {"f451e5e24687c591", explain.Failed},
+	"lost_entry":          {"01266aae0ef32cce", explain.Lost},
+	"waited":              {"07347f802dc20d92", explain.Late},
+	"server_failed":       {"091db563a94caa6a", explain.Failed},
+	"silent_engine":       {"21a87b68bc0c0610", explain.Left},
+	"caller_left":         {"408fb284c6046f11", explain.Left},
+}
+
+func day(t *testing.T) *explain.Logs {
+	t.Helper()
+	f, err := os.Open("testdata/day.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	logs, err := explain.Read(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return logs
+}
+
+func TestStories(t *testing.T) {
+	logs := day(t)
+	is.New(t).Equal(logs.Skipped(), 1)
+	for name, tt := range stories {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			story := logs.Story(tt.id)
+			outcome, cause := story.Outcome()
+			is.Equal(outcome, tt.want)
+			is.True(cause != "")
+			var b bytes.Buffer
+			is.NoErr(story.Write(&b))
+			golden.Equal(t, name+".txt", b.Bytes())
+		})
+	}
+}
+
+func TestSummary(t *testing.T) {
+	is := is.New(t)
+	logs := day(t)
+	s := logs.Summarize(append(logs.IDs(), "not-there"))
+	is.True(s.Explained() > 0.88 && s.Explained() < 0.9) // 8 of 9
+	var b bytes.Buffer
+	is.NoErr(s.Write(&b))
+	golden.Equal(t, "summary.txt", b.Bytes())
+}
+
+// A request whose entry has not ended it yet is told apart from one that was lost with it.
+func TestWithoutAnEnd(t *testing.T) {
+	line := func(at, vm, msg, id string) string {
+		return fmt.Sprintf(`{"time":"2026-12-04T05:00:%sZ","level":"info","msg":%q,"vm":%q,"id":%q}`+"\n", at, msg, vm, id)
+	}
+	for name, tt := range map[string]struct {
+		lines string
+		want  explain.Outcome
+	}{
+		"in progress":   {line("01.000", "a", "Sent.", "x") + line("02.000", "a", "Sent.", "y"), explain.Open},
+		"no more lines": {line("01.000", "a", "Sent.", "x") + line("02.000", "b", "Sent.", "y"), explain.Lost},
+		"restarted":     {line("01.000", "a", "Sent.", "x") + line("02.000", "a", "Started.", ""), explain.Lost},
+		"out of order":  {line("02.000", "a", "Answered.", "x") + line("01.000", "a", "Sent.", "x"), explain.Good},
+		"none":          {line("01.000", "a", "Sent.", "y"), explain.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			logs, err := explain.Read(strings.NewReader(tt.lines))
+			is.NoErr(err)
+			outcome, _ := logs.Story("x").Outcome()
+			is.Equal(outcome, tt.want)
+		})
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`  1.2 vm {"time":"2026-12-04T05:00:01Z","msg":"Stream over.","id":"x","whole":true,"late":true}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		logs, err := explain.Read(bytes.NewReader(b))
+		if err != nil {
+			return // a line that is too long
+		}
+		for _, id := range logs.IDs() {
+			if logs.Story(id).Verdict() == "" {
+				t.Error("no verdict")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/gateway/entry/leg.go
@@ -0,0 +1,206 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/gateway/route"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
+	"github.com/dogwoodmill/dogwoodmill/platform"
+)
+
+const (
+	readSize = 8 << 10 // bytes
+	// readsAhead is how many reads of an engine wait for a slow caller.
+	readsAhead = 4
+)
+
+// leg is a stream's time at one engine, from its place there to its end.
+type leg struct {
+	c      *call
+	ticket *passes.Ticket
+	held   *held // memory that helpers set aside; nil where they need not
+	x      *httpconn.Exchange
+	split  splitter
+	reads  chan read
+	stop   chan struct{}
+	over   bool
+}
+
+// read is what one read of an engine brought.
+type read struct {
+	data []byte
+	err  error
+}
+
+var errSilent = errors.New("nothing came in time")
+
+// name returns the name of the engine that writes.
+func (l *leg) name() string {
+	name, _ := l.ticket.Engine()
+	return name
+}
+
+// due is when the next event of a stream is due.
+type due struct {
+	from   time.Time
+	target time.Duration // from then on; 0 where the answer is late already
+	leaves time.Time     // when the caller leaves without it; zero: at the deadline
+	events int           // that were written already: they are read again, and not written
+}
+
+// begin places the request and sends it to engines, to go on behind the last event
+// of a splitter. The leg that it returns has answered with a head.
+func (c *call) begin(after splitter, d due) (*leg, platform.Answer, error) {
+	written := min(d.events*c.engine.Stride, c.req.MaxOutput)
+	t, err := c.s.belief.Place(c.ctx, c.service, passes.Job{
+		ID: c.req.ID, Tokens: c.req.Prompt + written, MaxTokens: c.req.MaxOutput - written, Bytes: len(c.in.Body()),
+		Target: d.target, Gap: c.route.Gap, Arrived: d.from, Deadline: c.deadline, Leaves: d.leaves, Tried: c.tried,
+	})
+	if err != nil {
+		return nil, platform.Answer{}, err
+	}
+	l := &leg{c: c, ticket: t, split: after.next(), reads: make(chan read, readsAhead), stop: make(chan struct{})}
+	name, address := t.Engine()
+	c.tried[name] = true
+	seen := t.Seen()
+	c.s.log.Info("Placed.", "id", c.req.ID, "tokens", c.req.Prompt, "upstream", name, "helpers", len(t.Helpers()),
+		"predicted_ms", t.Predicted().Milliseconds(), "waited_ms", time.Since(c.arrived).Milliseconds(), "read_ms", t.Read().Milliseconds(),
+		"streams", seen.Streams, "ahead_ms", seen.Reads.Milliseconds(), "pass_ms", seen.Pass.Milliseconds(),
+		"memory", seen.Memory, "usable", seen.Usable, "others", fmt.Sprint(seen.Others))
+	helpers, err := l.reserve(t.Helpers())
+	if err != nil {
+		delete(c.tried, name) // it was not asked to run anything
+		l.close(passes.Outcome{})
+		return nil, platform.Answer{}, err
+	}
+	x, ans, err := c.attempt(address, platform.Attempt{
+		Instance: name, Helpers: helpers, Urgency: c.route.Priority, LastEvent: after.text,
+	}, l.firstLimit())
+	if err == nil && !c.accepts(ans.Status, after.text != "") {
+		x.Close()
+		err = fail("answer", KindUnknown, errNotWhole)
+	}
+	if err != nil {
+		c.s.log.Warn("An engine did not answer.", "id", c.req.ID, "upstream", name, "status", ans.Status, "fault", ans.Fault, "err", err)
+		l.close(passes.Outcome{Failed: c.ctx.Err() == nil, Fault: ans.Fault})
+		return nil, ans, err
+	}
+	l.x = x
+	go l.run()
+	return l, ans, nil
+}
+
+// accepts reports whether an engine's status is the answer. A failure is no part of
+// an answer that has begun; before that it is the answer where the request may not be
+// sent once more.
+func (c *call) accepts(status int, begun bool) bool {
+	if begun {
+		return status < fasthttp.StatusMultipleChoices
+	}
+	return status < fasthttp.StatusInternalServerError || c.route.Repeat != route.Idempotent || c.ran >= c.route.Attempts
+}
+
+// firstLimit bounds the wait for a first event by the prediction.
+func (l *leg) firstLimit() time.Duration {
+	return min(l.c.left(), firstFactor*l.ticket.Predicted()+firstExtra)
+}
+
+// reserve sets memory aside at the helpers that hold some, and returns the helpers
+// as an attempt names them.
+func (l *leg) reserve(list []passes.Helper) ([]string, error) {
+	var (
+		out  []string
+		rest []string
+		want []platform.Reservation
+	)
+	for i, h := range list {
+		if h.Tokens == 0 {
+			rest = append(rest, h.Address)
+			continue
+		}
+		r := platform.Reservation{ID: fmt.Sprintf("%s-%d-%d", l.c.req.ID, l.c.holds, i), Instance: h.Name, Address: h.Address, Tokens: h.Tokens}
+		want = append(want, r)
+		out = append(out, r.Helper())
+	}
+	if len(want) == 0 {
+		return rest, nil
+	}
+	l.c.holds++
+	h, err := l.c.s.reserve(l.c.ctx, l.c.req.ID, want)
+	if err != nil {
+		return nil, err
+	}
+	l.held = h
+	return append(out, rest...), nil
+}
+
+// run reads the engine's answer until it ends.
+func (l *leg) run() {
+	defer close(l.reads)
+	for {
+		buf := make([]byte, readSize)
+		n, err := l.x.ReadWithin(buf, max(l.c.left(), minRetry))
+		select {
+		case l.reads <- read{data: buf[:n], err: err}:
+		case <-l.stop:
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// next returns the whole events of the next read. It waits no longer than the
+// limit; errSilent then leaves the leg as it is. io.EOF: the answer is whole.
+func (l *leg) next(limit time.Duration) ([]byte, error) {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case r, ok := <-l.reads:
+		if !ok {
+			return nil, fail("read", KindUnknown, io.ErrUnexpectedEOF)
+		}
+		return l.take(r)
+	case <-t.C:
+		return nil, errSilent
+	case <-l.c.ctx.Done():
+		return nil, fail("read", KindUnknown, l.c.ctx.Err())
+	}
+}
+
+func (l *leg) take(r read) ([]byte, error) {
+	out := l.split.add(r.data)
+	switch {
+	case r.err == nil:
+		return out, nil
+	case !errors.Is(r.err, io.EOF):
+		return out, fail("read", KindUnknown, r.err)
+	case len(l.split.rest()) > 0 && l.x.Header().ContentLength() < -1:
+		return out, fail("read", KindUnknown, io.ErrUnexpectedEOF) // it has no length, and ends within an event
+	default:
+		return append(out, l.split.rest()...), io.EOF
+	}
+}
+
+// close ends the leg. It does nothing the second time.
+func (l *leg) close(out passes.Outcome) {
+	if l.over {
+		return
+	}
+	l.over = true
+	close(l.stop)
+	if l.x != nil {
+		l.x.Close()
+	}
+	l.c.s.belief.Done(l.c.service, l.ticket, out)
+	if l.held != nil {
+		l.held.release()
+	}
+}
--- /dev/null
+++ b/internal/peer/sends/wire.go
@@ -0,0 +1,183 @@
+package sends
+
+import (
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
+)
+
+// A message is the sender's start and count of messages, and its sends by engine.
+// Ages stand for times, since clocks differ.
+const (
+	fieldStart  = 1 // fixed64: when the sender started, Unix nanoseconds
+	fieldCount  = 2 // varint
+	fieldEngine = 3 // bytes: an engine's name and sends
+	fieldLeave  = 4 // varint: 1 where the sender is leaving
+	fieldOffset = 5 // varint, one for each topic: how far the sender has read
+
+	fieldName = 1 // string
+	fieldSend = 2 // bytes, of varints
+
+	numbers = 7 // varints of a send
+
+	weightSteps = 10 // parts of a weight's unit that are told
+)
+
+type message struct {
+	start   uint64
+	count   uint64
+	leaving bool
+	offsets []uint64
+	sends   []passes.Send
+}
+
+func (m *message) encode(now time.Time) []byte {
+	b := protowire.AppendTag(nil, fieldStart, protowire.Fixed64Type)
+	b = protowire.AppendFixed64(b, m.start)
+	b = protowire.AppendTag(b, fieldCount, protowire.VarintType)
+	b = protowire.AppendVarint(b, m.count)
+	if m.leaving {
+		b = protowire.AppendTag(b, fieldLeave, protowire.VarintType)
+		b = protowire.AppendVarint(b, 1)
+	}
+	for _, o := range m.offsets {
+		b = protowire.AppendTag(b, fieldOffset, protowire.VarintType)
+		b = protowire.AppendVarint(b, o)
+	}
+	for i := 0; i < len(m.sends); {
+		end := i + 1
+		for end < len(m.sends) && m.sends[end].Engine == m.sends[i].Engine {
+			end++
+		}
+		b = protowire.AppendTag(b, fieldEngine, protowire.BytesType)
+		b = protowire.AppendBytes(b, encodeEngine(m.sends[i:end], now))
+		i = end
+	}
+	return b
+}
+
+func encodeEngine(list []passes.Send, now time.Time) []byte {
+	b := protowire.AppendTag(nil, fieldName, protowire.BytesType)
+	b = protowire.AppendString(b, list[0].Engine)
+	for _, s := range list {
+		b = protowire.AppendTag(b, fieldSend, protowire.BytesType)
+		b = protowire.AppendBytes(b, encodeSend(s, now))
+	}
+	return b
+}
+
+func encodeSend(s passes.Send, now time.Time) []byte {
+	writing := uint64(0)
+	if s.Writing {
+		writing = 1
+	}
+	b := protowire.AppendVarint(nil, uint64(s.Read.Milliseconds()))
+	b = protowire.AppendVarint(b, uint64(s.Context))
+	b = protowire.AppendVarint(b, uint64(s.Gap.Milliseconds()))
+	b = protowire.AppendVarint(b, uint64(max(0, now.Sub(s.At).Milliseconds())))
+	b = protowire.AppendVarint(b, uint64(s.Weight*weightSteps))
+	b = protowire.AppendVarint(b, uint64(max(0, s.Due.Sub(now).Milliseconds())))
+	return protowire.AppendVarint(b, writing)
+}
+
+var errMessage = errors.New("not a message of an entry")
+
+func decode(b []byte, now time.Time) (message, error) {
+	var m message
+	err := fields(b, func(num protowire.Number, v uint64, data []byte) error {
+		switch num {
+		case fieldStart:
+			m.start = v
+		case fieldCount:
+			m.count = v
+		case fieldLeave:
+			m.leaving = v == 1
+		case fieldOffset:
+			m.offsets = append(m.offsets, v)
+		case fieldEngine:
+			list, err := decodeEngine(data, now)
+			m.sends = append(m.sends, list...)
+			return err
+		}
+		return nil
+	})
+	if err == nil && m.start == 0 {
+		err = errMessage
+	}
+	return m, err
+}
+
+func decodeEngine(b []byte, now time.Time) ([]passes.Send, error) {
+	var (
+		name string
+		out  []passes.Send
+	)
+	err := fields(b, func(num protowire.Number, _ uint64, data []byte) error {
+		switch num {
+		case fieldName:
+			name = string(data)
+		case fieldSend:
+			s, err := decodeSend(data, now)
+			if err != nil {
+				return err
+			}
+			s.Engine = name
+			out = append(out, s)
+		}
+		return nil
+	})
+	return out, err
+}
+
+func decodeSend(b []byte, now time.Time) (passes.Send, error) {
+	var v [numbers]uint64
+	for i := range v {
+		n := 0
+		if v[i], n = protowire.ConsumeVarint(b); n < 0 {
+			return passes.Send{}, errMessage
+		}
+		b = b[n:]
+	}
+	return passes.Send{
+		Read: millis(v[0]), Context: int(v[1]), Gap: millis(v[2]), At: now.Add(-millis(v[3])),
+		Weight: float64(v[4]) / weightSteps, Due: now.Add(millis(v[5])), Writing: v[6] == 1,
+	}, nil
+}
+
+func millis(n uint64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// fields calls f with each field of a message. Unknown ones are the callee's to skip.
+func fields(b []byte, f func(num protowire.Number, v uint64, data []byte) error) error {
+	for len(b) > 0 {
+		num, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return errMessage
+		}
+		b = b[n:]
+		var (
+			v    uint64
+			data []byte
+		)
+		switch typ {
+		case protowire.VarintType:
+			v, n = protowire.ConsumeVarint(b)
+		case protowire.Fixed64Type:
+			v, n = protowire.ConsumeFixed64(b)
+		case protowire.BytesType:
+			data, n = protowire.ConsumeBytes(b)
+		default:
+			n = -1
+		}
+		if n < 0 {
+			return errMessage
+		}
+		b = b[n:]
+		if err := f(num, v, data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/sends/wire_test.go
@@ -0,0 +1,115 @@
+package sends
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "github.com/dogwoodmill/dogwoodmill/internal/base/seed"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
+)
+
+var wireNow = time.Unix(1_000_000, 0)
+
+func drawMessage(t *rapid.T) message {
+	millis := func(name string) time.Duration {
+		return time.Duration(rapid.IntRange(0, 20_000).Draw(t, name)) * time.Millisecond
+	}
+	m := message{
+		start: rapid.Uint64Min(1).Draw(t, "start"), count: rapid.Uint64().Draw(t, "count"), leaving: rapid.Bool().Draw(t, "leaving"),
+		offsets: rapid.SliceOfN(rapid.Uint64(), 0, 3).Draw(t, "offsets"),
+	}
+	for range rapid.IntRange(0, 8).Draw(t, "sends") {
+		m.sends = append(m.sends, passes.Send{
+			Engine: rapid.SampledFrom([]string{"i-1", "i-2", "i-3"}).Draw(t, "engine"),
+			Read:   millis("read"), Context: rapid.IntRange(0, 1_000_000).Draw(t, "context"), Gap: millis("gap"),
+			Weight: float64(rapid.IntRange(0, 1000).Draw(t, "weight")) / weightSteps,
+			At:     wireNow.Add(-millis("age")), Due: wireNow.Add(millis("due")), Writing: rapid.Bool().Draw(t, "writing"),
+		})
+	}
+	slices.SortStableFunc(m.sends, func(a, b passes.Send) int { return strings.Compare(a.Engine, b.Engine) })
+	return m
+}
+
+// What an entry tells is what another one reads.
+func TestRapidMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawMessage(t)
+		got, err := decode(m.encode(wireNow), wireNow)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.start != m.start || got.count != m.count || got.leaving != m.leaving ||
+			!slices.Equal(got.offsets, m.offsets) || !slices.Equal(got.sends, m.sends) {
+			t.Fatalf("%+v is read as %+v", m, got)
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	m := message{start: 1, count: 2, sends: []passes.Send{{Engine: "i-1", Read: time.Second}}}
+	f.Add(m.encode(wireNow))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := decode(b, wireNow)
+		if err == nil && m.start == 0 {
+			t.Error("a message without a start")
+		}
+	})
+}
+
+// A message that is late or repeated changes nothing; one of a new start does.
+func TestFreshness(t *testing.T) {
+	is := is.New(t)
+	x := quietExchange()
+	fresh := func(start, count uint64) bool {
+		return x.fresh("10.0.0.1:1", &message{start: start, count: count}, wireNow)
+	}
+	is.True(fresh(5, 1))
+	is.True(!fresh(5, 1))
+	is.True(fresh(5, 3))
+	is.True(!fresh(5, 2))
+	is.True(fresh(6, 1))
+	is.True(!fresh(5, 9))
+}
+
+// An entry that is silent is forgotten, and told only now and then.
+func TestSilentEntryIsForgotten(t *testing.T) {
+	is := is.New(t)
+	x := quietExchange()
+	var gone []string
+	x.seams.Tell = func(entry string, sends []passes.Send) {
+		is.Equal(len(sends), 0)
+		gone = append(gone, entry)
+	}
+	is.True(x.fresh("10.0.0.1:1", &message{start: 5, count: 1}, wireNow))
+	is.True(x.due("10.0.0.1:1", wireNow, true))
+	x.silence(wireNow.Add(silentAfter))
+	is.Equal(len(gone), 0)
+	x.silence(wireNow.Add(silentAfter + time.Millisecond))
+	is.Equal(gone, []string{"10.0.0.1:1"})
+	is.True(!x.due("10.0.0.1:1", wireNow.Add(probeEvery/2), true))
+	is.True(x.due("10.0.0.1:1", wireNow.Add(probeEvery), true))
+}
+
+// All entries agree on who is among the first.
+func TestRanksDiffer(t *testing.T) {
+	is := is.New(t)
+	addresses := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1"}
+	seen := map[int]bool{}
+	for _, self := range addresses {
+		x := quietExchange()
+		x.self = self
+		for _, other := range addresses {
+			if other != self {
+				x.fresh(other, &message{start: 1, count: 1}, wireNow)
+			}
+		}
+		seen[x.Rank()] = true
+	}
+	is.Equal(len(seen), len(addresses))
+}
--- /dev/null
+++ b/internal/upstream/plain/pool_test.go
@@ -0,0 +1,59 @@
+package plain
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func pool(cut map[string]bool) (*Pool, *time.Time) {
+	now := time.Unix(1_000_000, 0)
+	p := New(Settings{
+		Domain: "a", Now: func() time.Time { return now }, Rand: func() float64 { return 0 },
+		Cut: func(address string) bool { return cut[address] },
+	})
+	p.SetServers([]Server{{Name: "i-1", Domain: "a", Address: "one", Slots: 2}, {Name: "i-2", Domain: "b", Address: "two", Slots: 2}})
+	return p, &now
+}
+
+func TestOwnDomainFirstThenTheLeastBusy(t *testing.T) {
+	is := is.New(t)
+	p, _ := pool(nil)
+	is.Equal(p.Choose(nil).Name(), "i-1")
+	is.Equal(p.Choose(nil).Name(), "i-2")
+	is.Equal(p.Choose(map[string]bool{"i-2": true}).Name(), "i-1")
+	is.True(p.Choose(map[string]bool{"i-1": true, "i-2": true}) == nil)
+}
+
+// A server that fails part of its requests while it looks healthy gets few.
+func TestFailingServerGetsLittle(t *testing.T) {
+	is := is.New(t)
+	p, now := pool(nil)
+	n := 0
+	for range 100 {
+		k := p.Choose(nil)
+		out := Answered
+		if k.Name() == "i-1" {
+			out = Failed
+			n++
+		}
+		p.Done(k, out)
+		*now = now.Add(50 * time.Millisecond)
+	}
+	is.True(n < 10)
+}
+
+func TestServerThatCantBeReachedIsTheLast(t *testing.T) {
+	is := is.New(t)
+	p, _ := pool(map[string]bool{"one": true})
+	is.Equal(p.Choose(nil).Name(), "i-2")
+	is.Equal(p.Choose(map[string]bool{"i-2": true}).Name(), "i-1") // better than none
+}
+
+func TestLeavingServerIsNotChosen(t *testing.T) {
+	is := is.New(t)
+	p, _ := pool(nil)
+	p.SetServers([]Server{{Name: "i-1", Domain: "a", Address: "one", Slots: 2, Leaving: true}})
+	is.True(p.Choose(nil) == nil)
+}
