Doubt the sends of entries that are silent, and refuse before callers leave

Cause: when a failure domain is cut off, its entries and the others believed for three seconds that engines still had the reads and streams of entries that no longer reached them. Callers that have got nothing leave before a third of their time limit is over; prompts were kept for 3.5 s.

Ruled out: forgetting silent entries sooner (a frozen entry's streams go on); moving streams between engines, since engines were free.

Change: the planner doubts an entry after one second of silence: its reads count no more, its streams until they should have ended, by the length that their callers expect. Where a repeat is late and no engine of the entry's domain can be connected to, nothing of it counts in the own domain. A fresh prompt is refused before its caller leaves. The emulated fleet can cut off failure domains with their entries.

Callers are told sooner when they should come back.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PKGS   = ./...
 FUZZ_TIME ?= 5m
 # Names of the users' platform, which only platform/ and the stand-ins know.
-WIRE_NAMES = 'X-(Attempt-Id|Deadline-Milliseconds|Token-Counts|Tenant|Expect-Instance|Helpers|Not-Executed|Response-Seal|Request-Urgency|Instance-Id|Model|Prompt-Prefix)|At-Server|/dogwoodmill/(log-|order|report|readiness)|keyed\.|node_name|target_latency_ms|path_prefix|kv_cache_tokens|token_count'
+WIRE_NAMES = 'X-(Attempt-Id|Length-Hint|Deadline-Milliseconds|Token-Counts|Tenant|Expect-Instance|Helpers|Not-Executed|Response-Seal|Request-Urgency|Instance-Id|Model|Prompt-Prefix)|At-Server|/dogwoodmill/(log-|order|report|readiness)|keyed\.|node_name|target_latency_ms|path_prefix|kv_cache_tokens|token_count'
 
 .PHONY: build check race lint fmt bench bench-cpu fuzz soak generate
 
--- a/internal/command/experiment/plan.go
+++ b/internal/command/experiment/plan.go
@@ -181,13 +181,15 @@
 		switch f.Kind {
 		case fleet.Freeze:
 			most = p.Entries.Count
+		case fleet.Part:
+			most = p.Domains
 		case fleet.Slow:
 			if f.Factor <= 0 {
 				return fail("check", KindFile, "faults[%d].factor is missing", i)
 			}
 		case fleet.Crash, fleet.Cut, fleet.Deaf:
 		default:
-			return fail("check", KindFile, "faults[%d].kind: %q is none of crash, cut, deaf, freeze, slow", i, f.Kind)
+			return fail("check", KindFile, "faults[%d].kind: %q is none of crash, cut, deaf, freeze, part, slow", i, f.Kind)
 		}
 		if f.First < 0 || f.Count < 0 || f.First+f.Count > most || f.At < 0 || f.For < 0 {
 			return fail("check", KindFile, "faults[%d] falls on more than the %d that there are, or has a negative time", i, most)
--- a/internal/gateway/entry/belief.go
+++ b/internal/gateway/entry/belief.go
@@ -41,6 +41,8 @@
 	entries func() int // that share the retry bound
 	now     func() time.Time
 	cut     func(address string) bool // that can't be connected to
+	// domainOf returns the failure domain of the entry at an address; "" where it is not known.
+	domainOf func(address string) string
 
 	mu       sync.Mutex
 	table    *route.Table
@@ -48,7 +50,7 @@
 	planners map[string]*passes.Planner // by service
 	pools    map[string]*plain.Pool     // by service
 	budget   *retry.Budget              // by service
-	told     map[string][]passes.Send   // by entry
+	told     map[string]passes.Report   // by entry
 	heard    bool                       // some was told that the planners don't know
 	ready    chan struct{}              // closed once requests can be served
 	ticking  bool
@@ -58,10 +60,10 @@
 func newBelief(domain string, bound platform.RetryBound, logger *log.Logger) *belief {
 	return &belief{
 		domain: domain, bound: bound, log: logger, now: time.Now, changed: func() {}, entries: func() int { return 1 },
-		cut: func(string) bool { return false },
+		cut: func(string) bool { return false }, domainOf: func(string) string { return "" },
 		dir: directory.New(), planners: map[string]*passes.Planner{}, pools: map[string]*plain.Pool{},
 		budget: retry.NewWithin(budgetShare*bound.Ratio, budgetShare*bound.Slack/minEntries, firstShare),
-		told:   map[string][]passes.Send{}, ready: make(chan struct{}),
+		told:   map[string]passes.Report{}, ready: make(chan struct{}),
 	}
 }
 
@@ -354,6 +356,14 @@
 	b.dispatch()
 }
 
+// ReachChanged takes in that other upstreams than before can be connected to.
+func (b *belief) ReachChanged() {
+	b.mu.Lock()
+	b.heard = true // what an entry told may count for less
+	b.mu.Unlock()
+	b.dispatch()
+}
+
 // dispatch looks at what waits.
 func (b *belief) dispatch() {
 	b.mu.Lock()
@@ -388,7 +398,7 @@
 	if len(sends) == 0 {
 		delete(b.told, entry)
 	} else {
-		b.told[entry] = sends
+		b.told[entry] = passes.Report{Domain: b.domainOf(entry), Heard: b.now(), Sends: sends}
 	}
 	b.heard = true // decisions take it in: messages are many more than decisions
 }
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -112,7 +112,7 @@
 	}
 	s.orders = platform.NewOrders(s.upstreams)
 	s.reach = reach.New(reach.Settings{
-		Network: s.upstreams, Siblings: s.belief.Siblings, Changed: s.belief.dispatch, Log: logger.WithPrefix("reach"),
+		Network: s.upstreams, Siblings: s.belief.Siblings, Changed: s.belief.ReachChanged, Log: logger.WithPrefix("reach"),
 	})
 	s.belief.cut = s.reach.Cut
 	own := net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.PeerPort))
@@ -138,7 +138,7 @@
 		Log: logger.WithPrefix("sends"),
 	})
 	s.belief.changed = s.exchange.Changed
-	s.belief.entries = s.known
+	s.belief.entries, s.belief.domainOf = s.known, s.domainOf
 	s.follow(pause)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
@@ -279,6 +279,18 @@
 	return max(1, len(s.entries))
 }
 
+// domainOf returns the failure domain of the entry at an address, or "".
+func (s *Server) domainOf(address string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.entries {
+		if e.Address == address {
+			return e.Domain
+		}
+	}
+	return ""
+}
+
 // register tells the other entries through the store where this one is, once.
 func (s *Server) register(ctx context.Context, own string) {
 	defer s.parts.Done()
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -53,7 +53,7 @@
 // serveStream answers with the events of an engine.
 func (c *call) serveStream(ctx *fasthttp.RequestCtx, finish func()) {
 	st := &stream{c: c, finish: finish, silent: c.silence()}
-	if err := st.open(splitter{}, due{from: c.arrived, target: c.route.Target}); err != nil {
+	if err := st.open(splitter{}, due{from: c.arrived, target: c.route.Target, leaves: c.leaves(c.arrived)}); err != nil {
 		c.refuse(ctx, err, passes.RetryAfter(err))
 		finish()
 		return
@@ -244,14 +244,18 @@
 
 // due returns when the next event of a stream that broke off is due.
 func (st *stream) due() due {
-	r := st.c.route
-	d := due{from: st.at, events: st.events, leaves: st.at.Add(max(leastPatience, targetPatience*r.Target, gapPatience*r.Gap))}
+	d := due{from: st.at, events: st.events, leaves: st.c.leaves(st.at)}
 	if !st.late() {
-		d.target = r.Gap
+		d.target = st.c.route.Gap
 	}
 	return d
 }
 
+// leaves returns when a caller leaves that has got nothing since a moment.
+func (c *call) leaves(since time.Time) time.Time {
+	return since.Add(max(leastPatience, targetPatience*c.route.Target, gapPatience*c.route.Gap))
+}
+
 // late reports whether the answer has been late so far.
 func (st *stream) late() bool { return st.began > st.c.route.Target || st.pause > st.c.route.Gap }
 
--- a/internal/peer/sends/wire.go
+++ b/internal/peer/sends/wire.go
@@ -21,7 +21,7 @@
 	fieldName = 1 // string
 	fieldSend = 2 // bytes, of varints
 
-	numbers = 7 // varints of a send
+	numbers = 7 // varints of a send; those behind them may be missing
 
 	weightSteps = 10 // parts of a weight's unit that are told
 )
@@ -80,7 +80,8 @@
 	b = protowire.AppendVarint(b, uint64(max(0, now.Sub(s.At).Milliseconds())))
 	b = protowire.AppendVarint(b, uint64(s.Weight*weightSteps))
 	b = protowire.AppendVarint(b, uint64(max(0, s.Due.Sub(now).Milliseconds())))
-	return protowire.AppendVarint(b, writing)
+	b = protowire.AppendVarint(b, writing)
+	return protowire.AppendVarint(b, uint64(max(0, s.Ends.Sub(now).Milliseconds())))
 }
 
 var errMessage = errors.New("not a message of an entry")
@@ -141,10 +142,14 @@
 		}
 		b = b[n:]
 	}
-	return passes.Send{
+	out := passes.Send{
 		Read: millis(v[0]), Context: int(v[1]), Gap: millis(v[2]), At: now.Add(-millis(v[3])),
 		Weight: float64(v[4]) / weightSteps, Due: now.Add(millis(v[5])), Writing: v[6] == 1,
-	}, nil
+	}
+	if ends, n := protowire.ConsumeVarint(b); n > 0 && ends > 0 {
+		out.Ends = now.Add(millis(ends))
+	}
+	return out, nil
 }
 
 func millis(n uint64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/peer/sends/wire_test.go
+++ b/internal/peer/sends/wire_test.go
@@ -24,12 +24,16 @@
 		offsets: rapid.SliceOfN(rapid.Uint64(), 0, 3).Draw(t, "offsets"),
 	}
 	for range rapid.IntRange(0, 8).Draw(t, "sends") {
-		m.sends = append(m.sends, passes.Send{
+		s := passes.Send{
 			Engine: rapid.SampledFrom([]string{"i-1", "i-2", "i-3"}).Draw(t, "engine"),
 			Read:   millis("read"), Context: rapid.IntRange(0, 1_000_000).Draw(t, "context"), Gap: millis("gap"),
 			Weight: float64(rapid.IntRange(0, 1000).Draw(t, "weight")) / weightSteps,
 			At:     wireNow.Add(-millis("age")), Due: wireNow.Add(millis("due")), Writing: rapid.Bool().Draw(t, "writing"),
-		})
+		}
+		if ends := millis("ends"); ends > 0 {
+			s.Ends = wireNow.Add(ends)
+		}
+		m.sends = append(m.sends, s)
 	}
 	slices.SortStableFunc(m.sends, func(a, b passes.Send) int { return strings.Compare(a.Engine, b.Engine) })
 	return m
--- a/internal/prompt/passes/bench_test.go
+++ b/internal/prompt/passes/bench_test.go
@@ -22,7 +22,7 @@
 		}
 	}
 	p.SetEngines(list)
-	p.Tell(map[string][]Send{"other": sends})
+	p.Tell(map[string]Report{"other": {Heard: now, Sends: sends}})
 	return p
 }
 
--- a/internal/prompt/passes/choose.go
+++ b/internal/prompt/passes/choose.go
@@ -78,6 +78,7 @@
 	memory  int           // tokens of memory at the writer
 	part    time.Duration // that each of them reads
 	first   time.Duration // predicted, to the first event
+	pass    time.Duration // predicted, of the writer's passes then
 	seen    Seen
 }
 
@@ -134,6 +135,7 @@
 // look predicts the engines that can be used. Of a large fleet it looks at a part:
 // those of the own failure domain first, from a random one on.
 func (p *Planner) look(now time.Time) []candidate {
+	p.doubt(now)
 	out := make([]candidate, 0, min(len(p.engines), maxView))
 	n := len(p.engines)
 	if n == 0 {
@@ -216,13 +218,22 @@
 
 // inTime reports whether a stream that starts then ends before the deadline.
 func (p *Planner) inTime(t *Ticket, c candidate, first time.Duration, now time.Time) bool {
-	pass := p.figures.Pass(c.load.slots+1, c.load.memory)
-	whole := first + p.figures.Write(t.job.MaxTokens, pass)
+	whole := first + p.figures.Write(t.job.MaxTokens, p.passWith(c))
 	return whole <= time.Duration(finishShare*float64(t.job.Deadline.Sub(now)))
 }
 
 func (p *Planner) firstEvent(c candidate, part time.Duration) time.Duration {
-	return c.start + part + p.figures.Pass(c.load.slots+1, c.load.memory) + network
+	return c.start + part + p.passWith(c) + network
+}
+
+// passWith returns the time of an engine's passes with one more stream.
+func (p *Planner) passWith(c candidate) time.Duration {
+	return p.figures.Pass(c.load.slots+1, c.load.memory)
+}
+
+// writing returns the time in which a request's stream is likely to be written.
+func (p *Planner) writing(t *Ticket, pass time.Duration) time.Duration {
+	return p.figures.Write(t.job.likely(), pass)
 }
 
 func (p *Planner) single(t *Ticket, list []candidate, now time.Time) (choice, bool) {
@@ -238,7 +249,7 @@
 	}
 	slices.SortStableFunc(fit, func(a, b candidate) int { return t.packs(a, b) })
 	best := fit[int(p.cfg.Rand()*float64(min(len(fit), p.spread())))]
-	return choice{writer: best.engine, memory: t.job.need(), part: t.read, first: p.firstEvent(best, t.read)}, true
+	return choice{writer: best.engine, memory: t.job.need(), part: t.read, first: p.firstEvent(best, t.read), pass: p.passWith(best)}, true
 }
 
 // guard returns what is kept from the pauses that streams allow.
@@ -390,7 +401,7 @@
 		}
 	}
 	writer.start = start
-	out.first = p.firstEvent(writer, part)
+	out.first, out.pass = p.firstEvent(writer, part), p.passWith(writer)
 	if out.held != nil {
 		out.first += holdTime
 	}
--- a/internal/prompt/passes/engine.go
+++ b/internal/prompt/passes/engine.go
@@ -31,6 +31,7 @@
 	Weight  float64       // what its caller loses where it is late; 0 where it does not write here
 	At      time.Time
 	Due     time.Time // of the first event, for full value
+	Ends    time.Time // predicted, of the last event; zero where it does not write here
 	Writing bool      // its first event came
 }
 
@@ -60,6 +61,7 @@
 	reads   time.Duration // that may be in one pass with a new one
 	ahead   time.Duration // until a new one starts, beside the pass that runs
 	gap     time.Duration // shortest pause that its streams allow
+	until   time.Time     // when its last stream ends, as predicted
 	slack   time.Duration // least time to spare of the reads under way that can be on time
 	streams []Send        // that write here or will
 }
@@ -74,6 +76,9 @@
 		if s.Gap > 0 {
 			l.slots++
 			l.gap = min(l.gap, s.Gap)
+			if s.Ends.After(l.until) {
+				l.until = s.Ends
+			}
 			l.streams = append(l.streams, s)
 		} else {
 			l.helping++
--- a/internal/prompt/passes/patterns_test.go
+++ b/internal/prompt/passes/patterns_test.go
@@ -165,6 +165,23 @@
 	}
 }
 
+// A failure domain is cut off with its entries and engines at a busy time: callers of its
+// entries and of the others are served on time by the engines that each reaches, but for
+// those whose streams broke off, and after its return all are.
+func TestDomainApartServesItsOwn(t *testing.T) {
+	t.Parallel()
+	cfg := fleetOf(4, during(12*time.Second, []float64{60, 1.3, 0.2}))
+	cfg.Faults = []fleet.Fault{{At: 3 * time.Second, For: 5 * time.Second, Kind: fleet.Part, Count: 1}}
+	r := play(t, cfg)["short"]
+	// Streams of two seconds, of which at most two in three have their engine elsewhere.
+	if most := int(60 * 2 * 2 / 3 * days); r.Failed > most {
+		t.Errorf("%d short prompts were lost, at most %d ran at engines out of reach", r.Failed, most)
+	}
+	if got := float64(r.OnTime) / float64(r.Asked-r.Failed); got < onTime {
+		t.Errorf("short prompts on time beside those that were lost: %.3f, want %.2f", got, onTime)
+	}
+}
+
 // The entry that sends most stands still for three seconds: callers of the others do not
 // notice, and what they lose is no more than what that entry had.
 func TestEntryFreezes(t *testing.T) {
--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -31,6 +31,9 @@
 	// twentieth of the fleet's capacity and may be back within a second.
 	maxOpen      = 2 * time.Second
 	weightTokens = 10_000
+	// likelyShare is the part of its bound that an output has where its caller tells nothing:
+	// the users' outputs have a third of it in the median.
+	likelyShare = 0.35
 	// lateLoss is the share of a request's weight that is lost where it is late:
 	// callers count a late answer a quarter.
 	lateLoss = 0.75
@@ -50,18 +53,29 @@
 	ID        string
 	Tokens    int
 	MaxTokens int
+	Likely    int // tokens of output that the caller expects; 0 where it told none
 	Bytes     int
 	Target    time.Duration // from arrival to the first event, for full value
 	Gap       time.Duration // longest pause between events, for full value
 	Arrived   time.Time
 	Deadline  time.Time
 	Leaves    time.Time       // when its caller leaves without an event; zero: at the deadline
+	Begun     bool            // its answer has begun: it can't be refused any more
 	Tried     map[string]bool // engines that it may not go to again
 	Notify    func()          // called once where the ticket waited and waits no more
 }
 
 func (j *Job) need() int { return j.Tokens + j.MaxTokens }
 
+// likely returns the tokens of output that are planned with. Callers expect the right
+// length in the median, and bound it by far more.
+func (j *Job) likely() int {
+	if j.Likely > 0 {
+		return min(j.Likely, j.MaxTokens)
+	}
+	return int(likelyShare * float64(j.MaxTokens))
+}
+
 type state int
 
 const (
@@ -171,6 +185,8 @@
 	byName  map[string]*engine
 	bounds  *queue.Bounds
 	waiting *queue.Queue[*Ticket] // by the time at which they have to start
+	reports map[string]Report     // by entry
+	doubtAt time.Time             // when the next of them is doubted; zero: none
 	stretch estimate.Moving       // time to the first event over the prediction
 	changed bool                  // own sends changed since they were last told
 	counts  Counts
@@ -289,11 +305,12 @@
 
 // giveUp returns the time from which a request is refused rather than kept waiting.
 func (t *Ticket) giveUp() time.Time {
-	if !t.job.Leaves.IsZero() {
-		return t.job.Leaves.Add(-leaveMargin)
-	}
 	patience := t.job.Deadline.Sub(t.job.Arrived)
-	return t.job.Arrived.Add(time.Duration(waitShare * float64(patience)))
+	at := t.job.Arrived.Add(time.Duration(waitShare * float64(patience)))
+	if leaves := t.job.Leaves.Add(-leaveMargin); !t.job.Leaves.IsZero() && (t.job.Begun || leaves.Before(at)) {
+		return leaves
+	}
+	return at
 }
 
 // Dispatch places what waits as far as engines have room, those that can still be
@@ -368,6 +385,7 @@
 		if i == 0 {
 			s.Context, s.Gap = c.memory, max(t.job.Gap, minGap)
 			s.Weight = t.weight()
+			s.Ends = now.Add(c.first + p.writing(t, c.pass))
 			if t.late(now) {
 				s.relax()
 			}
@@ -466,20 +484,6 @@
 	return out
 }
 
-// Tell replaces what is known of the other entries' sends.
-func (p *Planner) Tell(lists map[string][]Send) {
-	for _, e := range p.engines {
-		e.others = e.others[:0]
-	}
-	for _, sends := range lists {
-		for _, s := range sends {
-			if e := p.byName[s.Engine]; e != nil {
-				e.others = append(e.others, s)
-			}
-		}
-	}
-}
-
 // EngineState is an engine's part of the state dump.
 type EngineState struct {
 	Name    string  `json:"name"`
--- a/internal/prompt/passes/planner_test.go
+++ b/internal/prompt/passes/planner_test.go
@@ -40,10 +40,10 @@
 	for range UsersFigures().Slots {
 		full = append(full, Send{Engine: "a", Context: 5000, Gap: 200 * time.Millisecond, Weight: 1, At: now, Writing: true})
 	}
-	p.Tell(map[string][]Send{"other": full})
+	p.Tell(map[string]Report{"other": {Heard: now, Sends: full}})
 	job := Job{
 		Tokens: 5000, MaxTokens: 1000, Target: 200 * time.Millisecond, Gap: 200 * time.Millisecond, Tried: map[string]bool{},
-		Arrived: now, Deadline: now.Add(3 * time.Second), Leaves: now.Add(2 * time.Second),
+		Arrived: now, Deadline: now.Add(3 * time.Second), Leaves: now.Add(2 * time.Second), Begun: true,
 	}
 	ticket, err := p.Submit(job)
 	if err != nil {
@@ -54,7 +54,7 @@
 		t.Fatal(err)
 	}
 	now = now.Add(1600 * time.Millisecond)
-	p.Tell(map[string][]Send{"other": full[1:]})
+	p.Tell(map[string]Report{"other": {Heard: now, Sends: full[1:]}})
 	p.Dispatch()
 	if !ticket.Placed() || ticket.Err() != nil {
 		t.Errorf("not placed where an engine had room: %v", ticket.Err())
@@ -66,6 +66,65 @@
 	}
 }
 
+// A prompt that no engine takes is refused while its caller is still there to come back,
+// though more of its time limit is left.
+func TestRefusedBeforeItsCallerLeaves(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p := New(Settings{Now: func() time.Time { return now }, Rand: func() float64 { return 0 }}, UsersFigures())
+	p.SetEngines([]Engine{{Name: "a", Address: "a"}})
+	p.Tell(map[string]Report{"other": {Heard: now, Sends: []Send{{Engine: "a", Read: 30 * time.Second, At: now, Due: now}}}})
+	ticket, err := p.Submit(Job{
+		Tokens: 5000, MaxTokens: 1000, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond,
+		Arrived: now, Deadline: now.Add(10 * time.Second), Leaves: now.Add(2 * time.Second),
+	})
+	if err != nil || ticket.Placed() {
+		t.Fatalf("placed beside a long read, or refused at once: %v", err)
+	}
+	now = now.Add(2 * time.Second)
+	if p.Dispatch(); ticket.Err() == nil {
+		t.Error("it still waits, and its caller has left")
+	}
+}
+
+// An entry that is silent is doubted: its reads count no more after a second, its streams
+// until they should have ended. Where its whole failure domain can't be connected to,
+// nothing of it runs in the own one.
+func TestSilentEntryIsDoubted(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	sends := []Send{
+		{Engine: "own", Read: time.Second, At: start, Due: start.Add(3 * time.Second), Gap: 800 * time.Millisecond},
+		{Engine: "own", Context: 5000, Gap: 200 * time.Millisecond, At: start, Writing: true, Ends: start.Add(1500 * time.Millisecond)},
+	}
+	for _, c := range []struct {
+		name    string
+		after   time.Duration
+		domain  string // of the entry
+		cut     bool   // no engine of the other failure domain can be connected to
+		streams int
+		reads   bool
+	}{
+		{"just heard", 0, "far", false, 2, true},
+		{"a repeat is late", 400 * time.Millisecond, "far", false, 2, true},
+		{"a repeat is late, and its domain is cut off", 400 * time.Millisecond, "far", true, 0, false},
+		{"a repeat is late, and another domain is cut off", 400 * time.Millisecond, "own", true, 2, true},
+		{"silent for long", 1100 * time.Millisecond, "far", false, 1, false},
+		{"silent until its streams ended", 1600 * time.Millisecond, "far", false, 0, false},
+	} {
+		now := start
+		p := New(Settings{
+			Domain: "own", Now: func() time.Time { return now }, Rand: func() float64 { return 0 },
+			Cut: func(address string) bool { return c.cut && address == "far" },
+		}, UsersFigures())
+		p.SetEngines([]Engine{{Name: "own", Address: "own", Domain: "own"}, {Name: "far", Address: "far", Domain: "far"}})
+		p.Tell(map[string]Report{"other": {Domain: c.domain, Heard: start, Sends: sends}})
+		now = start.Add(c.after)
+		p.look(now)
+		if l := p.byName["own"].load(now); l.slots != c.streams || l.reads > 0 != c.reads {
+			t.Errorf("%s: %d streams, reads of %s", c.name, l.slots, l.reads)
+		}
+	}
+}
+
 // shortOnes places short prompts on the planner's only engine and starts to write them.
 func shortOnes(t *testing.T, p *Planner, n int, now time.Time) []*Ticket {
 	t.Helper()
@@ -175,14 +234,14 @@
 	now := time.Unix(1_000_000, 0)
 	p := New(Settings{Now: func() time.Time { return now }, Rand: func() float64 { return 0 }}, UsersFigures())
 	var list []Engine
-	busy := map[string][]Send{}
+	var busy []Send
 	for i := range 6 {
 		name := fmt.Sprint(i)
 		list = append(list, Engine{Name: name, Address: name})
-		busy["other"] = append(busy["other"], Send{Engine: name, Context: 5000, Gap: time.Duration(200+100*i) * time.Millisecond, Weight: 1, At: now, Writing: true})
+		busy = append(busy, Send{Engine: name, Context: 5000, Gap: time.Duration(200+100*i) * time.Millisecond, Weight: 1, At: now, Writing: true})
 	}
 	p.SetEngines(list)
-	p.Tell(busy)
+	p.Tell(map[string]Report{"other": {Heard: now, Sends: busy}})
 	ticket, err := p.Submit(Job{
 		Tokens: 1000, MaxTokens: 1000, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond, Arrived: now, Deadline: now.Add(10 * time.Second),
 	})
--- /dev/null
+++ b/internal/prompt/passes/report.go
@@ -0,0 +1,94 @@
+package passes
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// doubtAfter is the silence of an entry from which its sends are doubted: three of its
+	// repeats were lost, or it stands still or is cut off.
+	doubtAfter = time.Second
+	// cutAfter is the silence from which an entry counts as cut off where no engine of its
+	// failure domain can be connected to: one repeat and a message's way.
+	cutAfter = 350 * time.Millisecond
+)
+
+// Report is what another entry told of its sends.
+type Report struct {
+	Domain string    // of the entry; "" where it is not known
+	Heard  time.Time // when it told
+	Sends  []Send
+}
+
+// Tell replaces what the other entries told, by entry.
+func (p *Planner) Tell(reports map[string]Report) {
+	p.reports = reports
+	p.believe(p.cfg.Now())
+}
+
+// believe hands the engines what the other entries have under way there, as far as they
+// were heard lately.
+func (p *Planner) believe(now time.Time) {
+	for _, e := range p.engines {
+		e.others = e.others[:0]
+	}
+	p.doubtAt = time.Time{}
+	for _, entry := range slices.Sorted(maps.Keys(p.reports)) {
+		r := p.reports[entry]
+		silent := now.Sub(r.Heard)
+		doubted, cut := silent > doubtAfter, silent > cutAfter && p.cutOff(r.Domain)
+		if !doubted {
+			p.doubtLater(r.Heard, cut)
+		}
+		for _, s := range r.Sends {
+			e := p.byName[s.Engine]
+			if e == nil || cut && e.domain == p.cfg.Domain || (doubted || cut) && !s.lives(now) {
+				continue
+			}
+			e.others = append(e.others, s)
+		}
+	}
+}
+
+// doubtLater notes when an entry that stays silent has to be doubted.
+func (p *Planner) doubtLater(heard time.Time, cut bool) {
+	at := heard.Add(cutAfter)
+	if cut || !at.After(p.cfg.Now()) {
+		at = heard.Add(doubtAfter)
+	}
+	if p.doubtAt.IsZero() || at.Before(p.doubtAt) {
+		p.doubtAt = at
+	}
+}
+
+// doubt looks at the reports again once one has become too old to be believed.
+func (p *Planner) doubt(now time.Time) {
+	if !p.doubtAt.IsZero() && now.After(p.doubtAt) {
+		p.believe(now)
+	}
+}
+
+// lives reports whether a send of an entry that is silent may still be under way: a
+// stream until it should have ended. A read is over by then, or was cut off.
+func (s *Send) lives(now time.Time) bool { return s.Writing && s.Ends.After(now) }
+
+// cutOff reports whether no engine of a failure domain other than the own one can be
+// connected to.
+func (p *Planner) cutOff(domain string) bool {
+	if domain == p.cfg.Domain || p.cfg.Cut == nil {
+		return false
+	}
+	found := false
+	for _, e := range p.engines {
+		if e.domain != domain {
+			continue
+		}
+		if !p.cfg.Cut(e.address) {
+			return false
+		}
+		found = true
+	}
+	return found
+}
--- a/internal/standin/fleet/entry.go
+++ b/internal/standin/fleet/entry.go
@@ -23,9 +23,12 @@
 type entry struct {
 	fleet   *Fleet
 	name    string
+	domain  int
+	running []*request // at engines
 	planner *passes.Planner
-	told    map[string][]passes.Send
+	told    map[string]passes.Report
 	heard   bool                       // something was told since the planner was
+	toldAt  time.Time                  // when it last told the others
 	counts  map[*passengine.Engine]int // requests of this entry
 	waiting []*request                 // of InOrder
 	frozen  bool
@@ -33,10 +36,13 @@
 }
 
 func newEntry(f *Fleet, i int) *entry {
-	e := &entry{fleet: f, name: fmt.Sprint(i), told: map[string][]passes.Send{}, counts: map[*passengine.Engine]int{}}
+	e := &entry{
+		fleet: f, name: fmt.Sprint(i), domain: f.domain(i, f.cfg.Entries),
+		told: map[string]passes.Report{}, counts: map[*passengine.Engine]int{},
+	}
 	e.planner = passes.New(passes.Settings{
-		Domain: fmt.Sprint(f.domain(i, f.cfg.Entries)), Now: f.now, Rand: f.rng.Float64, Entries: func() int { return len(f.entries) },
-		Cut: func(address string) bool { return f.cut[address] },
+		Domain: fmt.Sprint(e.domain), Now: f.now, Rand: f.rng.Float64, Entries: func() int { return len(f.entries) },
+		Cut: func(address string) bool { return !f.reaches(e, f.byName[address]) },
 	}, &f.cfg.Figures)
 	e.planner.SetEngines(f.list())
 	return e
@@ -129,6 +135,13 @@
 	}
 }
 
+// stopped notes that a request runs no more.
+func (e *entry) stopped(r *request) {
+	if i := slices.Index(e.running, r); i >= 0 {
+		e.running = slices.Delete(e.running, i, i+1)
+	}
+}
+
 // give sends a request of a policy without a planner.
 func (e *entry) give(r *request, to *passengine.Engine, helpers []*passengine.Engine) {
 	e.counts[to]++
@@ -242,13 +255,17 @@
 
 // share tells the others what this entry has under way.
 func (e *entry) share() {
-	if !e.planner.Changed() {
+	now := e.fleet.now()
+	if !e.planner.Changed() && now.Sub(e.toldAt) < repeat {
 		return
 	}
+	e.toldAt = now
 	list := e.planner.Sends()
 	for _, o := range e.fleet.entries {
-		if o != e {
-			e.fleet.clock.After(e.fleet.cfg.Lag, func() { o.told[e.name], o.heard = list, true })
+		if o != e && e.fleet.connected(e.domain, o.domain) {
+			e.fleet.clock.After(e.fleet.cfg.Lag, func() {
+				o.told[e.name], o.heard = passes.Report{Domain: fmt.Sprint(e.domain), Heard: e.fleet.now(), Sends: list}, true
+			})
 		}
 	}
 }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/events"
@@ -17,6 +18,8 @@
 	hop = time.Millisecond
 	// tick is how often an entry looks at what waits.
 	tick = 15 * time.Millisecond
+	// repeat is how often an entry tells the others what has not changed.
+	repeat = 300 * time.Millisecond
 	// ending is how long the fleet goes on after its load.
 	ending = 20 * time.Second
 	// stall is the time until work is cut off that depends on a dead engine.
@@ -39,8 +42,10 @@
 	rng     *rand.Rand // draws for the policies
 	engines []*passengine.Engine
 	byName  map[string]*passengine.Engine
+	domains map[*passengine.Engine]int
 	entries []*entry
 	cut     map[string]bool
+	apart   map[int]bool // failure domains that are cut off
 	deaf    bool
 	results []Result
 	asked   int
@@ -95,7 +100,7 @@
 // New returns a fleet that has not run yet.
 func New(cfg Settings) *Fleet {
 	f := &Fleet{
-		cfg: cfg, clock: events.New(time.Unix(1_000_000, 0)), cut: map[string]bool{}, byName: map[string]*passengine.Engine{},
+		cfg: cfg, clock: events.New(time.Unix(1_000_000, 0)), cut: map[string]bool{}, apart: map[int]bool{}, byName: map[string]*passengine.Engine{}, domains: map[*passengine.Engine]int{},
 		load: rand.New(rand.NewPCG(cfg.Seed, 1)), rng: rand.New(rand.NewPCG(cfg.Seed, 2)),
 	}
 	if f.cfg.Overrun == 0 {
@@ -110,6 +115,7 @@
 			Name: fmt.Sprintf("engine-%04d", i), Figures: &actual, Queue: cfg.Queue, Lag: reportLag, Stall: stall, MaxHold: maxHold,
 		}, engineClock))
 		f.byName[f.engines[i].Name()] = f.engines[i]
+		f.domains[f.engines[i]] = f.domain(i, cfg.Engines)
 	}
 	for i := range cfg.Entries {
 		f.entries = append(f.entries, newEntry(f, i))
@@ -198,9 +204,42 @@
 			f.engines[i].Slow(factor)
 		case Freeze:
 			f.entries[i].freeze(on)
+		case Part:
+			f.apart[i] = on
 		case Deaf:
 		}
 	}
+	if ft.Kind == Part && on {
+		f.breakOff()
+	}
+}
+
+// connected reports whether two failure domains reach each other.
+func (f *Fleet) connected(a, b int) bool { return a == b || !f.apart[a] && !f.apart[b] }
+
+// reaches reports whether an entry reaches an engine.
+func (f *Fleet) reaches(e *entry, engine *passengine.Engine) bool {
+	return !f.cut[engine.Name()] && f.connected(e.domain, f.domains[engine])
+}
+
+// breakOff ends the requests whose entry or helpers are cut off from their engine: the
+// first at once, the others when the engine notices.
+func (f *Fleet) breakOff() {
+	for _, e := range f.entries {
+		for _, r := range slices.Clone(e.running) {
+			if !f.reaches(e, r.engine) {
+				r.engine.Cancel(r.run)
+				r.fail(true)
+				continue
+			}
+			for _, h := range r.run.Helpers {
+				if !f.connected(f.domains[r.engine], f.domains[h.Engine]) {
+					f.clock.After(stall, r.run.CutOff)
+					break
+				}
+			}
+		}
+	}
 }
 
 // live lets a dead engine start again, or a live one die.
--- a/internal/standin/fleet/request.go
+++ b/internal/standin/fleet/request.go
@@ -47,11 +47,12 @@
 		run.Helpers = append(run.Helpers, passengine.Helper{Engine: h})
 	}
 	r.run, r.engine = run, e
+	entry.running = append(entry.running, r)
 	f.clock.After(hop, func() {
 		if r.over {
 			return
 		}
-		if f.cut[e.Name()] {
+		if !f.reaches(entry, e) {
 			r.fail(false)
 			return
 		}
@@ -110,6 +111,7 @@
 // end notes what became of the request.
 func (r *request) end(a Answer) {
 	r.over = true
+	r.entry.stopped(r)
 	a.Tokens, a.First, a.Pause, a.Owed = r.tokens, r.first, r.pause, r.cfg().worth(r.tokens)
 	r.fleet.ended = r.fleet.now()
 	res := r.result()
@@ -127,6 +129,7 @@
 		r.lost(true)
 		return
 	}
+	r.entry.stopped(r)
 	r.entry.done(r, passes.Outcome{Failed: true})
 	r.refused(defaultRetry)
 }
--- a/internal/standin/fleet/settings.go
+++ b/internal/standin/fleet/settings.go
@@ -79,6 +79,7 @@
 	Cut    FaultKind = "cut"    // entries can't connect to engines; what runs there ends
 	Deaf   FaultKind = "deaf"   // entries don't hear of each other
 	Freeze FaultKind = "freeze" // an entry stands still, and goes on afterwards
+	Part   FaultKind = "part"   // failure domains are cut off, with their entries and engines
 )
 
 // Fault is a fault of some engines or entries for a time.
@@ -86,8 +87,8 @@
 	At     time.Duration `yaml:"at"`
 	For    time.Duration `yaml:"for"` // 0: to the end
 	Kind   FaultKind     `yaml:"kind"`
-	First  int           `yaml:"first"`  // of the engines or entries it falls on
-	Count  int           `yaml:"count"`  // engines or entries
+	First  int           `yaml:"first"`  // of the engines, entries or domains it falls on
+	Count  int           `yaml:"count"`  // engines, entries or domains
 	Factor float64       `yaml:"factor"` // of Slow
 }
 
--- a/internal/standin/passengine/engine.go
+++ b/internal/standin/passengine/engine.go
@@ -114,14 +114,14 @@
 	e.dead, e.busy = true, false
 	e.life++
 	for _, r := range slices.Concat(e.running, e.queue) {
-		r.cut()
+		r.CutOff()
 	}
 	for _, p := range e.parts {
-		e.clock.After(e.cfg.Stall, p.req.cut)
+		e.clock.After(e.cfg.Stall, p.req.CutOff)
 	}
 	for _, t := range e.tickets {
 		if t.user != nil {
-			e.clock.After(e.cfg.Stall, t.user.cut)
+			e.clock.After(e.cfg.Stall, t.user.CutOff)
 		}
 	}
 	e.queue, e.running, e.parts, e.tickets = nil, nil, nil, nil
--- a/internal/standin/passengine/request.go
+++ b/internal/standin/passengine/request.go
@@ -97,7 +97,7 @@
 	r.own, r.partsLeft = &own, n
 	for _, h := range r.Helpers {
 		if h.Engine.dead {
-			e.clock.After(e.cfg.Stall, r.cut)
+			e.clock.After(e.cfg.Stall, r.CutOff)
 			continue
 		}
 		theirs := p
@@ -151,8 +151,8 @@
 	}
 }
 
-// cut ends a request before its last event.
-func (r *Request) cut() {
+// CutOff ends a request before its last event.
+func (r *Request) CutOff() {
 	if r.over {
 		return
 	}
--- a/internal/standin/passengine/ticket.go
+++ b/internal/standin/passengine/ticket.go
@@ -74,7 +74,7 @@
 	}
 	e.tickets = slices.DeleteFunc(e.tickets, func(o *ticket) bool { return o == t })
 	if t.user != nil {
-		t.user.cut()
+		t.user.CutOff()
 	}
 	e.grant()
 	e.start()
