Plan with the length of answer that callers expect

Change: the length that callers tell is decoded; a stream has to be likely to end in time rather than to do so at its bound; a short stream goes to the engine that it keeps from getting free the least, then to the fullest. Loads of experiments bound the answers and tell expected lengths as the users' callers do.

Before/after: the two tests fail without the change.

--- a/internal/command/experiment/plan.go
+++ b/internal/command/experiment/plan.go
@@ -59,7 +59,8 @@
 type Request struct {
 	Name     string        `yaml:"name"`
 	Tokens   Size          `yaml:"tokens"`
-	Events   Size          `yaml:"events"`
+	Events   Size          `yaml:"events"` // most: as callers bound it
+	Hints    float64       `yaml:"hints"`  // spread of what callers expect over what comes; 0: they tell nothing
 	Target   time.Duration `yaml:"target"` // to the first event
 	Pause    time.Duration `yaml:"pause"`  // longest between events
 	Patience time.Duration `yaml:"patience"`
@@ -151,8 +152,8 @@
 		if k.Name == "" || slices.ContainsFunc(p.Kinds[:i], func(o Request) bool { return o.Name == k.Name }) {
 			return fail("check", KindFile, "kinds[%d].name is missing or used twice", i)
 		}
-		if k.Tokens.Mean <= 0 || k.Tokens.Most < 1 || k.Events.Mean < 1 || k.Tokens.Spread < 0 || k.Events.Spread < 0 {
-			return fail("check", KindFile, "kinds[%d].tokens or events is missing or out of range", i)
+		if k.Tokens.Mean <= 0 || k.Tokens.Most < 1 || k.Events.Mean < 1 || k.Tokens.Spread < 0 || k.Events.Spread < 0 || k.Events.Most < 0 || k.Hints < 0 {
+			return fail("check", KindFile, "kinds[%d].tokens, events or hints is missing or out of range", i)
 		}
 		if k.Target <= 0 || k.Pause <= 0 || k.Patience < k.Target || k.Worth <= 0 || k.Late < 0 || k.Late > k.Worth || k.Returns < 0 {
 			return fail("check", KindFile, "kinds[%d]: target, pause, patience, worth, late or returns is out of range", i)
@@ -228,7 +229,7 @@
 	}
 	for _, k := range p.Kinds {
 		out.Kinds = append(out.Kinds, fleet.Kind{
-			Name: k.Name, Tokens: k.Tokens.Mean, Spread: k.Tokens.Spread, Most: k.Tokens.Most, Events: k.Events.Mean, Varies: k.Events.Spread,
+			Name: k.Name, Tokens: k.Tokens.Mean, Spread: k.Tokens.Spread, Most: k.Tokens.Most, Events: k.Events.Mean, Varies: k.Events.Spread, Bound: k.Events.Most, Hints: k.Hints,
 			Target: k.Target, Gap: k.Pause, Patience: k.Patience, Worth: k.Worth, Late: k.Late, Returns: k.Returns, Storms: k.Storms,
 		})
 	}
--- a/internal/prompt/passes/choose.go
+++ b/internal/prompt/passes/choose.go
@@ -60,6 +60,9 @@
 	entriesPerPick = 5
 	// budgetStep is the difference between engines that makes them unequal, half a pass.
 	budgetStep = 30 * time.Millisecond
+	// extendStep is the difference between the times at which engines get free that makes
+	// them unequal: two passes.
+	extendStep = 150 * time.Millisecond
 	// keepMemory is the share of an engine's memory that is left free for what grows there.
 	keepMemory = 0.04
 	// holdFrom is the share of an engine's memory from which a prompt's memory may be
@@ -68,6 +71,9 @@
 	holdTime = 15 * time.Millisecond
 	// finishShare is the share of the time left that the whole stream is planned within.
 	finishShare = 0.9
+	// lengthMargin is how many times longer than expected a stream is planned: two in three of
+	// the users' streams are shorter than that.
+	lengthMargin = 1.25
 )
 
 // choice is where a request goes.
@@ -216,9 +222,9 @@
 	return p.hasSlot(c) && (t.job.need() <= p.free(c) || t.job.need() <= p.figures.Memory-c.load.memory && c.load.memory == 0)
 }
 
-// inTime reports whether a stream that starts then ends before the deadline.
+// inTime reports whether a stream that starts then is likely to end before the deadline.
 func (p *Planner) inTime(t *Ticket, c candidate, first time.Duration, now time.Time) bool {
-	whole := first + p.figures.Write(t.job.MaxTokens, p.passWith(c))
+	whole := first + time.Duration(lengthMargin*float64(p.writing(t, p.passWith(c))))
 	return whole <= time.Duration(finishShare*float64(t.job.Deadline.Sub(now)))
 }
 
@@ -247,11 +253,31 @@
 	if len(fit) == 0 {
 		return choice{}, false
 	}
-	slices.SortStableFunc(fit, func(a, b candidate) int { return t.packs(a, b) })
+	ends := make(map[*engine]time.Duration, len(fit))
+	for _, c := range fit {
+		ends[c.engine] = p.extends(t, c, now)
+	}
+	slices.SortStableFunc(fit, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(t.rank(a), t.rank(b)),
+			cmp.Compare(ends[a.engine]/extendStep, ends[b.engine]/extendStep),
+			t.packs(a, b),
+		)
+	})
 	best := fit[int(p.cfg.Rand()*float64(min(len(fit), p.spread())))]
 	return choice{writer: best.engine, memory: t.job.need(), part: t.read, first: p.firstEvent(best, t.read), pass: p.passWith(best)}, true
 }
 
+// extends returns how much later an engine is free of streams with one more: short
+// streams that end together leave whole engines to long reads.
+func (p *Planner) extends(t *Ticket, c candidate, now time.Time) time.Duration {
+	free := c.load.until
+	if free.Before(now) {
+		free = now
+	}
+	return max(0, now.Add(p.firstEvent(c, t.read)+p.writing(t, p.passWith(c))).Sub(free))
+}
+
 // guard returns what is kept from the pauses that streams allow.
 func (p *Planner) guard() time.Duration {
 	return min(maxGuard, guard+time.Duration(max(0, p.entries()-fewEntries))*guardEntry)
--- a/internal/prompt/passes/planner_test.go
+++ b/internal/prompt/passes/planner_test.go
@@ -125,6 +125,58 @@
 	}
 }
 
+// A caller that comes back has less time left than its longest answer would take: it is
+// served where the answer that it expects ends in time.
+func TestPlacedByTheLengthThatIsExpected(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for _, c := range []struct {
+		likely int
+		placed bool
+	}{{1500, true}, {3800, false}} {
+		p := New(Settings{Now: func() time.Time { return now }, Rand: func() float64 { return 0 }}, UsersFigures())
+		p.SetEngines([]Engine{{Name: "a", Address: "a"}})
+		ticket, err := p.Submit(Job{
+			Tokens: 5000, MaxTokens: 4002, Likely: c.likely, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond,
+			Arrived: now, Deadline: now.Add(3 * time.Second),
+		})
+		if got := err == nil && ticket.Placed(); got != c.placed {
+			t.Errorf("%d tokens expected: placed %v", c.likely, got)
+		}
+	}
+}
+
+// Short streams go where they end together, so that other engines get free for long reads.
+func TestStreamsThatEndTogetherShareAnEngine(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for _, c := range []struct {
+		name   string
+		likely int
+		engine string
+	}{
+		{"a long answer", 3800, "late"},
+		{"a short answer", 400, "soon"}, // both stay as long as they would: the fuller one
+	} {
+		p := New(Settings{Now: func() time.Time { return now }, Rand: func() float64 { return 0 }}, UsersFigures())
+		p.SetEngines([]Engine{{Name: "late", Address: "late"}, {Name: "soon", Address: "soon"}})
+		stream := func(engine string, ends time.Duration) Send {
+			return Send{Engine: engine, Context: 5000, Gap: 200 * time.Millisecond, Weight: 1, At: now, Writing: true, Ends: now.Add(ends)}
+		}
+		p.Tell(map[string]Report{"other": {Heard: now, Sends: []Send{
+			stream("late", 5*time.Second), stream("soon", time.Second), stream("soon", time.Second),
+		}}})
+		ticket, err := p.Submit(Job{
+			Tokens: 5000, MaxTokens: 4002, Likely: c.likely, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond,
+			Arrived: now, Deadline: now.Add(10 * time.Second),
+		})
+		if err != nil || !ticket.Placed() {
+			t.Fatalf("%s: not placed: %v", c.name, err)
+		}
+		if got, _ := ticket.Engine(); got != c.engine {
+			t.Errorf("%s goes to the engine whose streams end %s, want %s", c.name, got, c.engine)
+		}
+	}
+}
+
 // shortOnes places short prompts on the planner's only engine and starts to write them.
 func shortOnes(t *testing.T, p *Planner, n int, now time.Time) []*Ticket {
 	t.Helper()
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -257,6 +257,7 @@
 	r := &request{
 		fleet: f, id: f.asked, kind: kind, tokens: k.tokens(f.load), events: k.events(f.load), asked: f.now(), returns: k.Returns,
 	}
+	r.expected = k.hint(f.load, r.events)
 	f.results[kind].Asked++
 	f.results[kind].Owed += k.worth(r.tokens)
 	f.asked++
--- a/internal/standin/fleet/request.go
+++ b/internal/standin/fleet/request.go
@@ -10,28 +10,38 @@
 
 // request is a caller's request, over all the times that it comes back.
 type request struct {
-	fleet   *Fleet
-	id      int
-	kind    int
-	tokens  int
-	events  int
-	returns int // times that its caller still comes back
-	asked   time.Time
-	entry   *entry
-	arrived time.Time // at the entry, this time
-	ticket  *passes.Ticket
-	run     *passengine.Request
-	engine  *passengine.Engine
-	begun   int // events that came
-	last    time.Time
-	first   time.Duration
-	pause   time.Duration
-	over    bool
+	fleet    *Fleet
+	id       int
+	kind     int
+	tokens   int
+	events   int
+	expected int // events; 0 where its caller tells nothing
+	returns  int // times that its caller still comes back
+	asked    time.Time
+	entry    *entry
+	arrived  time.Time // at the entry, this time
+	ticket   *passes.Ticket
+	run      *passengine.Request
+	engine   *passengine.Engine
+	begun    int // events that came
+	last     time.Time
+	first    time.Duration
+	pause    time.Duration
+	over     bool
+}
+
+func (r *request) cfg() *Kind      { return &r.fleet.cfg.Kinds[r.kind] }
+func (r *request) result() *Result { return &r.fleet.results[r.kind] }
+func (r *request) output() int     { return r.events * r.fleet.cfg.Figures.Stride }
+
+// bound returns the tokens that the caller names as the most.
+func (r *request) bound() int {
+	if n := r.cfg().Bound; n > 0 {
+		return n * r.fleet.cfg.Figures.Stride
+	}
+	return r.output()
 }
 
-func (r *request) cfg() *Kind       { return &r.fleet.cfg.Kinds[r.kind] }
-func (r *request) result() *Result  { return &r.fleet.results[r.kind] }
-func (r *request) output() int      { return r.events * r.fleet.cfg.Figures.Stride }
 func (r *request) until() time.Time { return r.asked.Add(r.cfg().Patience) }
 
 // send gives the request to an engine, with helpers, after a message's time.
--- a/internal/standin/fleet/settings.go
+++ b/internal/standin/fleet/settings.go
@@ -16,6 +16,8 @@
 	Most     int     // tokens of the longest prompt
 	Events   float64 // of the answer, mean
 	Varies   float64 // standard deviation of the events over their mean
+	Bound    int     // events that callers name as the most; 0: as many as there will be
+	Hints    float64 // spread of what callers expect over what comes, as that of a logarithm; 0: they tell nothing
 	Target   time.Duration
 	Gap      time.Duration // longest pause between events for full value
 	Patience time.Duration
@@ -43,7 +45,19 @@
 
 // events draws the length of an answer.
 func (k *Kind) events(rng *rand.Rand) int {
-	return max(minEvents, int(math.Round(logNormal(rng, k.Events, k.Varies))))
+	n := max(minEvents, int(math.Round(logNormal(rng, k.Events, k.Varies))))
+	if k.Bound > 0 {
+		n = min(n, k.Bound)
+	}
+	return n
+}
+
+// hint draws the events that a caller expects of so many, or 0.
+func (k *Kind) hint(rng *rand.Rand, events int) int {
+	if k.Hints == 0 {
+		return 0
+	}
+	return max(1, int(math.Round(float64(events)*math.Exp(rng.NormFloat64()*k.Hints))))
 }
 
 // worth returns what an answer on time is worth to its caller.
