Refuse at once what is not likely to end in time

Ruled out: waiting for room; at an engine without other work they would not end either.

Change: such a request is refused when it comes. An answer that has begun is tried in any case.

Before/after: the third case of the test waits without the change and is refused at once with it.

--- a/internal/prompt/passes/errors.go
+++ b/internal/prompt/passes/errors.go
@@ -20,7 +20,7 @@
 	// KindBusy is the kind of a request that can't be answered in time with the
 	// work that is ahead of it.
 	KindBusy Kind = "busy"
-	// KindTooLate is the kind of a request that waited and can't be answered in time any more.
+	// KindTooLate is the kind of a request that can't be answered in time any more.
 	KindTooLate Kind = "too late"
 	// KindGone is the kind of a request whose caller left.
 	KindGone Kind = "caller left"
--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -276,11 +276,21 @@
 		return refuse("admit", KindTooLarge, maxRetryAfter, "%d tokens are more than %d engines hold", t.job.need(), usable)
 	}
 	if usable > 0 {
-		return nil
+		return p.endsInTime(t, now)
 	}
 	return refuse("admit", KindNoEngine, time.Second, "none of %d engines can be used", len(p.engines))
 }
 
+// endsInTime refuses a request whose answer is not likely to end in time even where
+// nothing else runs. An answer that has begun is tried in any case.
+func (p *Planner) endsInTime(t *Ticket, now time.Time) error {
+	takes := p.writing(t, p.figures.Pass(1, t.job.Tokens))
+	if left := t.job.Deadline.Sub(now); takes > left && !t.job.Begun {
+		return refuse("admit", KindTooLate, minRetryAfter, "an answer of %s is expected, and %s are left", round(takes), round(left))
+	}
+	return nil
+}
+
 func (p *Planner) usable(e *engine, now time.Time) bool {
 	e.slow.Fade(now, slowFor, 1)
 	return !e.leaving && e.circuit.Allows(now) && (p.cfg.Cut == nil || !p.cfg.Cut(e.address))
--- a/internal/prompt/passes/planner_test.go
+++ b/internal/prompt/passes/planner_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 )
 
 // A large fleet: a decision looks at a part of it, the own failure domain first.
@@ -130,17 +132,24 @@
 func TestPlacedByTheLengthThatIsExpected(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	for _, c := range []struct {
-		likely int
-		placed bool
-	}{{1500, true}, {3800, false}} {
+		likely  int
+		left    time.Duration
+		placed  bool
+		refused bool // at once
+	}{
+		{1500, 3 * time.Second, true, false},
+		{3800, 4500 * time.Millisecond, false, false},
+		{3800, 3 * time.Second, false, true},
+	} {
 		p := New(Settings{Now: func() time.Time { return now }, Rand: func() float64 { return 0 }}, UsersFigures())
 		p.SetEngines([]Engine{{Name: "a", Address: "a"}})
 		ticket, err := p.Submit(Job{
 			Tokens: 5000, MaxTokens: 4002, Likely: c.likely, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond,
-			Arrived: now, Deadline: now.Add(3 * time.Second),
+			Arrived: now, Deadline: now.Add(c.left),
 		})
-		if got := err == nil && ticket.Placed(); got != c.placed {
-			t.Errorf("%d tokens expected: placed %v", c.likely, got)
+		placed, refused := err == nil && ticket.Placed(), fault.Is(err, KindTooLate)
+		if placed != c.placed || refused != c.refused {
+			t.Errorf("%d tokens expected, %s left: placed %v, %v", c.likely, c.left, placed, err)
 		}
 	}
 }
