Ask engines that take longer than predicted how fast they are

Change: engines of a prompt that takes 1.5 times its prediction, or of a stream that pauses for too long, are asked for their report, each 0.7 s at most, and again while they are slow. Entries tell each other the pace that engines told them. It counts in passes, reads, what a read costs the streams beside it, and in when a first event comes. Doubts of an entry's sends are logged, as a belief that changed.

Before/after: TestSlowEnginesAreLeftAlone fails without the change (114 short prompts late or lost where 103 may be, 8 medium where 7, 29 long where 18).

--- a/internal/gateway/entry/belief.go
+++ b/internal/gateway/entry/belief.go
@@ -40,7 +40,8 @@
 	changed func()     // called where own sends changed
 	entries func() int // that share the retry bound
 	now     func() time.Time
-	cut     func(address string) bool // that can't be connected to
+	cut     func(address string) bool             // that can't be connected to
+	ask     func(service string, e passes.Engine) // how fast it is; told to SetPace
 	// domainOf returns the failure domain of the entry at an address; "" where it is not known.
 	domainOf func(address string) string
 
@@ -60,7 +61,7 @@
 func newBelief(domain string, bound platform.RetryBound, logger *log.Logger) *belief {
 	return &belief{
 		domain: domain, bound: bound, log: logger, now: time.Now, changed: func() {}, entries: func() int { return 1 },
-		cut: func(string) bool { return false }, domainOf: func(string) string { return "" },
+		cut: func(string) bool { return false }, domainOf: func(string) string { return "" }, ask: func(string, passes.Engine) {},
 		dir: directory.New(), planners: map[string]*passes.Planner{}, pools: map[string]*plain.Pool{},
 		budget: retry.NewWithin(budgetShare*bound.Ratio, budgetShare*bound.Slack/minEntries, firstShare),
 		told:   map[string]passes.Report{}, ready: make(chan struct{}),
@@ -200,7 +201,7 @@
 		}
 		p := b.planners[name]
 		if p == nil {
-			p = passes.New(passes.Settings{Domain: b.domain, Now: b.now, Rand: rand.Float64, Entries: b.entries, Cut: b.cut}, svc.Engine)
+			p = passes.New(passes.Settings{Domain: b.domain, Now: b.now, Rand: rand.Float64, Entries: b.entries, Cut: b.cut, Doubted: b.doubted}, svc.Engine)
 			b.planners[name] = p
 		}
 		p.Configure(svc.Engine)
@@ -226,6 +227,15 @@
 	b.tickLater()
 }
 
+// doubted logs that what another entry has under way counts for less, or again in full.
+func (b *belief) doubted(entry string, why passes.Doubt) {
+	if why == "" {
+		b.log.Info("An entry's sends count in full again.", "entry", entry)
+		return
+	}
+	b.log.Warn("An entry's sends are doubted.", "entry", entry, "why", string(why))
+}
+
 // listen takes in what the other entries told since the last decision. The lock is held.
 func (b *belief) listen() {
 	if !b.heard {
@@ -237,12 +247,15 @@
 	}
 }
 
-// share tells the others where own sends changed.
+// share tells the others where own sends changed, and asks engines that seem slow.
 func (b *belief) share() {
 	b.mu.Lock()
 	changed := false
-	for _, p := range b.planners {
+	for service, p := range b.planners {
 		changed = changed || p.Changed()
+		for _, e := range p.Suspects() {
+			b.ask(service, e)
+		}
 	}
 	b.mu.Unlock()
 	if changed {
@@ -250,6 +263,11 @@
 	}
 }
 
+// SetPace takes in how fast an engine is.
+func (b *belief) SetPace(service string, pace passes.Pace) {
+	b.change(service, func(p *passes.Planner) { p.SetPace(pace) })
+}
+
 func (b *belief) pool(name string) *plain.Pool {
 	p := b.pools[name]
 	if p == nil {
@@ -391,14 +409,25 @@
 	return out
 }
 
-// Tell takes in what another entry has under way.
-func (b *belief) Tell(entry string, sends []passes.Send) {
+// Paces returns what engines told lately of how fast they are.
+func (b *belief) Paces() []passes.Pace {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []passes.Pace
+	for _, p := range b.planners {
+		out = append(out, p.Paces()...)
+	}
+	return out
+}
+
+// Tell takes in what another entry told.
+func (b *belief) Tell(entry string, sends []passes.Send, paces []passes.Pace) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(sends) == 0 {
+	if len(sends)+len(paces) == 0 {
 		delete(b.told, entry)
 	} else {
-		b.told[entry] = passes.Report{Domain: b.domainOf(entry), Heard: b.now(), Sends: sends}
+		b.told[entry] = passes.Report{Domain: b.domainOf(entry), Heard: b.now(), Sends: sends, Paces: paces}
 	}
 	b.heard = true // decisions take it in: messages are many more than decisions
 }
--- a/internal/gateway/entry/entry_test.go
+++ b/internal/gateway/entry/entry_test.go
@@ -530,6 +530,23 @@
 }
 
 // Silence ends no answer: where no other engine can go on, the slow one is kept.
+// An engine whose stream pauses for too long is asked how fast it is, and believed.
+func TestSlowEngineIsAsked(t *testing.T) {
+	w := newWorld(t)
+	w.configure()
+	e := w.serve("engines", "i-e1", server.PauseEvent)
+	e.SetPace(4)
+	is.New(t).NoErr(w.do(w.request(http.MethodPost, "/ask/")).err)
+	w.await(func() bool {
+		for _, s := range w.entry.State().Services["engines"].Engines {
+			if s.Name == "i-e1" && s.Slow == 4 {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 func TestSilenceEndsNoAnswer(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t)
--- a/internal/gateway/entry/hold.go
+++ b/internal/gateway/entry/hold.go
@@ -37,7 +37,7 @@
 	errs := make([]error, len(list))
 	var wg sync.WaitGroup
 	for i, r := range list {
-		wg.Go(func() { errs[i] = s.orders.Reserve(ctx, r, holdFor, orderLimit) })
+		wg.Go(func() { errs[i] = s.engines.Reserve(ctx, r, holdFor, orderLimit) })
 	}
 	wg.Wait()
 	s.holds.Add(1)
@@ -65,7 +65,7 @@
 			return
 		}
 		for _, r := range h.list {
-			if err := h.s.orders.Reserve(ctx, r, holdFor, orderLimit); err != nil && ctx.Err() == nil {
+			if err := h.s.engines.Reserve(ctx, r, holdFor, orderLimit); err != nil && ctx.Err() == nil {
 				h.s.log.Warn("Memory was not renewed.", "id", h.id, "engine", r.Instance, "err", err)
 			}
 		}
@@ -86,7 +86,7 @@
 
 func (h *held) releaseOne(r platform.Reservation) {
 	for range releaseTries {
-		err := h.s.orders.Release(context.Background(), r, orderLimit)
+		err := h.s.engines.Release(context.Background(), r, orderLimit)
 		if err == nil {
 			return
 		}
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -71,7 +71,7 @@
 	belief    *belief
 	store     *platform.Store
 	upstreams *netio.Network
-	orders    *platform.Orders
+	engines   *platform.Engines
 	reach     *reach.Prober
 	metrics   *metrics.Metrics
 	records   *records.Server
@@ -110,11 +110,11 @@
 		store: platform.NewStore(network, cfg.Store), upstreams: network.Within(dialLimit),
 		dropped: dropped, started: time.Now(), metrics: metrics.New(cfg.VM), entries: map[string]platform.Entry{},
 	}
-	s.orders = platform.NewOrders(s.upstreams)
+	s.engines = platform.NewEngines(s.upstreams)
 	s.reach = reach.New(reach.Settings{
 		Network: s.upstreams, Siblings: s.belief.Siblings, Changed: s.belief.ReachChanged, Log: logger.WithPrefix("reach"),
 	})
-	s.belief.cut = s.reach.Cut
+	s.belief.cut, s.belief.ask = s.reach.Cut, s.askPace
 	own := net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.PeerPort))
 	conn, err := net.ListenPacket("udp", own)
 	if err != nil {
@@ -134,7 +134,7 @@
 	}
 	s.records = records.Serve(peerLn, logger.WithPrefix("records"), s.newest)
 	s.exchange = sends.New(conn, time.Now(), sends.Seams{
-		Sends: s.belief.Sends, Tell: s.belief.Tell, Peers: s.peers, Offsets: s.offsets, Hint: s.hint,
+		Sends: s.belief.Sends, Paces: s.belief.Paces, Tell: s.belief.Tell, Peers: s.peers, Offsets: s.offsets, Hint: s.hint,
 		Log: logger.WithPrefix("sends"),
 	})
 	s.belief.changed = s.exchange.Changed
--- a/internal/peer/sends/exchange.go
+++ b/internal/peer/sends/exchange.go
@@ -34,8 +34,11 @@
 type Seams struct {
 	// Sends returns what is under way.
 	Sends func() []passes.Send
-	// Tell takes in what another entry has under way; nil where it is gone.
-	Tell func(entry string, sends []passes.Send)
+	// Paces returns what engines told of how fast they are.
+	Paces func() []passes.Pace
+	// Tell takes in what another entry has under way, and what engines told it; nil where
+	// it is gone.
+	Tell func(entry string, sends []passes.Send, paces []passes.Pace)
 	// Peers returns the addresses of the other entries.
 	Peers func() []string
 	// Offsets returns how far this entry has read the store's topics; nil where the
@@ -149,11 +152,11 @@
 
 func (x *Exchange) round(now time.Time, changed bool) {
 	x.silence(now)
-	list := x.seams.Sends()
+	list, paces := x.seams.Sends(), x.seams.Paces()
 	offsets := x.seams.Offsets()
 	x.mu.Lock()
 	x.count++
-	m := message{start: x.start, count: x.count, leaving: x.leaving, sends: list, offsets: offsets}
+	m := message{start: x.start, count: x.count, leaving: x.leaving, sends: list, paces: paces, offsets: offsets}
 	x.mu.Unlock()
 	b := m.encode(now)
 	if len(b) > maxMessage {
@@ -213,7 +216,7 @@
 	x.mu.Unlock()
 	for _, addr := range gone {
 		x.seams.Log.Warn("An entry is silent; what it has under way is forgotten.", "entry", addr, "after", silentAfter)
-		x.seams.Tell(addr, nil)
+		x.seams.Tell(addr, nil, nil)
 	}
 }
 
@@ -237,7 +240,7 @@
 			continue
 		}
 		if x.fresh(from.String(), &m, now) {
-			x.seams.Tell(from.String(), m.sends)
+			x.seams.Tell(from.String(), m.sends, m.paces)
 			if len(m.offsets) > 0 {
 				x.seams.Hint(from.String(), m.offsets)
 			}
--- a/internal/peer/sends/exchange_test.go
+++ b/internal/peer/sends/exchange_test.go
@@ -13,7 +13,7 @@
 )
 
 func quietExchange() *Exchange {
-	return &Exchange{kick: make(chan struct{}, 1), peers: map[string]*peer{}, seams: Seams{Log: log.New(io.Discard), Tell: func(string, []passes.Send) {}}}
+	return &Exchange{kick: make(chan struct{}, 1), peers: map[string]*peer{}, seams: Seams{Log: log.New(io.Discard), Tell: func(string, []passes.Send, []passes.Pace) {}}}
 }
 
 // Two entries hear of each other's sends and offsets over UDP.
@@ -29,7 +29,8 @@
 	start := func(i int, sends []passes.Send) *Exchange {
 		x := New(conns[i], time.Now(), Seams{
 			Sends: func() []passes.Send { return sends },
-			Tell: func(_ string, s []passes.Send) {
+			Paces: func() []passes.Pace { return nil },
+			Tell: func(_ string, s []passes.Send, _ []passes.Pace) {
 				if len(s) > 0 {
 					told <- s
 				}
--- a/internal/peer/sends/wire.go
+++ b/internal/peer/sends/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
@@ -17,10 +18,16 @@
 	fieldEngine = 3 // bytes: an engine's name and sends
 	fieldLeave  = 4 // varint: 1 where the sender is leaving
 	fieldOffset = 5 // varint, one for each topic: how far the sender has read
+	fieldPace   = 6 // bytes: an engine's name and how fast it said it is
 
 	fieldName = 1 // string
 	fieldSend = 2 // bytes, of varints
 
+	fieldFactor = 2 // varint: pace, in hundredths
+	fieldAge    = 3 // varint: ms since the engine told it
+
+	paceSteps = 100 // parts of a pace that are told
+
 	numbers = 7 // varints of a send; those behind them may be missing
 
 	weightSteps = 10 // parts of a weight's unit that are told
@@ -32,6 +39,7 @@
 	leaving bool
 	offsets []uint64
 	sends   []passes.Send
+	paces   []passes.Pace
 }
 
 func (m *message) encode(now time.Time) []byte {
@@ -47,6 +55,10 @@
 		b = protowire.AppendTag(b, fieldOffset, protowire.VarintType)
 		b = protowire.AppendVarint(b, o)
 	}
+	for _, p := range m.paces {
+		b = protowire.AppendTag(b, fieldPace, protowire.BytesType)
+		b = protowire.AppendBytes(b, encodePace(p, now))
+	}
 	for i := 0; i < len(m.sends); {
 		end := i + 1
 		for end < len(m.sends) && m.sends[end].Engine == m.sends[i].Engine {
@@ -59,6 +71,31 @@
 	return b
 }
 
+func encodePace(p passes.Pace, now time.Time) []byte {
+	b := protowire.AppendTag(nil, fieldName, protowire.BytesType)
+	b = protowire.AppendString(b, p.Engine)
+	b = protowire.AppendTag(b, fieldFactor, protowire.VarintType)
+	b = protowire.AppendVarint(b, uint64(math.Round(max(0, p.Factor)*paceSteps)))
+	b = protowire.AppendTag(b, fieldAge, protowire.VarintType)
+	return protowire.AppendVarint(b, uint64(max(0, now.Sub(p.At).Milliseconds())))
+}
+
+func decodePace(b []byte, now time.Time) (passes.Pace, error) {
+	var p passes.Pace
+	err := fields(b, func(num protowire.Number, v uint64, data []byte) error {
+		switch num {
+		case fieldName:
+			p.Engine = string(data)
+		case fieldFactor:
+			p.Factor = float64(v) / paceSteps
+		case fieldAge:
+			p.At = now.Add(-millis(v))
+		}
+		return nil
+	})
+	return p, err
+}
+
 func encodeEngine(list []passes.Send, now time.Time) []byte {
 	b := protowire.AppendTag(nil, fieldName, protowire.BytesType)
 	b = protowire.AppendString(b, list[0].Engine)
@@ -98,6 +135,10 @@
 			m.leaving = v == 1
 		case fieldOffset:
 			m.offsets = append(m.offsets, v)
+		case fieldPace:
+			p, err := decodePace(data, now)
+			m.paces = append(m.paces, p)
+			return err
 		case fieldEngine:
 			list, err := decodeEngine(data, now)
 			m.sends = append(m.sends, list...)
--- a/internal/peer/sends/wire_test.go
+++ b/internal/peer/sends/wire_test.go
@@ -35,6 +35,12 @@
 		}
 		m.sends = append(m.sends, s)
 	}
+	for range rapid.IntRange(0, 3).Draw(t, "paces") {
+		m.paces = append(m.paces, passes.Pace{
+			Engine: rapid.SampledFrom([]string{"i-1", "i-2", "i-3"}).Draw(t, "engine"),
+			Factor: float64(rapid.IntRange(0, 2000).Draw(t, "factor")) / paceSteps, At: wireNow.Add(-millis("told")),
+		})
+	}
 	slices.SortStableFunc(m.sends, func(a, b passes.Send) int { return strings.Compare(a.Engine, b.Engine) })
 	return m
 }
@@ -48,7 +54,7 @@
 			t.Fatal(err)
 		}
 		if got.start != m.start || got.count != m.count || got.leaving != m.leaving ||
-			!slices.Equal(got.offsets, m.offsets) || !slices.Equal(got.sends, m.sends) {
+			!slices.Equal(got.offsets, m.offsets) || !slices.Equal(got.sends, m.sends) || !slices.Equal(got.paces, m.paces) {
 			t.Fatalf("%+v is read as %+v", m, got)
 		}
 	})
@@ -86,7 +92,7 @@
 	is := is.New(t)
 	x := quietExchange()
 	var gone []string
-	x.seams.Tell = func(entry string, sends []passes.Send) {
+	x.seams.Tell = func(entry string, sends []passes.Send, _ []passes.Pace) {
 		is.Equal(len(sends), 0)
 		gone = append(gone, entry)
 	}
--- a/internal/prompt/passes/choose.go
+++ b/internal/prompt/passes/choose.go
@@ -177,6 +177,7 @@
 	if l.slack != noGap { // a part is read before what waits there
 		c.budget = min(c.budget, l.slack-guard)
 	}
+	c.budget = time.Duration(float64(c.budget) / l.slow)
 	return c
 }
 
@@ -234,7 +235,7 @@
 
 // passWith returns the time of an engine's passes with one more stream.
 func (p *Planner) passWith(c candidate) time.Duration {
-	return p.figures.Pass(c.load.slots+1, c.load.memory)
+	return c.load.took(p.figures.Pass(c.load.slots+1, c.load.memory))
 }
 
 // writing returns the time in which a request's stream is likely to be written.
@@ -246,7 +247,7 @@
 	limit := time.Duration(hurry * float64(t.left(now)))
 	var fit []candidate
 	for _, c := range list {
-		if c.budget >= t.read && p.canWrite(t, c) && p.firstEvent(c, t.read) <= limit && p.inTime(t, c, 0, now) {
+		if c.budget >= t.read && p.canWrite(t, c) && p.firstEvent(c, c.load.took(t.read)) <= limit && p.inTime(t, c, 0, now) {
 			fit = append(fit, c)
 		}
 	}
@@ -265,7 +266,7 @@
 		)
 	})
 	best := fit[int(p.cfg.Rand()*float64(min(len(fit), p.spread())))]
-	return choice{writer: best.engine, memory: t.job.need(), part: t.read, first: p.firstEvent(best, t.read), pass: p.passWith(best)}, true
+	return choice{writer: best.engine, memory: t.job.need(), part: t.read, first: p.firstEvent(best, best.load.took(t.read)), pass: p.passWith(best)}, true
 }
 
 // extends returns how much later an engine is free of streams with one more: short
@@ -275,7 +276,7 @@
 	if free.Before(now) {
 		free = now
 	}
-	return max(0, now.Add(p.firstEvent(c, t.read)+p.writing(t, p.passWith(c))).Sub(free))
+	return max(0, now.Add(p.firstEvent(c, c.load.took(t.read))+p.writing(t, p.passWith(c))).Sub(free))
 }
 
 // guard returns what is kept from the pauses that streams allow.
@@ -366,7 +367,7 @@
 		}
 		gain := t.weight() - price*t.read.Seconds()
 		for _, e := range list[:n] {
-			gain -= e.load.harm(part, now)
+			gain -= e.load.harm(e.load.took(part), now)
 		}
 		if gain > most {
 			best, most = c, gain
@@ -409,7 +410,7 @@
 		start  time.Duration
 	)
 	for _, c := range set {
-		start = max(start, c.start)
+		start = max(start, c.start+c.load.took(part)-part)
 		if p.canWrite(t, c) && (!found || t.packs(c, writer) < 0) {
 			writer, found = c, true
 		}
--- a/internal/prompt/passes/engine.go
+++ b/internal/prompt/passes/engine.go
@@ -48,6 +48,10 @@
 	figures *Figures
 	circuit *circuit.Breaker
 	slow    estimate.Moving
+	pace    Pace      // what it told last, this entry or another
+	told    Pace      // what it told this entry last
+	asked   time.Time // when it was last asked for that
+	suspect bool      // it took longer than predicted
 	own     []*Send
 	others  []Send // of other entries
 }
@@ -57,6 +61,7 @@
 	slots   int           // requests that write here or will
 	helping int           // parts that it reads or holds for others
 	memory  int           // tokens
+	slow    float64       // times longer than declared
 	pass    time.Duration // of a pass, without reads
 	reads   time.Duration // that may be in one pass with a new one
 	ahead   time.Duration // until a new one starts, beside the pass that runs
@@ -94,11 +99,12 @@
 	for _, s := range e.others {
 		take(s)
 	}
-	l.pass = time.Duration(float64(e.figures.Pass(l.slots, l.memory)) * e.slowness())
+	l.slow = e.slowness(now)
+	l.pass = l.took(e.figures.Pass(l.slots, l.memory))
 	for _, s := range waiting {
-		l.reads += s.Read
+		l.reads += l.took(s.Read)
 	}
-	l.ahead = ahead(waiting, l.pass, now)
+	l.ahead = l.aheadOf(waiting, now)
 	for _, s := range waiting {
 		if spare := s.Due.Sub(now) - l.ahead - l.pass; spare > 0 {
 			l.slack = min(l.slack, spare)
@@ -123,31 +129,26 @@
 	return sum
 }
 
-// ahead returns the time that the reads under way still take, one after the other.
-func ahead(waiting []Send, pass time.Duration, now time.Time) time.Duration {
+// took returns what something takes at an engine that may be slow.
+func (l *load) took(d time.Duration) time.Duration { return time.Duration(float64(d) * l.slow) }
+
+// aheadOf returns the time that the reads under way still take, one after the other.
+func (l *load) aheadOf(waiting []Send, now time.Time) time.Duration {
 	slices.SortFunc(waiting, func(a, b Send) int { return a.At.Compare(b.At) })
 	var (
 		over  time.Time
 		total time.Duration
 	)
 	for _, s := range waiting {
-		if start := s.At.Add(pass / 2); start.After(over) {
+		if start := s.At.Add(l.pass / 2); start.After(over) {
 			over = start
 		}
-		over = over.Add(s.Read)
-		total += s.Read
+		over = over.Add(l.took(s.Read))
+		total += l.took(s.Read)
 	}
 	return max(over.Sub(now), time.Duration(lateShare*float64(total)))
 }
 
-// slowness returns how many times longer than predicted the engine takes.
-func (e *engine) slowness() float64 {
-	if s := e.slow.Mean(1); s > minSlow {
-		return min(s, maxSlow)
-	}
-	return 1
-}
-
 func (e *engine) remove(s *Send) {
 	if i := slices.Index(e.own, s); i >= 0 {
 		e.own = slices.Delete(e.own, i, i+1)
--- a/internal/prompt/passes/patterns_test.go
+++ b/internal/prompt/passes/patterns_test.go
@@ -196,6 +196,27 @@
 	}
 }
 
+// A quarter of the engines take over four times as long as they declare, in a burst of
+// long prompts: the entries ask them, and prompts are read by the others. But for the
+// callers of the second in which the entries learn of it, as many are served on time as
+// where these engines are gone.
+func TestSlowEnginesAreLeftAlone(t *testing.T) {
+	t.Parallel()
+	load := []float64{33, 2.4, 1.5}
+	cfg := fleetOf(4, during(8*time.Second, load))
+	cfg.Faults = []fleet.Fault{{Kind: fleet.Slow, Count: engineCount / 4, Factor: 4.65}}
+	slow := play(t, cfg)
+	cfg.Faults = []fleet.Fault{{Kind: fleet.Cut, Count: engineCount / 4}}
+	gone := play(t, cfg)
+	for i, kind := range []string{"short", "medium", "long"} {
+		a, b := slow[kind], gone[kind]
+		learning := int(load[i] * days)
+		if a.Asked-a.OnTime > b.Asked-b.OnTime+learning {
+			t.Errorf("%s prompts late or lost: %d of %d, with the slow engines gone %d, and %d come within a second", kind, a.Asked-a.OnTime, a.Asked, b.Asked-b.OnTime, learning)
+		}
+	}
+}
+
 // Callers come back at once, and again, after refusals in a burst that is too large:
 // neither they nor others are served worse than without them.
 func TestRetryStorm(t *testing.T) {
--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -174,22 +174,28 @@
 	Entries func() int
 	// Cut reports whether an engine can't be connected to; nil where none is known.
 	Cut func(address string) bool
+	// Doubted is called where the belief in an entry's sends changes; "" means that they
+	// count in full. It may be nil.
+	Doubted func(entry string, why Doubt)
 }
 
 // Planner places the prompts of one service at one entry. It belongs to one
 // goroutine at a time.
 type Planner struct {
-	cfg     Settings
-	figures *Figures
-	engines []*engine // by name
-	byName  map[string]*engine
-	bounds  *queue.Bounds
-	waiting *queue.Queue[*Ticket] // by the time at which they have to start
-	reports map[string]Report     // by entry
-	doubtAt time.Time             // when the next of them is doubted; zero: none
-	stretch estimate.Moving       // time to the first event over the prediction
-	changed bool                  // own sends changed since they were last told
-	counts  Counts
+	cfg      Settings
+	figures  *Figures
+	engines  []*engine // by name
+	byName   map[string]*engine
+	bounds   *queue.Bounds
+	waiting  *queue.Queue[*Ticket] // by the time at which they have to start
+	unbegun  []*Ticket             // placed, and without a first event so far; others, too
+	suspects []*engine             // to be asked how fast they are
+	reports  map[string]Report     // by entry
+	doubts   map[string]Doubt      // by entry; none or "" where it is believed
+	doubtAt  time.Time             // when the next of them is doubted; zero: none
+	stretch  estimate.Moving       // time to the first event over the prediction
+	changed  bool                  // own sends changed since they were last told
+	counts   Counts
 }
 
 // Counts are totals of a planner's decisions.
@@ -205,7 +211,7 @@
 func New(cfg Settings, figures *Figures) *Planner {
 	b := queue.NewBounds(maxWaiting, maxWaitingBytes)
 	return &Planner{
-		cfg: cfg, figures: figures, byName: map[string]*engine{}, bounds: b,
+		cfg: cfg, figures: figures, byName: map[string]*engine{}, doubts: map[string]Doubt{}, bounds: b,
 		waiting: queue.New[*Ticket](b), stretch: estimate.NewMoving(stretchWindow),
 	}
 }
@@ -406,6 +412,7 @@
 		e.circuit.Sent(now)
 		t.sends = append(t.sends, s)
 	}
+	p.unbegun = append(p.unbegun, t)
 	p.changed = true
 	p.counts.Placed++
 	if len(t.members) > 1 {
@@ -424,6 +431,9 @@
 		t.sends[0].relax()
 	}
 	ratio := now.Sub(t.placedAt).Seconds() / max(t.first.Seconds(), minPrediction.Seconds())
+	if t.tooLong(now) {
+		p.suspect(t.members)
+	}
 	for i, e := range t.members {
 		t.sends[i].Writing = true
 		e.circuit.Succeeded(now)
@@ -439,6 +449,7 @@
 // Late notes that an answer under way is late already: it allows longer pauses.
 func (p *Planner) Late(t *Ticket) {
 	if t.state == statePlaced {
+		p.suspect(t.members[:1])
 		t.sends[0].relax()
 		p.changed = true
 	}
@@ -514,7 +525,7 @@
 	for _, e := range p.engines {
 		l := e.load(now)
 		out = append(out, EngineState{
-			Name: e.name, Circuit: string(e.circuit.State()), Leaving: e.leaving, Slow: e.slowness(),
+			Name: e.name, Circuit: string(e.circuit.State()), Leaving: e.leaving, Slow: e.slowness(now),
 			Writers: l.slots, Helping: l.helping, Memory: l.memory,
 			PassMS: l.pass.Milliseconds(), ReadsMS: l.ahead.Milliseconds(),
 		})
--- a/internal/prompt/passes/planner_test.go
+++ b/internal/prompt/passes/planner_test.go
@@ -104,25 +104,28 @@
 		cut     bool   // no engine of the other failure domain can be connected to
 		streams int
 		reads   bool
+		why     Doubt
 	}{
-		{"just heard", 0, "far", false, 2, true},
-		{"a repeat is late", 400 * time.Millisecond, "far", false, 2, true},
-		{"a repeat is late, and its domain is cut off", 400 * time.Millisecond, "far", true, 0, false},
-		{"a repeat is late, and another domain is cut off", 400 * time.Millisecond, "own", true, 2, true},
-		{"silent for long", 1100 * time.Millisecond, "far", false, 1, false},
-		{"silent until its streams ended", 1600 * time.Millisecond, "far", false, 0, false},
+		{"just heard", 0, "far", false, 2, true, ""},
+		{"a repeat is late", 400 * time.Millisecond, "far", false, 2, true, ""},
+		{"a repeat is late, and its domain is cut off", 400 * time.Millisecond, "far", true, 0, false, DoubtCut},
+		{"a repeat is late, and another domain is cut off", 400 * time.Millisecond, "own", true, 2, true, ""},
+		{"silent for long", 1100 * time.Millisecond, "far", false, 1, false, DoubtSilent},
+		{"silent until its streams ended", 1600 * time.Millisecond, "far", false, 0, false, DoubtSilent},
 	} {
 		now := start
+		var why Doubt
 		p := New(Settings{
 			Domain: "own", Now: func() time.Time { return now }, Rand: func() float64 { return 0 },
-			Cut: func(address string) bool { return c.cut && address == "far" },
+			Cut:     func(address string) bool { return c.cut && address == "far" },
+			Doubted: func(_ string, d Doubt) { why = d },
 		}, UsersFigures())
 		p.SetEngines([]Engine{{Name: "own", Address: "own", Domain: "own"}, {Name: "far", Address: "far", Domain: "far"}})
 		p.Tell(map[string]Report{"other": {Domain: c.domain, Heard: start, Sends: sends}})
 		now = start.Add(c.after)
 		p.look(now)
-		if l := p.byName["own"].load(now); l.slots != c.streams || l.reads > 0 != c.reads {
-			t.Errorf("%s: %d streams, reads of %s", c.name, l.slots, l.reads)
+		if l := p.byName["own"].load(now); l.slots != c.streams || l.reads > 0 != c.reads || why != c.why {
+			t.Errorf("%s: %d streams, reads of %s, doubted because %q", c.name, l.slots, l.reads, why)
 		}
 	}
 }
--- a/internal/prompt/passes/report.go
+++ b/internal/prompt/passes/report.go
@@ -15,11 +15,24 @@
 	cutAfter = 350 * time.Millisecond
 )
 
+// Doubt is why the sends of an entry count for less.
+type Doubt string
+
+const (
+	// DoubtSilent is the doubt of an entry that was not heard for long: its streams count
+	// until they should have ended, its reads no more.
+	DoubtSilent Doubt = "silent"
+	// DoubtCut is the doubt of an entry that is silent and whose failure domain is cut off:
+	// nothing of it counts in the own one.
+	DoubtCut Doubt = "its failure domain is cut off"
+)
+
 // Report is what another entry told of its sends.
 type Report struct {
 	Domain string    // of the entry; "" where it is not known
 	Heard  time.Time // when it told
 	Sends  []Send
+	Paces  []Pace // that engines told it
 }
 
 // Tell replaces what the other entries told, by entry.
@@ -37,19 +50,47 @@
 	p.doubtAt = time.Time{}
 	for _, entry := range slices.Sorted(maps.Keys(p.reports)) {
 		r := p.reports[entry]
-		silent := now.Sub(r.Heard)
-		doubted, cut := silent > doubtAfter, silent > cutAfter && p.cutOff(r.Domain)
-		if !doubted {
-			p.doubtLater(r.Heard, cut)
+		for _, pace := range r.Paces {
+			p.hear(pace)
 		}
+		why := p.doubtOf(r, now)
+		p.tellDoubt(entry, why)
 		for _, s := range r.Sends {
 			e := p.byName[s.Engine]
-			if e == nil || cut && e.domain == p.cfg.Domain || (doubted || cut) && !s.lives(now) {
+			if e == nil || why == DoubtCut && e.domain == p.cfg.Domain || why != "" && !s.lives(now) {
 				continue
 			}
 			e.others = append(e.others, s)
 		}
 	}
+	maps.DeleteFunc(p.doubts, func(entry string, _ Doubt) bool { _, told := p.reports[entry]; return !told })
+}
+
+// doubtOf returns the doubt of a report, and notes when it has to be looked at again.
+func (p *Planner) doubtOf(r Report, now time.Time) Doubt {
+	silent := now.Sub(r.Heard)
+	cut := silent > cutAfter && p.cutOff(r.Domain)
+	if silent <= doubtAfter {
+		p.doubtLater(r.Heard, cut)
+	}
+	switch {
+	case cut:
+		return DoubtCut
+	case silent > doubtAfter:
+		return DoubtSilent
+	default:
+		return ""
+	}
+}
+
+func (p *Planner) tellDoubt(entry string, why Doubt) {
+	if p.doubts[entry] == why {
+		return
+	}
+	p.doubts[entry] = why
+	if p.cfg.Doubted != nil {
+		p.cfg.Doubted(entry, why)
+	}
 }
 
 // doubtLater notes when an entry that stays silent has to be doubted.
--- a/internal/standin/fleet/entry.go
+++ b/internal/standin/fleet/entry.go
@@ -239,6 +239,24 @@
 	e.listen()
 	e.planner.Dispatch()
 	e.share()
+	e.ask()
+}
+
+// ask asks engines that seem slow how fast they are.
+func (e *entry) ask() {
+	for _, s := range e.planner.Suspects() {
+		engine := e.fleet.byName[s.Name]
+		e.fleet.clock.After(hop, func() {
+			r, err := engine.Report()
+			if err != nil || !e.fleet.reaches(e, engine) {
+				return
+			}
+			e.fleet.clock.After(hop, func() {
+				e.planner.SetPace(passes.Pace{Engine: s.Name, Factor: r.Pace, At: e.fleet.now()})
+				e.share()
+			})
+		})
+	}
 }
 
 // listen takes in what the others told.
@@ -260,11 +278,11 @@
 		return
 	}
 	e.toldAt = now
-	list := e.planner.Sends()
+	list, paces := e.planner.Sends(), e.planner.Paces()
 	for _, o := range e.fleet.entries {
 		if o != e && e.fleet.connected(e.domain, o.domain) {
 			e.fleet.clock.After(e.fleet.cfg.Lag, func() {
-				o.told[e.name], o.heard = passes.Report{Domain: fmt.Sprint(e.domain), Heard: e.fleet.now(), Sends: list}, true
+				o.told[e.name], o.heard = passes.Report{Domain: fmt.Sprint(e.domain), Heard: e.fleet.now(), Sends: list, Paces: paces}, true
 			})
 		}
 	}
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -58,6 +58,7 @@
 
 	mu     sync.Mutex
 	noted  func(*Run)
+	pace   float64
 	script []Script
 	runs   []*Run
 	conns  map[net.Conn]bool
@@ -66,7 +67,7 @@
 // New starts a server on the listener that answers with so many events, or with a
 // plain body where there are none. Close ends it.
 func New(ln net.Listener, instance string, events int, script ...Script) *Server {
-	s := &Server{instance: instance, events: events, ln: ln, script: script, conns: map[net.Conn]bool{}}
+	s := &Server{instance: instance, events: events, ln: ln, script: script, pace: 1, conns: map[net.Conn]bool{}}
 	s.wg.Go(s.accept)
 	return s
 }
@@ -98,6 +99,19 @@
 	s.script, s.runs = script, nil
 }
 
+// SetPace makes the server report that it takes so many times longer than declared.
+func (s *Server) SetPace(pace float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pace = pace
+}
+
+func (s *Server) report() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf(`{"stage":"combined","queue_depth":0,"pace":%g}`, s.pace)
+}
+
 // Close ends the server and its connections.
 func (s *Server) Close() {
 	_ = s.ln.Close() // ends accept
@@ -153,6 +167,11 @@
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", s.instance)
 		return
 	}
+	if req.URL.Path == "/dogwoodmill/report" {
+		b := s.report()
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(b), b)
+		return
+	}
 	k := s.next()
 	if k == Reject {
 		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
