Take records over from the entries that lead

Ruled out: telling only offsets of changes that matter (servers' heartbeats add no records, so every record matters); regular reads at longer intervals.

Change: an entry that does not lead takes a topic's records over from the entry that told of more, as one that the store turns away does already.

--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -44,8 +44,9 @@
 	// Reached is told after each call whether the store answered. It may be nil.
 	Reached func(ok bool)
 	// Ask returns the newest records of all keys that another entry has, and the offset that
-	// it has read up to; nil where nobody is asked. An entry that the store turns away asks
-	// one that told of more than it has.
+	// it has read up to; nil where nobody is asked. One that told of more than this entry has
+	// is asked by an entry that does not lead, since calls of the store are priced, and by one
+	// that the store turns away.
 	Ask func(ctx context.Context, entry, topic string) ([]platform.Keyed, uint64, error)
 	// Leads reports whether this entry reads with a wait and tells the others how far
 	// it is; nil means that it does.
@@ -181,6 +182,10 @@
 	defer close(f.done)
 	p := progress{retry: firstRetry}
 	for ctx.Err() == nil {
+		if f.takeOver(ctx, &p) {
+			pause.For(ctx, f.cfg.Pause)
+			continue
+		}
 		delay, err := f.step(ctx, &p)
 		if ctx.Err() != nil {
 			return
@@ -205,12 +210,8 @@
 // step reads once, and returns how long to wait before the next time.
 func (f *Follower) step(ctx context.Context, p *progress) (delay time.Duration, err error) {
 	wait := f.cfg.Wait
-	if p.known && f.seams.Leads != nil && !f.seams.Leads() {
-		f.await(ctx, p.next, p.last)
-		wait = 0
-	}
-	if p.lost {
-		wait = 0 // an answer at once tells that the store is back
+	if f.follows(p) || p.lost {
+		wait = 0 // of one that is lost, an answer at once tells that the store is back
 	}
 	p.last = time.Now()
 	if p.known {
@@ -221,6 +222,29 @@
 	return f.cfg.Pause, err
 }
 
+// follows reports whether the entry reads what those that lead tell of.
+func (f *Follower) follows(p *progress) bool {
+	return p.known && f.seams.Leads != nil && !f.seams.Leads()
+}
+
+// takeOver waits, where the entry does not lead, until there is something to read, and
+// reports whether another entry handed it on. The store is then not asked.
+func (f *Follower) takeOver(ctx context.Context, p *progress) bool {
+	if !f.follows(p) {
+		return false
+	}
+	f.await(ctx, p.next, p.last)
+	if p.lost || time.Since(p.last) > safetyEvery {
+		return false
+	}
+	offset, ok := f.ask(ctx, p.next)
+	if ok {
+		p.next = offset
+		f.note(offset, true)
+	}
+	return ok
+}
+
 // answered notes that the store answered.
 func (f *Follower) answered(p *progress) {
 	if p.lost {
--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -150,6 +150,30 @@
 	})
 }
 
+// An entry that does not lead takes over what it is told of, without a call of the store,
+// and reads the store where the other does not hand it on.
+func TestFollowerTakesOverWhatItIsToldOf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tp := &topic{}
+		tp.put("a")
+		f, asked := handOn(t, tp, tp.read, false)
+		time.Sleep(50 * time.Millisecond)
+		before := tp.made()
+		tp.put("b")
+		f.Hint("other", 2)
+		time.Sleep(50 * time.Millisecond)
+		is.Equal(tp.last(), "b")
+		is.Equal(asked(), 1)
+		is.Equal(tp.made(), before)
+		tp.put("c")
+		f.Hint("stranger", 3) // hands nothing on
+		time.Sleep(50 * time.Millisecond)
+		is.Equal(tp.last(), "c")
+		is.Equal(tp.made(), before+1)
+	})
+}
+
 // An entry that hears of no one that leads finds a change within its check.
 func TestFollowerReadsItselfWhereItHearsOfNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -222,7 +246,7 @@
 }
 
 // handOn makes a follower ask another entry, which has read the whole topic.
-func handOn(t *testing.T, tp *topic, read func(ctx context.Context, topic string, from uint64, wait time.Duration) ([]platform.Keyed, uint64, error)) (f *Follower, asked func() int) {
+func handOn(t *testing.T, tp *topic, read func(ctx context.Context, topic string, from uint64, wait time.Duration) ([]platform.Keyed, uint64, error), leads bool) (f *Follower, asked func() int) {
 	t.Helper()
 	n := 0
 	asked = func() int {
@@ -231,7 +255,7 @@
 		return n
 	}
 	f = New(Settings{Topic: "t", Wait: 10 * time.Second}, Seams{
-		Newest: tp.newest, Read: read, Apply: tp.apply, Leads: func() bool { return true },
+		Newest: tp.newest, Read: read, Apply: tp.apply, Leads: func() bool { return leads },
 		Ask: func(_ context.Context, entry, topic string) ([]platform.Keyed, uint64, error) {
 			tp.mu.Lock()
 			defer tp.mu.Unlock()
@@ -253,7 +277,7 @@
 		is := is.New(t)
 		tp := &topic{}
 		tp.put("a")
-		f, asked := handOn(t, tp, tp.read)
+		f, asked := handOn(t, tp, tp.read, true)
 		time.Sleep(50 * time.Millisecond)
 		tp.set(func() { tp.down = true })
 		time.Sleep(2 * time.Second)
@@ -286,7 +310,7 @@
 			<-ctx.Done()
 			return nil, 0, ctx.Err()
 		}
-		f, asked := handOn(t, tp, mute)
+		f, asked := handOn(t, tp, mute, true)
 		time.Sleep(time.Second)
 		tp.put("b")
 		f.Hint("other", 2)
