Tell callers when an entry serves again where all are leaving

Ruled out: taking requests that may not end before the entry does (they would be cut); leaving one after the other (the platform decides when, and each has its own grace).

Change: entries remember when others began to leave. One that refuses while it hears of none that stays tells its caller to come back when the first of them serves again.

Before/after: both tests fail without the change.

--- a/internal/gateway/entry/entry_test.go
+++ b/internal/gateway/entry/entry_test.go
@@ -760,6 +760,17 @@
 	<-ended
 }
 
+// An entry that leaves while no other stays tells callers when one serves again.
+func TestComeBackWhenAnEntryServes(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.entry.end = time.Now().Add(5 * time.Second)
+	got := w.entry.comeBack()
+	is.True(got > restartTime && got <= 5*time.Second+restartTime)
+	w.entry.end = time.Now().Add(-time.Hour)
+	is.Equal(w.entry.comeBack(), leavingRetry)
+}
+
 // A leaving entry is not ready, closes connections behind its answers, and finishes
 // what it took.
 func TestLeavingFinishesWhatItTook(t *testing.T) {
--- a/internal/gateway/entry/handle.go
+++ b/internal/gateway/entry/handle.go
@@ -18,8 +18,11 @@
 	// yet: reading the store takes a tenth of it.
 	startWait = 700 * time.Millisecond
 	// leavingRetry is when to come back after a refusal of an entry that leaves: the
-	// next connection goes to another one.
+	// next connection goes to another one, where one stays.
 	leavingRetry = 50 * time.Millisecond
+	// restartTime is the time from the end of an entry until it serves again: the platform
+	// takes half a second, the entry reads the store in a tenth.
+	restartTime = 700 * time.Millisecond
 	// plainTime is more than a plain service takes, and leavingMargin is kept before a
 	// leaving entry stops.
 	plainTime     = 1500 * time.Millisecond
@@ -41,7 +44,7 @@
 		ctx.SetConnectionClose()
 	}
 	if s.stopping.Load() {
-		refuse(ctx, fasthttp.StatusServiceUnavailable, leavingRetry)
+		refuse(ctx, fasthttp.StatusServiceUnavailable, s.comeBack())
 		s.log.Warn("Refused.", "id", platform.DecodeRequest(&ctx.Request.Header).ID, "why", "stopping")
 		return
 	}
@@ -51,8 +54,9 @@
 	}
 	if s.refusing.Load() && !c.fits(time.Until(s.end)) {
 		c.cancel()
-		refuse(ctx, fasthttp.StatusServiceUnavailable, leavingRetry)
-		s.log.Warn("Refused.", "id", c.req.ID, "why", "leaving", "left_ms", time.Until(s.end).Milliseconds())
+		after := s.comeBack()
+		refuse(ctx, fasthttp.StatusServiceUnavailable, after)
+		s.log.Warn("Refused.", "id", c.req.ID, "why", "leaving", "left_ms", time.Until(s.end).Milliseconds(), "after_ms", after.Milliseconds())
 		return
 	}
 	if conn != nil {
@@ -79,6 +83,20 @@
 	finish()
 }
 
+// comeBack returns when a caller that a leaving entry refuses should come back: at once
+// where another entry stays, and else when the first of those that leave serves again.
+func (s *Server) comeBack() time.Duration {
+	staying, left := s.exchange.Staying()
+	if staying {
+		return leavingRetry
+	}
+	back := s.end
+	if !left.IsZero() && left.Add(s.cfg.Grace).Before(back) {
+		back = left.Add(s.cfg.Grace)
+	}
+	return max(leavingRetry, time.Until(back.Add(restartTime)))
+}
+
 // fits reports whether a request that an entry takes while it is leaving is over
 // before it stops.
 func (c *call) fits(left time.Duration) bool {
--- a/internal/peer/sends/exchange.go
+++ b/internal/peer/sends/exchange.go
@@ -72,6 +72,7 @@
 	told    time.Time
 	live    bool
 	leaving bool
+	left    time.Time // when it was first heard to leave
 }
 
 // New starts an exchange over the connection. Close ends both.
@@ -123,6 +124,23 @@
 	return rank
 }
 
+// Staying reports whether another entry is heard that is not leaving. Where none is, left is
+// when the first of those that are leaving began to; zero where there is none.
+func (x *Exchange) Staying() (staying bool, left time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, p := range x.peers {
+		switch {
+		case !p.live:
+		case !p.leaving:
+			return true, time.Time{}
+		case left.IsZero() || p.left.Before(left):
+			left = p.left
+		}
+	}
+	return false, left
+}
+
 // Sent returns the bytes sent.
 func (x *Exchange) Sent() uint64 {
 	x.mu.Lock()
@@ -267,6 +285,9 @@
 		x.Changed() // it knows nothing of this entry's sends
 		x.seams.Log.Info("An entry is heard.", "entry", addr, "restarted", p.start != 0 && m.start != p.start)
 	}
+	if m.leaving && !p.leaving {
+		p.left = now
+	}
 	p.start, p.count, p.heard, p.live, p.leaving = m.start, m.count, now, true, m.leaving
 	return true
 }
--- a/internal/peer/sends/wire_test.go
+++ b/internal/peer/sends/wire_test.go
@@ -106,6 +106,29 @@
 	is.True(x.due("10.0.0.1:1", wireNow.Add(probeEvery), true))
 }
 
+// Of entries that all leave, the one that began first is back first.
+func TestStaying(t *testing.T) {
+	is := is.New(t)
+	x := quietExchange()
+	tell := func(entry string, count uint64, leaving bool, at time.Duration) {
+		is.True(x.fresh(entry, &message{start: 5, count: count, leaving: leaving}, wireNow.Add(at)))
+	}
+	staying, left := x.Staying()
+	is.True(!staying && left.IsZero()) // nobody is heard
+	tell("10.0.0.1:1", 1, false, 0)
+	staying, _ = x.Staying()
+	is.True(staying)
+	tell("10.0.0.1:1", 2, true, time.Second)
+	tell("10.0.0.1:1", 3, true, 2*time.Second) // told again
+	tell("10.0.0.2:1", 1, true, 3*time.Second)
+	staying, left = x.Staying()
+	is.True(!staying)
+	is.Equal(left, wireNow.Add(time.Second))
+	x.silence(wireNow.Add(time.Second + silentAfter + 2*time.Second)) // the first has ended
+	_, left = x.Staying()
+	is.Equal(left, wireNow.Add(3*time.Second))
+}
+
 // All entries agree on who is among the first.
 func TestRanksDiffer(t *testing.T) {
 	is := is.New(t)
