Take removals at once where the store serves other entries

Ruled out: a lapse grace below the bound (upstreams that lapse are back up to 2 s after the store); the relay of records of today (deployments of four have only leaders); the reader that led (its read of another topic was answered meanwhile).

Change: an entry that is turned away, or whose read got stuck, while others tell all the while how far they have read does not count the store as away. They tell so only if the store answered them within 2.6 s, so that an outage in which upstreams may lapse, 3.6 s, shows as a silence of theirs.

Before/after: the new test fails without the change.

Conclusion: the rule holds where the store is away for one entry only.

--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -37,6 +37,9 @@
 	serversPause = 600 * time.Millisecond
 	serversWait  = 2 * time.Second
 	entriesWait  = 10 * time.Second
+	// answersWithin is the time within which a store that is there answers one read or other:
+	// the shortest wait, and some for a store that is slow.
+	answersWithin = serversWait + 600*time.Millisecond
 	// maxTold is the number of entries up to which all are told of sends at each
 	// change: messages grow with its square.
 	maxTold = 64
@@ -200,13 +203,22 @@
 	if list == nil || !s.leads() {
 		return nil
 	}
-	var out []uint64
+	var (
+		out      []uint64
+		answered time.Time
+	)
 	for _, f := range *list {
 		offset, healthy := f.Offset()
 		if !healthy {
 			return nil
 		}
 		out = append(out, offset)
+		if at := f.Answered(); at.After(answered) {
+			answered = at
+		}
+	}
+	if time.Since(answered) > answersWithin {
+		return nil
 	}
 	return out
 }
--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -32,6 +32,9 @@
 	// stuckAfter is how long a read may go on after another entry has read further: the
 	// store answers a read at once when there is something new.
 	stuckAfter = 500 * time.Millisecond
+	// steadyGap is the longest silence of those that lead while they are served: they tell
+	// each 300 ms, and messages are lost now and then.
+	steadyGap = 1200 * time.Millisecond
 )
 
 // Seams are the follower's ways to the store and what takes the records.
@@ -41,7 +44,8 @@
 	// Apply takes records in order. Where whole, they are the newest of all keys, and
 	// keys that are not among them are gone.
 	Apply func(records []platform.Keyed, whole bool)
-	// Reached is told after each call whether the store answered. It may be nil.
+	// Reached is told after each call whether the store answered. It may be nil. A store that
+	// turns this entry away and serves others all the while counts as answering.
 	Reached func(ok bool)
 	// Ask returns the newest records of all keys that another entry has, and the offset that
 	// it has read up to; nil where nobody is asked. One that told of more than this entry has
@@ -76,6 +80,8 @@
 	hinter  string // the address of the entry that told so
 	records map[string]platform.Keyed
 	heard   time.Time // when another entry told how far it is
+	steady  time.Time // since when others have told so without a long pause
+	asked   time.Time // when the store answered last
 }
 
 // New starts a follower.
@@ -129,7 +135,11 @@
 // Hint notes that the entry at an address has read up to an offset.
 func (f *Follower) Hint(entry string, offset uint64) {
 	f.mu.Lock()
-	f.heard = time.Now()
+	now := time.Now()
+	if now.Sub(f.heard) > steadyGap {
+		f.steady = now
+	}
+	f.heard = now
 	newer := offset > f.hinted
 	if newer {
 		f.hinted, f.hinter = offset, entry
@@ -143,6 +153,37 @@
 	}
 }
 
+// othersServed reports whether the store has answered others all the while since a moment.
+func (f *Follower) othersServed(since time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.heard.IsZero() && time.Since(f.heard) <= steadyGap && !f.steady.After(since)
+}
+
+// Answered returns when the store answered last; zero where it never did.
+func (f *Follower) Answered() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.asked
+}
+
+// reached tells whether the store answers, once a call has ended.
+func (f *Follower) reached(ok bool, p *progress) {
+	served := p.known && f.othersServed(f.Answered())
+	if f.seams.Reached != nil && !served && (!ok || p.lost) {
+		f.seams.Reached(false) // also where others fell silent meanwhile: it was away for all
+	}
+	if !ok {
+		return
+	}
+	if f.seams.Reached != nil {
+		f.seams.Reached(true)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked = time.Now()
+}
+
 // note keeps how far the follower is and returns the state after a call.
 func (f *Follower) note(offset uint64, healthy bool) {
 	f.mu.Lock()
@@ -192,9 +233,7 @@
 		}
 		gone := fault.Is(err, platform.KindTrimmed)
 		f.note(p.next, err == nil)
-		if f.seams.Reached != nil {
-			f.seams.Reached(err == nil || gone)
-		}
+		f.reached(err == nil || gone, &p)
 		if err == nil {
 			f.answered(&p)
 		} else {
--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -174,6 +175,54 @@
 	})
 }
 
+// A store that turns one entry away and serves the others is not away: what is removed
+// there meanwhile is gone. Where the others fall silent, too, it may have been away.
+func TestStoreThatServesOthersIsNotAway(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		heard, down time.Duration
+		away        bool
+	}{
+		{"others are served all the while", 6 * time.Second, 5 * time.Second, false},
+		{"others fall silent", time.Second, 5 * time.Second, true},
+		{"others fall silent until the store is back", 1500 * time.Millisecond, 3 * time.Second, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			tp := &topic{}
+			tp.put("a")
+			var mu sync.Mutex
+			var told []bool
+			f := New(Settings{Topic: "t", Wait: 2 * time.Second}, Seams{
+				Newest: tp.newest, Read: tp.read, Apply: tp.apply, Leads: func() bool { return true },
+				Reached: func(ok bool) {
+					mu.Lock()
+					defer mu.Unlock()
+					told = append(told, ok)
+				},
+			}, log.New(io.Discard))
+			defer f.Close()
+			hints := func(d time.Duration) {
+				for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
+					f.Hint("other", 1)
+				}
+			}
+			hints(3 * time.Second)
+			began := time.Now()
+			tp.set(func() { tp.down = true })
+			time.AfterFunc(c.down, func() { tp.set(func() { tp.down = false }) })
+			hints(c.heard)
+			time.Sleep(c.down + time.Second - time.Since(began))
+			mu.Lock()
+			defer mu.Unlock()
+			if got := slices.Contains(told, false); got != c.away {
+				t.Errorf("%s: away %v, want %v", c.name, got, c.away)
+			}
+			is.True(told[len(told)-1])
+		})
+	}
+}
+
 // An entry that hears of no one that leads finds a change within its check.
 func TestFollowerReadsItselfWhereItHearsOfNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
