Do not wait for engines that are cut off

Found beside it: a ticket's engine was read while its address was written again, by the race detector with the new test; it is written once now.

Change: a stream asks for another engine once its own can't be connected to and has been silent for longer than the route allows, a prompt once an engine that reads it can't be and its first event is half as late again as predicted; 0.2 s at least. The engine that is cut off is charged with the failure, not the one that waited for it.

Before/after: the test of a stream fails without the change; that of a prompt passes, a second later.

--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -55,13 +55,14 @@
 func (c *call) left() time.Duration { return time.Until(c.deadline) }
 
 // attempt sends the request to an upstream and returns its answer, of which the
-// head was read within the limit. The errors' kinds tell what may have run.
-func (c *call) attempt(address string, a platform.Attempt, limit time.Duration) (*httpconn.Exchange, platform.Answer, error) {
+// head was read within the limit. The answer ends with the context, which is the call's or
+// a part of it. The errors' kinds tell what may have run.
+func (c *call) attempt(ctx context.Context, address string, a platform.Attempt, limit time.Duration) (*httpconn.Exchange, platform.Answer, error) {
 	a.Left, a.Workspace = c.left(), c.workspace
 	req := fasthttp.AcquireRequest()
 	platform.EncodeAttempt(&req.Header, &c.in.Header, a)
 	req.SetBodyRaw(c.in.Body())
-	x, err := httpconn.Do(c.ctx, c.s.upstreams, address, req, httpconn.Limits{First: limit, Read: limit, Buffer: answerHead})
+	x, err := httpconn.Do(ctx, c.s.upstreams, address, req, httpconn.Limits{First: limit, Read: limit, Buffer: answerHead})
 	if fault.Is(err, httpconn.KindUnsent) {
 		if c.ctx.Err() == nil {
 			c.s.reach.Failed(address)
--- a/internal/gateway/entry/entry_test.go
+++ b/internal/gateway/entry/entry_test.go
@@ -529,7 +529,45 @@
 	is.Equal(b.Runs()[0].LastEvent, "2")
 }
 
-// Silence ends no answer: where no other engine can go on, the slow one is kept.
+// An engine that is cut off in the middle of a stream is not waited for as long as a slow one
+// that may go on; nor is one that was sent a prompt and is cut off.
+func TestEngineThatIsCutOffIsNotWaitedFor(t *testing.T) {
+	for name, script := range map[string]server.Script{"in a stream": server.StopEvent, "before the first event": server.Silent} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t)
+			// A slow engine is waited for 2.5 times as long, for longer than the caller's time.
+			w.config["routes"].([]any)[3].(map[string]any)["target_gap_ms"] = 1800
+			var mu sync.Mutex
+			away := ""
+			w.believes(func(b *belief) bool {
+				b.cut = func(address string) bool {
+					mu.Lock()
+					defer mu.Unlock()
+					return address == away
+				}
+				return true
+			})
+			w.configure()
+			a := w.serve("engines", "i-1", script)
+			a.Note(func(*server.Run) {
+				mu.Lock()
+				defer mu.Unlock()
+				away = a.Addr()
+			})
+			got := make(chan reply, 1)
+			go func() { got <- w.do(w.request(http.MethodPost, "/ask/")) }()
+			w.await(func() bool { return len(a.Runs()) > 0 })
+			b := w.serve("engines", "i-2")
+			r := <-got
+			is.NoErr(r.err)
+			is.Equal(r.status, http.StatusOK)
+			is.Equal(r.body, server.Events(testEvents))
+			is.Equal(len(b.Runs()), 1)
+		})
+	}
+}
+
 // An engine whose stream pauses for too long is asked how fast it is, and believed.
 func TestSlowEngineIsAsked(t *testing.T) {
 	w := newWorld(t)
@@ -547,6 +585,7 @@
 	})
 }
 
+// Silence ends no answer: where no other engine can go on, the slow one is kept.
 func TestSilenceEndsNoAnswer(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t)
--- a/internal/gateway/entry/leg.go
+++ b/internal/gateway/entry/leg.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -18,6 +19,13 @@
 	readSize = 8 << 10 // bytes
 	// readsAhead is how many reads of an engine wait for a slow caller.
 	readsAhead = 4
+	// cutSilence is the least silence after which an engine that can't be connected to is not
+	// waited for: three passes. An engine that is leaving may take no connections any more and
+	// go on with its streams, so that silence has to be longer than usual, too: than the route
+	// allows, or than cutFactor times what was predicted. lookEvery is how often that is looked at.
+	cutSilence = 200 * time.Millisecond
+	cutFactor  = 1.5
+	lookEvery  = 50 * time.Millisecond
 )
 
 // leg is a stream's time at one engine, from its place there to its end.
@@ -29,6 +37,8 @@
 	split  splitter
 	reads  chan read
 	stop   chan struct{}
+	cancel context.CancelFunc // ends the exchange; nil before it was sent
+	begun  bool               // something of its answer came
 	over   bool
 }
 
@@ -79,7 +89,7 @@
 		l.close(passes.Outcome{})
 		return nil, platform.Answer{}, err
 	}
-	x, ans, err := c.attempt(address, platform.Attempt{
+	x, ans, err := l.attempt(address, platform.Attempt{
 		Instance: name, Helpers: helpers, Urgency: c.route.Priority, LastEvent: after.text,
 	}, l.firstLimit())
 	if err == nil && !c.accepts(ans.Status, after.text != "") {
@@ -88,7 +98,7 @@
 	}
 	if err != nil {
 		c.s.log.Warn("An engine did not answer.", "id", c.req.ID, "upstream", name, "status", ans.Status, "fault", ans.Fault, "err", err)
-		l.close(passes.Outcome{Failed: c.ctx.Err() == nil, Fault: ans.Fault})
+		l.failed(ans.Fault)
 		return nil, ans, err
 	}
 	l.x = x
@@ -96,6 +106,41 @@
 	return l, ans, nil
 }
 
+// attempt sends the request to the engine that writes. It does not wait for the head of an
+// answer that needs an engine that is cut off.
+func (l *leg) attempt(address string, a platform.Attempt, limit time.Duration) (*httpconn.Exchange, platform.Answer, error) {
+	ctx, cancel := context.WithCancel(l.c.ctx)
+	l.cancel = cancel
+	headed, watched := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(watched)
+		l.awaitHead(headed, cancel)
+	}()
+	defer func() {
+		close(headed)
+		<-watched
+	}()
+	return l.c.attempt(ctx, address, a, limit)
+}
+
+// awaitHead gives up where an engine is cut off before the head came.
+func (l *leg) awaitHead(headed <-chan struct{}, giveUp func()) {
+	t := time.NewTimer(l.usualSilence())
+	defer t.Stop()
+	for {
+		select {
+		case <-headed:
+			return
+		case <-t.C:
+		}
+		if l.cutOff() != "" {
+			giveUp()
+			return
+		}
+		t.Reset(lookEvery)
+	}
+}
+
 // accepts reports whether an engine's status is the answer. A failure is no part of
 // an answer that has begun; before that it is the answer where the request may not be
 // sent once more.
@@ -157,22 +202,64 @@
 	}
 }
 
-// next returns the whole events of the next read. It waits no longer than the
-// limit; errSilent then leaves the leg as it is. io.EOF: the answer is whole.
+// next returns the whole events of the next read. It waits no longer than the limit, and
+// not for engines that are cut off; errSilent then leaves the leg as it is. io.EOF: the
+// answer is whole.
 func (l *leg) next(limit time.Duration) ([]byte, error) {
-	t := time.NewTimer(limit)
+	began := time.Now()
+	t := time.NewTimer(min(limit, l.usualSilence()))
 	defer t.Stop()
-	select {
-	case r, ok := <-l.reads:
-		if !ok {
-			return nil, fail("read", KindUnknown, io.ErrUnexpectedEOF)
+	for {
+		select {
+		case r, ok := <-l.reads:
+			if !ok {
+				return nil, fail("read", KindUnknown, io.ErrUnexpectedEOF)
+			}
+			l.begun = true
+			return l.take(r)
+		case <-l.c.ctx.Done():
+			return nil, fail("read", KindUnknown, l.c.ctx.Err())
+		case <-t.C:
 		}
-		return l.take(r)
-	case <-t.C:
-		return nil, errSilent
-	case <-l.c.ctx.Done():
-		return nil, fail("read", KindUnknown, l.c.ctx.Err())
+		left := limit - time.Since(began)
+		if left <= 0 || l.cutOff() != "" {
+			return nil, errSilent
+		}
+		t.Reset(min(left, lookEvery))
+	}
+}
+
+// usualSilence returns the silence from which an engine may be cut off.
+func (l *leg) usualSilence() time.Duration {
+	if l.begun {
+		return max(cutSilence, l.c.route.Gap)
 	}
+	return max(cutSilence, time.Duration(cutFactor*float64(l.ticket.Predicted())))
+}
+
+// cutOff returns the address of an engine that the next event needs and that can't be
+// connected to, or "": the one that writes, those that hold memory, and before the first
+// event all that read.
+func (l *leg) cutOff() string {
+	cut := l.c.s.belief.cut
+	if _, address := l.ticket.Engine(); cut(address) {
+		return address
+	}
+	for _, h := range l.ticket.Helpers() {
+		if (h.Tokens > 0 || !l.begun) && cut(h.Address) {
+			return h.Address
+		}
+	}
+	return ""
+}
+
+// failed closes the leg for a failure of the engine at an address, or where that is not
+// told, of one that is cut off or else of the one that writes.
+func (l *leg) failed(address string) {
+	if address == "" {
+		address = l.cutOff()
+	}
+	l.close(passes.Outcome{Failed: l.c.ctx.Err() == nil, Fault: address})
 }
 
 func (l *leg) take(r read) ([]byte, error) {
@@ -199,6 +286,9 @@
 	if l.x != nil {
 		l.x.Close()
 	}
+	if l.cancel != nil {
+		l.cancel()
+	}
 	l.c.s.belief.Done(l.c.service, l.ticket, out)
 	if l.held != nil {
 		l.held.release()
--- a/internal/gateway/entry/plain.go
+++ b/internal/gateway/entry/plain.go
@@ -98,7 +98,7 @@
 	if c.route.Repeat == route.Idempotent && c.ran+1 < c.route.Attempts {
 		limit = min(limit, max(minTry, time.Duration(tryShare*float64(limit))))
 	}
-	x, _, err := c.attempt(k.Address(), platform.Attempt{Instance: k.Name(), Urgency: c.route.Priority}, limit)
+	x, _, err := c.attempt(c.ctx, k.Address(), platform.Attempt{Instance: k.Name(), Urgency: c.route.Priority}, limit)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -114,12 +114,12 @@
 		ended = errors.Is(err, io.EOF)
 		if err != nil && !ended && len(out) == 0 {
 			c.s.log.Warn("An engine did not begin.", "id", c.req.ID, "upstream", l.name(), "err", err)
-			l.close(passes.Outcome{Failed: c.ctx.Err() == nil})
+			l.failed("")
 			return fail("read", KindUnknown, err)
 		}
 	}
 	if st.leg != nil {
-		st.leg.close(passes.Outcome{Failed: true})
+		st.leg.failed("")
 	}
 	st.leg, st.out, st.ended = l, append(st.out, out...), ended
 	if ans.Status < fasthttp.StatusMultipleChoices {
@@ -204,7 +204,7 @@
 func (st *stream) relieve() {
 	c := st.c
 	if st.relief == reliefNone {
-		c.s.log.Warn("An engine is silent.", "id", c.req.ID, "upstream", st.leg.name(), "last", st.leg.split.text, "for_ms", st.silent.Milliseconds())
+		c.s.log.Warn("An engine is silent.", "id", c.req.ID, "upstream", st.leg.name(), "last", st.leg.split.text, "for_ms", time.Since(st.at).Milliseconds(), "cut", st.leg.cutOff())
 		st.relief = reliefSought
 		if !st.resumable() || !c.again(fail("read", KindUnknown, errSilent)) {
 			st.relief = reliefOver
@@ -235,7 +235,7 @@
 func (st *stream) resume(err error) error {
 	c := st.c
 	c.s.log.Warn("A stream broke off.", "id", c.req.ID, "upstream", st.leg.name(), "last", st.leg.split.text, "lost", c.lost.Load(), "err", err)
-	st.leg.close(passes.Outcome{Failed: c.ctx.Err() == nil})
+	st.leg.failed("")
 	if !st.resumable() || !c.again(err) {
 		return err
 	}
--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -231,11 +231,11 @@
 		e := p.byName[c.Name]
 		if e == nil || e.born != c.Born || e.address != c.Address {
 			e = &engine{
-				name: c.Name, born: c.Born, figures: p.figures, circuit: circuit.NewWithin(p.cfg.Rand, maxOpen),
+				name: c.Name, address: c.Address, born: c.Born, figures: p.figures, circuit: circuit.NewWithin(p.cfg.Rand, maxOpen),
 				slow: estimate.NewMoving(slowWindow),
 			}
 		}
-		e.domain, e.address, e.leaving = c.Domain, c.Address, c.Leaving
+		e.domain, e.leaving = c.Domain, c.Leaving // its name and address are read by tickets' owners
 		names[c.Name] = e
 	}
 	p.byName = names
