--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -99,6 +99,7 @@
 
 	mu      sync.Mutex
 	entries map[string]platform.Entry // by VM
+	domains map[string]string         // of entries, by address
 }
 
 // New listens and starts the parts. Serve runs the daemon. The seam tells how many log
@@ -254,6 +255,7 @@
 	if whole {
 		clear(s.entries)
 	}
+	defer s.keepDomains()
 	for _, r := range records {
 		if r.Value == nil {
 			delete(s.entries, r.Key)
@@ -268,6 +270,15 @@
 	}
 }
 
+// keepDomains keeps the entries' failure domains by address: each message asks for one. The
+// lock is held.
+func (s *Server) keepDomains() {
+	s.domains = make(map[string]string, len(s.entries))
+	for _, e := range s.entries {
+		s.domains[e.Address] = e.Domain
+	}
+}
+
 // peers returns the addresses of the entries that this one tells of its sends: all
 // others, or where they are many, those of the own failure domain, whose engines it
 // looks at first.
@@ -295,12 +306,7 @@
 func (s *Server) domainOf(address string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, e := range s.entries {
-		if e.Address == address {
-			return e.Domain
-		}
-	}
-	return ""
+	return s.domains[address]
 }
 
 // register tells the other entries through the store where this one is, once.
--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -81,7 +81,7 @@
 	records map[string]platform.Keyed
 	heard   time.Time // when another entry told how far it is
 	steady  time.Time // since when others have told so without a long pause
-	asked   time.Time // when the store answered last
+	replied time.Time // when the store answered last
 }
 
 // New starts a follower.
@@ -164,7 +164,7 @@
 func (f *Follower) Answered() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.asked
+	return f.replied
 }
 
 // reached tells whether the store answers, once a call has ended.
@@ -181,7 +181,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.asked = time.Now()
+	f.replied = time.Now()
 }
 
 // note keeps how far the follower is and returns the state after a call.
--- a/internal/prompt/passes/choose.go
+++ b/internal/prompt/passes/choose.go
@@ -60,9 +60,9 @@
 	entriesPerPick = 5
 	// budgetStep is the difference between engines that makes them unequal, half a pass.
 	budgetStep = 30 * time.Millisecond
-	// extendStep is the difference between the times at which engines get free that makes
+	// staysStep is the difference between the times at which engines get free that makes
 	// them unequal: two passes.
-	extendStep = 150 * time.Millisecond
+	staysStep = 150 * time.Millisecond
 	// keepMemory is the share of an engine's memory that is left free for what grows there.
 	keepMemory = 0.04
 	// holdFrom is the share of an engine's memory from which a prompt's memory may be
@@ -94,6 +94,7 @@
 	load   load
 	budget time.Duration // longest read that harms no stream there
 	start  time.Duration // until a read starts
+	stays  time.Duration // how much longer its streams keep it from being free with the request
 }
 
 // place gives a request its engines where there is room. The view follows.
@@ -248,20 +249,17 @@
 	var fit []candidate
 	for _, c := range list {
 		if c.budget >= t.read && p.canWrite(t, c) && p.firstEvent(c, c.load.took(t.read)) <= limit && p.inTime(t, c, 0, now) {
+			c.stays = p.stays(t, c, now)
 			fit = append(fit, c)
 		}
 	}
 	if len(fit) == 0 {
 		return choice{}, false
 	}
-	ends := make(map[*engine]time.Duration, len(fit))
-	for _, c := range fit {
-		ends[c.engine] = p.extends(t, c, now)
-	}
 	slices.SortStableFunc(fit, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(t.rank(a), t.rank(b)),
-			cmp.Compare(ends[a.engine]/extendStep, ends[b.engine]/extendStep),
+			cmp.Compare(a.stays/staysStep, b.stays/staysStep),
 			t.packs(a, b),
 		)
 	})
@@ -269,9 +267,9 @@
 	return choice{writer: best.engine, memory: t.job.need(), part: t.read, first: p.firstEvent(best, best.load.took(t.read)), pass: p.passWith(best)}, true
 }
 
-// extends returns how much later an engine is free of streams with one more: short
+// stays returns how much later an engine is free of streams with one more: short
 // streams that end together leave whole engines to long reads.
-func (p *Planner) extends(t *Ticket, c candidate, now time.Time) time.Duration {
+func (p *Planner) stays(t *Ticket, c candidate, now time.Time) time.Duration {
 	free := c.load.until
 	if free.Before(now) {
 		free = now
--- a/internal/prompt/passes/pace.go
+++ b/internal/prompt/passes/pace.go
@@ -9,7 +9,8 @@
 
 const (
 	// suspectRatio and suspectExtra are how much longer than predicted a first event may take
-	// until the engines are asked how fast they are: nine in ten come within 1.3 of it.
+	// until the engines are asked how fast they are: 3.5 in 100 of 98,431 first events of heavy
+	// days, with slow engines and without, took longer.
 	suspectRatio = 1.5
 	suspectExtra = 60 * time.Millisecond
 	// askEvery is how often an engine is asked at most. It tells what was true a fraction of
--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -188,7 +188,7 @@
 	byName   map[string]*engine
 	bounds   *queue.Bounds
 	waiting  *queue.Queue[*Ticket] // by the time at which they have to start
-	unbegun  []*Ticket             // placed, and without a first event so far; others, too
+	unbegun  []*Ticket             // placed, until it is seen that they began, ended or are late
 	suspects []*engine             // to be asked how fast they are
 	reports  map[string]Report     // by entry
 	doubts   map[string]Doubt      // by entry; none or "" where it is believed
