Tell requests that were lost with a VM that is gone for good

Change: where a VM has written nothing for 20 s, longer than any caller waits, its requests without an end are lost with it.

--- a/internal/command/explain/logs.go
+++ b/internal/command/explain/logs.go
@@ -16,6 +16,9 @@
 // maxLine is the longest line that is read, in bytes; entries write none over 16 KiB.
 const maxLine = 1 << 20
 
+// silentFor is longer than any caller waits: the users' most patient ones wait 15 seconds.
+const silentFor = 20 * time.Second
+
 // Line is a log line of an entry.
 type Line struct {
 	at     time.Time
@@ -50,6 +53,7 @@
 	requests map[string][]*Line
 	starts   map[string][]time.Time // by VM
 	last     map[string]time.Time   // of a VM's lines
+	newest   time.Time              // of all lines
 	skipped  int                    // lines that are none of an entry
 }
 
@@ -101,11 +105,18 @@
 	if line.at.After(l.last[line.vm]) {
 		l.last[line.vm] = line.at
 	}
+	if line.at.After(l.newest) {
+		l.newest = line.at
+	}
 	if line.id != "" {
 		l.requests[line.id] = append(l.requests[line.id], line)
 	}
 }
 
+// silent reports whether a VM's entry wrote nothing for so long while others did that no
+// request of its own goes on.
+func (l *Logs) silent(vm string) bool { return l.newest.Sub(l.last[vm]) > silentFor }
+
 // restarted returns when a VM's entry started first after a time, or the zero time.
 func (l *Logs) restarted(vm string, after time.Time) time.Time {
 	var first time.Time
--- a/internal/command/explain/story.go
+++ b/internal/command/explain/story.go
@@ -82,7 +82,7 @@
 	if at := s.logs.restarted(line.vm, line.at); !at.IsZero() {
 		return Lost, fmt.Sprintf("entry %s ended %s and started again %s later", line.vm, after, at.Sub(line.at).Round(time.Millisecond))
 	}
-	if s.logs.last[line.vm].Equal(line.at) {
+	if s.logs.silent(line.vm) || s.logs.last[line.vm].Equal(line.at) {
 		return Lost, fmt.Sprintf("entry %s writes nothing more %s", line.vm, after)
 	}
 	return Open, fmt.Sprintf("entry %s has not ended it %s", line.vm, after)
