--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -184,7 +184,7 @@
 	f.replied = time.Now()
 }
 
-// note keeps how far the follower is and returns the state after a call.
+// note keeps how far the follower is, and whether the last call was answered.
 func (f *Follower) note(offset uint64, healthy bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
