Give out an engine's last slot last

Cause: short prompts go to the fullest engine that can take them. Several entries chose an engine with one slot left before they heard of each other, also beside empty engines: one of them waited for a slot. Ruled out: slow engines and reads that overrun (they would show at engines with few streams, too). Change: among engines that suit equally those with two slots left go first; the last one is used where there is no other. Also where a long prompt's writer is chosen. The emulated fleet ended requests that were on their way when a failure domain was cut off, at an engine that had not got them, and panicked; they do not arrive now.

--- a/internal/prompt/passes/choose.go
+++ b/internal/prompt/passes/choose.go
@@ -36,8 +36,10 @@
 	minPrediction = 10 * time.Millisecond
 	// maxOthers is how many engines that were not chosen are told with a choice.
 	maxOthers = 3
-	// keepSlots is left free at each engine for what other entries send at the same time.
-	keepSlots = 0
+	// lastSlots is how many of an engine's slots are given out last: another entry may have
+	// sent to them and is not heard yet. Of short prompts that took the last one on three
+	// quiet days 2.6 to 4.4 in 100 had a late first event, of others 0 to 0.3 (2026-12-04).
+	lastSlots = 1
 	// soloRead is the longest read that an engine without streams gets at once, so
 	// that what comes next need not wait for long.
 	soloRead = 700 * time.Millisecond
@@ -213,7 +215,15 @@
 	return t.job.Deadline.Sub(now) / 2
 }
 
-func (p *Planner) hasSlot(c candidate) bool { return c.load.slots < p.figures.Slots-keepSlots }
+func (p *Planner) hasSlot(c candidate) bool { return c.load.slots < p.figures.Slots }
+
+// crowded is 1 for an engine that has only slots left that are given out last, else 0.
+func (p *Planner) crowded(c candidate) int {
+	if c.load.slots >= p.figures.Slots-lastSlots {
+		return 1
+	}
+	return 0
+}
 
 // free returns the tokens of memory that a request may take.
 func (p *Planner) free(c candidate) int {
@@ -259,8 +269,9 @@
 	slices.SortStableFunc(fit, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(t.rank(a), t.rank(b)),
+			cmp.Compare(p.crowded(a), p.crowded(b)),
 			cmp.Compare(a.stays/staysStep, b.stays/staysStep),
-			t.packs(a, b),
+			p.packs(t, a, b),
 		)
 	})
 	best := fit[int(p.cfg.Rand()*float64(min(len(fit), p.spread())))]
@@ -297,10 +308,12 @@
 }
 
 // packs orders engines for a short prompt: those whose streams are as impatient
-// already, then empty ones, then those with patient streams; the fullest first.
-func (t *Ticket) packs(a, b candidate) int {
+// already, then empty ones, then those with patient streams; the fullest first that
+// have a slot to spare.
+func (p *Planner) packs(t *Ticket, a, b candidate) int {
 	return cmp.Or(
 		cmp.Compare(t.rank(a), t.rank(b)),
+		cmp.Compare(p.crowded(a), p.crowded(b)),
 		cmp.Compare(b.load.slots, a.load.slots),
 		cmp.Compare(a.start, b.start),
 	)
@@ -409,7 +422,7 @@
 	)
 	for _, c := range set {
 		start = max(start, c.start+c.load.took(part)-part)
-		if p.canWrite(t, c) && (!found || t.packs(c, writer) < 0) {
+		if p.canWrite(t, c) && (!found || p.packs(t, c, writer) < 0) {
 			writer, found = c, true
 		}
 	}
--- a/internal/prompt/passes/planner_test.go
+++ b/internal/prompt/passes/planner_test.go
@@ -189,6 +189,46 @@
 	}
 }
 
+// Short prompts at several entries at the same moment, in a burst: while other engines
+// have room they do not all take the last slot of the fullest one.
+func TestLastSlotIsGivenOutLast(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	figures := UsersFigures()
+	var running []Send
+	for i := range figures.Slots + 2 {
+		s := Send{Engine: "fullest", Context: 5000, Gap: 200 * time.Millisecond, Weight: 1, At: now, Writing: true, Ends: now.Add(3 * time.Second)}
+		if i >= figures.Slots-1 {
+			s.Engine = "fuller"
+		}
+		running = append(running, s)
+	}
+	job := Job{
+		Tokens: 5000, MaxTokens: 1500, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond,
+		Arrived: now, Deadline: now.Add(10 * time.Second),
+	}
+	at := map[string]int{}
+	for range 2 {
+		p := New(Settings{Now: func() time.Time { return now }, Rand: func() float64 { return 0 }}, figures)
+		p.SetEngines([]Engine{{Name: "empty", Address: "empty"}, {Name: "fuller", Address: "fuller"}, {Name: "fullest", Address: "fullest"}})
+		p.Tell(map[string]Report{"other": {Heard: now, Sends: running}})
+		ticket, err := p.Submit(job)
+		if err != nil || !ticket.Placed() {
+			t.Fatalf("not placed: %v", err)
+		}
+		name, _ := ticket.Engine()
+		at[name]++
+	}
+	if at["fuller"] != 2 {
+		t.Errorf("prompts by engine %v, want both at the one that has slots for both", at)
+	}
+	p := New(Settings{Now: func() time.Time { return now }, Rand: func() float64 { return 0 }}, figures)
+	p.SetEngines([]Engine{{Name: "fullest", Address: "fullest"}})
+	p.Tell(map[string]Report{"other": {Heard: now, Sends: running}})
+	if ticket, err := p.Submit(job); err != nil || !ticket.Placed() {
+		t.Errorf("not placed where the last slot is the only one: %v", err)
+	}
+}
+
 // shortOnes places short prompts on the planner's only engine and starts to write them.
 func shortOnes(t *testing.T, p *Planner, n int, now time.Time) []*Ticket {
 	t.Helper()
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -227,6 +227,9 @@
 func (f *Fleet) breakOff() {
 	for _, e := range f.entries {
 		for _, r := range slices.Clone(e.running) {
+			if !r.run.Opened() {
+				continue // on its way: it does not arrive
+			}
 			if !f.reaches(e, r.engine) {
 				r.engine.Cancel(r.run)
 				r.fail(true)
--- a/internal/standin/passengine/engine.go
+++ b/internal/standin/passengine/engine.go
@@ -100,9 +100,9 @@
 	return nil
 }
 
-// Cancel ends a request whose caller left.
+// Cancel ends a request whose caller left. One that no engine has yet is not changed.
 func (e *Engine) Cancel(r *Request) {
-	if !r.over {
+	if !r.over && r.Opened() {
 		r.end()
 		e.start()
 	}
--- a/internal/standin/passengine/engine_test.go
+++ b/internal/standin/passengine/engine_test.go
@@ -125,6 +125,19 @@
 	w.pass(time.Second)
 }
 
+// A request whose entry is cut off while it is on its way has nothing to end.
+func TestRequestOnItsWayIsCancelled(t *testing.T) {
+	w := newWorld(t)
+	a, r := w.engine("a"), w.request("r", 100, 10)
+	a.Cancel(r)
+	r.CutOff()
+	w.True(!r.Opened())
+	w.NoErr(a.Open(r))
+	w.True(r.Opened())
+	w.pass(time.Second)
+	w.Equal(len(w.notes), 2)
+}
+
 // Requests wait for slots; what is more than that is rejected.
 func TestQueue(t *testing.T) {
 	w := newWorld(t)
--- a/internal/standin/passengine/request.go
+++ b/internal/standin/passengine/request.go
@@ -151,9 +151,12 @@
 	}
 }
 
-// CutOff ends a request before its last event.
+// Opened reports whether an engine took the request.
+func (r *Request) Opened() bool { return r.engine != nil }
+
+// CutOff ends a request before its last event. One that no engine has yet is not changed.
 func (r *Request) CutOff() {
-	if r.over {
+	if r.over || !r.Opened() {
 		return
 	}
 	r.end()
