Refuse what is too long once it can't be on time

Cause: a prompt that 17 engines read in parts of over 0.7 s goes only where it holds up streams, and only for a first event on time. Such prompts waited for the whole target (4 s) though they were lost long before: one of 1,000,000 tokens, in parts of 2.9 s, after 0.34 s. Change: they are refused once their parts and the margin exceed what is left to the target, also when they come, and told to come back after half of the time until they have to be read at the latest, since bursts pass within seconds.

--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -262,6 +262,10 @@
 	if p.place(t, p.look(now), now) {
 		return t, nil
 	}
+	if p.lost(t, now) {
+		p.counts.Refused++
+		return nil, refuse("admit", KindTooLate, p.lull(t, now), "no engines could take a read of %s in time", round(t.read))
+	}
 	if wait := p.backlog(t); now.Add(wait).After(t.giveUp()) {
 		p.counts.Refused++
 		return nil, refuse("admit", KindBusy, wait/2, "reads of %s are ahead in the queue", wait)
@@ -373,19 +377,41 @@
 }
 
 func (p *Planner) expire(now time.Time) {
-	readers := min(maxReaders, len(p.engines))
-	over := p.waiting.TakeFunc(func(t *Ticket) bool {
-		return now.After(t.giveUp()) || t.late(now) && t.read > time.Duration(readers)*longRead
-	})
+	over := p.waiting.TakeFunc(func(t *Ticket) bool { return now.After(t.giveUp()) || p.lost(t, now) })
 	for _, t := range over {
 		p.changed = true
 		p.counts.Expired++
+		after := p.backlog(t)
+		if p.lost(t, now) {
+			after = p.lull(t, now)
+		}
 		t.state, t.item = stateOver, nil
-		t.err = refuse("wait", KindTooLate, p.backlog(t), "waited %s; no engines could take a read of %s in time", round(now.Sub(t.job.Arrived)), round(t.read))
+		t.err = refuse("wait", KindTooLate, after, "waited %s; no engines could take a read of %s in time", round(now.Sub(t.job.Arrived)), round(t.read))
 		t.notify()
 	}
 }
 
+// share returns the read of each engine where as many as may share a prompt.
+func (p *Planner) share(t *Ticket) time.Duration {
+	return t.read / time.Duration(max(1, min(maxReaders, len(p.engines))))
+}
+
+// lost reports whether a prompt can't be placed any more: it is too long for engines
+// that get no longer read at once, and its first event can't come on time, for which
+// alone it may hold up streams.
+func (p *Planner) lost(t *Ticket, now time.Time) bool {
+	part := p.share(t)
+	left := t.job.Target - now.Sub(t.job.Arrived)
+	return part > soloRead && part > time.Duration(hurry*float64(left))
+}
+
+// lull returns when a prompt that is lost while engines are busy should come back: half
+// of the time until it has to be read at the latest, since bursts pass within seconds.
+func (p *Planner) lull(t *Ticket, now time.Time) time.Duration {
+	takes := p.share(t) + p.writing(t, p.figures.Pass(1, t.job.Tokens))
+	return (t.job.Deadline.Sub(now) - takes) / 2
+}
+
 // weight is what the request's caller loses without an answer: a request counts one,
 // and so does each ten thousand tokens of its prompt.
 func (t *Ticket) weight() float64 { return 1 + float64(t.job.Tokens)/weightTokens }
--- a/internal/prompt/passes/planner_test.go
+++ b/internal/prompt/passes/planner_test.go
@@ -88,6 +88,53 @@
 	}
 }
 
+// A prompt that is too long to be read without pauses, while engines are busy with other
+// long ones: it is refused once it can't be on time, not when its time is over, and its
+// caller is told to come back when a burst may have passed and the answer still ends in time.
+func TestTooLongToBeOnTimeIsRefusedEarly(t *testing.T) {
+	for _, c := range []struct {
+		engines int
+		tokens  int
+		waits   time.Duration // at most; 0: refused when it comes
+	}{
+		{maxReaders, 1_000_000, 400 * time.Millisecond}, // 17 parts of 2.9 s
+		{maxReaders, 629_942, 2500 * time.Millisecond},  // 17 parts of 1.2 s
+		{6, 629_942, 600 * time.Millisecond},            // 6 parts of 3.4 s
+		{4, 629_942, 0},                                 // 4 parts of 5.2 s
+		{maxReaders, 400_000, 5250 * time.Millisecond},  // 17 parts of 0.5 s: may be read late
+	} {
+		start := time.Unix(1_000_000, 0)
+		now := start
+		p := New(Settings{Now: func() time.Time { return now }, Rand: func() float64 { return 0 }}, UsersFigures())
+		var list []Engine
+		var busy []Send
+		for i := range c.engines {
+			name := fmt.Sprint(i)
+			list = append(list, Engine{Name: name, Address: name})
+			busy = append(busy, Send{Engine: name, Read: 20 * time.Second, At: now, Due: now.Add(time.Minute)})
+		}
+		p.SetEngines(list)
+		job := Job{
+			Tokens: c.tokens, MaxTokens: 1000, Target: 4 * time.Second, Gap: 800 * time.Millisecond,
+			Arrived: now, Deadline: now.Add(15 * time.Second),
+		}
+		p.Tell(map[string]Report{"other": {Heard: now, Sends: busy}})
+		ticket, err := p.Submit(job)
+		for ; err == nil; err = ticket.Err() {
+			now = now.Add(20 * time.Millisecond)
+			p.Tell(map[string]Report{"other": {Heard: now, Sends: busy}})
+			p.Dispatch()
+		}
+		waited := now.Sub(start)
+		if waited > c.waits+20*time.Millisecond || ticket != nil && ticket.Placed() {
+			t.Errorf("%d tokens at %d engines: refused after %s, want at most %s", c.tokens, c.engines, waited, c.waits)
+		}
+		if back := now.Add(RetryAfter(err)); back.After(job.Deadline) {
+			t.Errorf("%d tokens at %d engines: told to come back %s after its deadline", c.tokens, c.engines, back.Sub(job.Deadline))
+		}
+	}
+}
+
 // An entry that is silent is doubted: its reads count no more after a second, its streams
 // until they should have ended. Where its whole failure domain can't be connected to,
 // nothing of it runs in the own one.
