Let prompts that an engine failed with wait for another

Cause: a long prompt whose engine failed or did not answer is placed anew by the time at which it came, of which over 0.35 is gone then (3 s until the engine is given up, 5.25 s of 15): it was refused at once, "reads of 0s are ahead in the queue", or after a second, with 6.7 to 8.8 s left. Change: a request that may have run waits while its caller does. A stream that no other engine takes says so once in the log, not each 0.25 s. The clock is not asked twice for one doubt.

--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -47,6 +47,7 @@
 	began  time.Duration // from the request's arrival to its first event
 	pause  time.Duration // longest between events
 	relief relief
+	alone  bool // no other engine went on when last asked
 	closed bool
 }
 
@@ -218,10 +219,12 @@
 	err := st.open(silent.split, at)
 	switch {
 	case err == nil:
-		st.relief, st.silent = reliefOver, c.silence()
+		st.relief, st.silent, st.alone = reliefOver, c.silence(), false
 	case refused(err):
-		c.s.log.Info("No other engine goes on yet.", "id", c.req.ID, "err", err)
-		st.silent = reliefPause
+		if !st.alone { // it is asked again and again
+			c.s.log.Info("No other engine goes on yet.", "id", c.req.ID, "err", err)
+		}
+		st.alone, st.silent = true, reliefPause
 	default:
 		c.s.log.Warn("No other engine goes on.", "id", c.req.ID, "err", err)
 		st.relief = reliefOver
--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -61,6 +61,7 @@
 	Deadline  time.Time
 	Leaves    time.Time       // when its caller leaves without an event; zero: at the deadline
 	Begun     bool            // its answer has begun: it can't be refused any more
+	Ran       bool            // an engine may have run it: a refusal can't say that it did not
 	Tried     map[string]bool // engines that it may not go to again
 	Notify    func()          // called once where the ticket waited and waits no more
 }
@@ -327,11 +328,12 @@
 	return t.item != nil
 }
 
-// giveUp returns the time from which a request is refused rather than kept waiting.
+// giveUp returns the time from which a request is refused rather than kept waiting. One
+// that may have run waits while its caller does: it fails where it is not placed.
 func (t *Ticket) giveUp() time.Time {
 	patience := t.job.Deadline.Sub(t.job.Arrived)
 	at := t.job.Arrived.Add(time.Duration(waitShare * float64(patience)))
-	if leaves := t.job.Leaves.Add(-leaveMargin); !t.job.Leaves.IsZero() && (t.job.Begun || leaves.Before(at)) {
+	if leaves := t.job.Leaves.Add(-leaveMargin); !t.job.Leaves.IsZero() && (t.job.Begun || t.job.Ran || leaves.Before(at)) {
 		return leaves
 	}
 	return at
--- a/internal/prompt/passes/planner_test.go
+++ b/internal/prompt/passes/planner_test.go
@@ -88,6 +88,39 @@
 	}
 }
 
+// An engine failed with a long prompt in the middle of a burst. The caller can't be told
+// that it did not run, so it waits for another engine while its caller does, not for the
+// share of that time after which callers who may come back are refused.
+func TestPromptThatRanWaitsForItsCaller(t *testing.T) {
+	for _, ran := range []bool{false, true} {
+		start := time.Unix(1_000_000, 0)
+		now := start.Add(5500 * time.Millisecond)
+		p := New(Settings{Now: func() time.Time { return now }, Rand: func() float64 { return 0 }}, UsersFigures())
+		p.SetEngines([]Engine{{Name: "failed", Address: "failed"}, {Name: "busy", Address: "busy"}})
+		busy := func(sends ...Send) { p.Tell(map[string]Report{"other": {Heard: now, Sends: sends}}) }
+		busy(Send{Engine: "busy", Read: 2 * time.Second, At: now, Due: now.Add(3 * time.Second)})
+		ticket, err := p.Submit(Job{
+			Tokens: 50_000, MaxTokens: 1000, Target: 4 * time.Second, Gap: 800 * time.Millisecond,
+			Arrived: start, Deadline: start.Add(15 * time.Second), Leaves: start.Add(14 * time.Second),
+			Ran: ran, Tried: map[string]bool{"failed": true},
+		})
+		if !ran {
+			if err == nil {
+				t.Error("a prompt that did not run is kept waiting when it should have been refused")
+			}
+			continue
+		}
+		if err != nil || ticket.Placed() {
+			t.Fatalf("placed beside a long read, or refused: %v", err)
+		}
+		now = now.Add(2 * time.Second)
+		busy()
+		if p.Dispatch(); !ticket.Placed() {
+			t.Errorf("not placed where an engine got free: %v", ticket.Err())
+		}
+	}
+}
+
 // A prompt that is too long to be read without pauses, while engines are busy with other
 // long ones: it is refused once it can't be on time, not when its time is over, and its
 // caller is told to come back when a burst may have passed and the answer still ends in time.
--- a/internal/prompt/passes/report.go
+++ b/internal/prompt/passes/report.go
@@ -77,7 +77,7 @@
 	silent := now.Sub(r.Heard)
 	cut := silent > cutAfter && p.cutOff(r.Domain)
 	if silent <= doubtAfter {
-		p.doubtLater(r.Heard, cut)
+		p.doubtLater(r.Heard, cut, now)
 	}
 	switch {
 	case cut:
@@ -100,9 +100,9 @@
 }
 
 // doubtLater notes when an entry that stays silent has to be doubted.
-func (p *Planner) doubtLater(heard time.Time, cut bool) {
+func (p *Planner) doubtLater(heard time.Time, cut bool, now time.Time) {
 	at := heard.Add(cutAfter)
-	if cut || !at.After(p.cfg.Now()) {
+	if cut || !at.After(now) {
 		at = heard.Add(doubtAfter)
 	}
 	if p.doubtAt.IsZero() || at.Before(p.doubtAt) {
