Keep what is refused, and when, in one file

Cause: planner.go held the whole life of a request in 530 lines; a method and a type were both called turn.

--- a/internal/prompt/passes/choose.go
+++ b/internal/prompt/passes/choose.go
@@ -115,7 +115,7 @@
 		t.turn = turn{}
 		return false
 	}
-	if t.item != nil && !p.turn(t, now) {
+	if t.item != nil && !p.hasTurn(t, now) {
 		return false
 	}
 	l := list[slices.IndexFunc(list, func(o candidate) bool { return o.engine == c.writer })].load
--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -16,12 +16,6 @@
 	// Bounds of what waits at an entry.
 	maxWaiting      = 2048
 	maxWaitingBytes = 64 << 20
-	// waitShare is the share of a caller's patience that a request may wait: a
-	// caller that is refused then has time left to come back.
-	waitShare = 0.35
-	// leaveMargin is kept before a caller leaves for the first event to come: two passes
-	// and a short read.
-	leaveMargin = 200 * time.Millisecond
 	// readCapacity is the share of the engines' time that reads get beside passes.
 	readCapacity = 0.6
 	// lookAhead is how many waiting requests are tried at a change.
@@ -198,7 +192,7 @@
 	doubtAt   time.Time             // when the next of them is doubted; zero: none
 	othersDue []time.Time           // of the first request that waits at each other entry
 	stretch   estimate.Moving       // time to the first event over the prediction
-	changed   bool                  // own sends changed since they were last told
+	changed   bool                  // own sends, or what waits, changed since they were last told
 	counts    Counts
 }
 
@@ -295,16 +289,6 @@
 	return refuse("admit", KindNoEngine, time.Second, "none of %d engines can be used", len(p.engines))
 }
 
-// endsInTime refuses a request whose answer is not likely to end in time even where
-// nothing else runs. An answer that has begun is tried in any case.
-func (p *Planner) endsInTime(t *Ticket, now time.Time) error {
-	takes := p.writing(t, p.figures.Pass(1, t.job.Tokens))
-	if left := t.job.Deadline.Sub(now); takes > left && !t.job.Begun {
-		return refuse("admit", KindTooLate, minRetryAfter, "an answer of %s is expected, and %s are left", round(takes), round(left))
-	}
-	return nil
-}
-
 func (p *Planner) usable(e *engine, now time.Time) bool {
 	e.slow.Fade(now, slowFor, 1)
 	return !e.leaving && e.circuit.Allows(now) && (p.cfg.Cut == nil || !p.cfg.Cut(e.address))
@@ -328,17 +312,6 @@
 	return t.item != nil
 }
 
-// giveUp returns the time from which a request is refused rather than kept waiting. One
-// that may have run waits while its caller does: it fails where it is not placed.
-func (t *Ticket) giveUp() time.Time {
-	patience := t.job.Deadline.Sub(t.job.Arrived)
-	at := t.job.Arrived.Add(time.Duration(waitShare * float64(patience)))
-	if leaves := t.job.Leaves.Add(-leaveMargin); !t.job.Leaves.IsZero() && (t.job.Begun || t.job.Ran || leaves.Before(at)) {
-		return leaves
-	}
-	return at
-}
-
 // Dispatch places what waits as far as engines have room, those that can still be
 // on time first, and refuses what has waited for too long.
 func (p *Planner) Dispatch() {
@@ -378,42 +351,6 @@
 	return now.Sub(t.job.Arrived) > t.job.Target
 }
 
-func (p *Planner) expire(now time.Time) {
-	over := p.waiting.TakeFunc(func(t *Ticket) bool { return now.After(t.giveUp()) || p.lost(t, now) })
-	for _, t := range over {
-		p.changed = true
-		p.counts.Expired++
-		after := p.backlog(t)
-		if p.lost(t, now) {
-			after = p.lull(t, now)
-		}
-		t.state, t.item = stateOver, nil
-		t.err = refuse("wait", KindTooLate, after, "waited %s; no engines could take a read of %s in time", round(now.Sub(t.job.Arrived)), round(t.read))
-		t.notify()
-	}
-}
-
-// share returns the read of each engine where as many as may share a prompt.
-func (p *Planner) share(t *Ticket) time.Duration {
-	return t.read / time.Duration(max(1, min(maxReaders, len(p.engines))))
-}
-
-// lost reports whether a prompt can't be placed any more: it is too long for engines
-// that get no longer read at once, and its first event can't come on time, for which
-// alone it may hold up streams.
-func (p *Planner) lost(t *Ticket, now time.Time) bool {
-	part := p.share(t)
-	left := t.job.Target - now.Sub(t.job.Arrived)
-	return part > soloRead && part > time.Duration(hurry*float64(left))
-}
-
-// lull returns when a prompt that is lost while engines are busy should come back: half
-// of the time until it has to be read at the latest, since bursts pass within seconds.
-func (p *Planner) lull(t *Ticket, now time.Time) time.Duration {
-	takes := p.share(t) + p.writing(t, p.figures.Pass(1, t.job.Tokens))
-	return (t.job.Deadline.Sub(now) - takes) / 2
-}
-
 // weight is what the request's caller loses without an answer: a request counts one,
 // and so does each ten thousand tokens of its prompt.
 func (t *Ticket) weight() float64 { return 1 + float64(t.job.Tokens)/weightTokens }
--- a/internal/prompt/passes/turn.go
+++ b/internal/prompt/passes/turn.go
@@ -33,10 +33,10 @@
 	sooner int       // requests of others that go first
 }
 
-// turn reports whether a request that waits may take the engines that were found for
+// hasTurn reports whether a request that waits may take the engines that were found for
 // it. Entries see at the same time that engines get free: each lets the requests of
 // others that are due sooner go first, one after the other, and takes what they leave.
-func (p *Planner) turn(t *Ticket, now time.Time) bool {
+func (p *Planner) hasTurn(t *Ticket, now time.Time) bool {
 	sooner := 0
 	for _, at := range p.othersDue {
 		if at.Before(t.due()) {
