Let memory run out whose engine is gone without notice

Ruled out: an order to release that was lost (none was sent before 9.9 s). Change: where nothing came from the engine that writes since the last renewal it is connected to before the next. Where it can't be, the memory is left to run out, 3.5 s after the last renewal, and the first event is not waited for any longer.

--- a/internal/gateway/entry/hold.go
+++ b/internal/gateway/entry/hold.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/dogwoodmill/dogwoodmill/platform"
@@ -25,15 +26,17 @@
 
 // held is memory that is set aside for a prompt at several engines.
 type held struct {
-	s    *Server
-	id   string // of the request
-	list []platform.Reservation
-	stop context.CancelFunc
-	done chan struct{}
+	s      *Server
+	id     string // of the request
+	writer string // address of the engine that it is sent to
+	list   []platform.Reservation
+	heard  atomic.Bool // something came from the writer since the last renewal
+	stop   context.CancelFunc
+	done   chan struct{}
 }
 
 // reserve sets memory aside at all engines, or at none.
-func (s *Server) reserve(ctx context.Context, id string, list []platform.Reservation) (*held, error) {
+func (s *Server) reserve(ctx context.Context, id, writer string, list []platform.Reservation) (*held, error) {
 	errs := make([]error, len(list))
 	var wg sync.WaitGroup
 	for i, r := range list {
@@ -42,7 +45,7 @@
 	wg.Wait()
 	s.holds.Add(1)
 	own, cancel := context.WithCancel(context.Background())
-	h := &held{s: s, id: id, list: list, stop: cancel, done: make(chan struct{})}
+	h := &held{s: s, id: id, writer: writer, list: list, stop: cancel, done: make(chan struct{})}
 	if err := errors.Join(errs...); err != nil {
 		close(h.done)
 		h.release()
@@ -54,6 +57,8 @@
 	return h, nil
 }
 
+// renew keeps the memory until it is released. It lets it run out where nothing comes from
+// the engine that writes and that can't be connected to: it may be gone without notice.
 func (h *held) renew(ctx context.Context) {
 	defer close(h.done)
 	t := time.NewTicker(holdRenew)
@@ -64,6 +69,10 @@
 		case <-ctx.Done():
 			return
 		}
+		if !h.heard.Swap(false) && !h.s.reach.Try(ctx, h.writer) {
+			h.s.log.Warn("Memory is not renewed: the engine that writes can't be connected to.", "id", h.id, "address", h.writer)
+			return
+		}
 		for _, r := range h.list {
 			if err := h.s.engines.Reserve(ctx, r, holdFor, orderLimit); err != nil && ctx.Err() == nil {
 				h.s.log.Warn("Memory was not renewed.", "id", h.id, "engine", r.Instance, "err", err)
--- a/internal/gateway/entry/leg.go
+++ b/internal/gateway/entry/leg.go
@@ -177,7 +177,8 @@
 		return rest, nil
 	}
 	l.c.holds++
-	h, err := l.c.s.reserve(l.c.ctx, l.c.req.ID, want)
+	_, writer := l.ticket.Engine()
+	h, err := l.c.s.reserve(l.c.ctx, l.c.req.ID, writer, want)
 	if err != nil {
 		return nil, err
 	}
@@ -191,6 +192,9 @@
 	for {
 		buf := make([]byte, readSize)
 		n, err := l.x.ReadWithin(buf, max(l.c.left(), minRetry))
+		if n > 0 && l.held != nil {
+			l.held.heard.Store(true)
+		}
 		select {
 		case l.reads <- read{data: buf[:n], err: err}:
 		case <-l.stop:
@@ -231,8 +235,11 @@
 
 // usualSilence returns the silence from which an engine may be cut off.
 func (l *leg) usualSilence() time.Duration {
-	if l.begun {
+	switch {
+	case l.begun:
 		return max(cutSilence, l.c.route.Gap)
+	case l.held != nil: // its memory runs out where the engine can't be connected to
+		return cutSilence
 	}
 	return max(cutSilence, time.Duration(cutFactor*float64(l.ticket.Predicted())))
 }
--- a/internal/upstream/reach/prober.go
+++ b/internal/upstream/reach/prober.go
@@ -79,6 +79,12 @@
 	}
 }
 
+// Try connects to an upstream and reports whether that went well.
+func (p *Prober) Try(ctx context.Context, address string) bool {
+	p.probe(ctx, []string{address})
+	return !p.Cut(address)
+}
+
 func (p *Prober) add(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
