Predict once for each engine, and keep one copy of what stood twice

Cause: read once more as a whole. For a short prompt the passes of an engine were predicted up to four times and its first event up to three times; the order of engines compared rank and spare slot twice, since one order held the other. To admit a prompt all engines were asked whether they can be used, and then again by the choice, though enough of them to hold it will do. The four figures of an engine's use were summed in two places, an unknown peer was made in two, and three tests of lost engines ended in the same two checks. Ruled out: one watcher for legs that wait for a head and for events: what they wait for, and what ends it, differs more than what they share. Change: a candidate carries what is predicted with the request; suits and fuller are the two halves of the order; possible stops where the engines that it counted hold the request; Use.Add, Exchange.peer, besideLost. The page of records says who asks.

--- a/internal/command/experiment/run.go
+++ b/internal/command/experiment/run.go
@@ -91,10 +91,7 @@
 			kinds[i].Add(r)
 		}
 		u, d := f.Use()
-		use.Reading += u.Reading
-		use.Writing += u.Writing
-		use.Preempted += u.Preempted
-		use.Rejected += u.Rejected
+		use.Add(u)
 		there += d * time.Duration(p.Engines.Count)
 	}
 	out := PolicyReport{
--- a/internal/peer/records/records.go
+++ b/internal/peer/records/records.go
@@ -1,5 +1,5 @@
 // Package records hands the newest records of the store's topics from an entry that has
-// read them to one that the store turns away.
+// read them to one that the store turns away, or that spares it the call.
 package records
 
 import (
--- a/internal/peer/sends/exchange.go
+++ b/internal/peer/sends/exchange.go
@@ -185,15 +185,21 @@
 	}
 }
 
-// due reports whether an entry is told now: a silent one only now and then.
-func (x *Exchange) due(addr string, now time.Time, changed bool) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
+// peer returns what is known of the entry at an address. The lock is held.
+func (x *Exchange) peer(addr string) *peer {
 	p := x.peers[addr]
 	if p == nil {
 		p = &peer{}
 		x.peers[addr] = p
 	}
+	return p
+}
+
+// due reports whether an entry is told now: a silent one only now and then.
+func (x *Exchange) due(addr string, now time.Time, changed bool) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	p := x.peer(addr)
 	every := probeEvery
 	if p.live {
 		every = repeatEvery
@@ -267,11 +273,7 @@
 func (x *Exchange) fresh(addr string, m *message, now time.Time) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	p := x.peers[addr]
-	if p == nil {
-		p = &peer{}
-		x.peers[addr] = p
-	}
+	p := x.peer(addr)
 	switch {
 	case m.start == p.start && m.count <= p.count:
 		return false
--- a/internal/prompt/passes/choose.go
+++ b/internal/prompt/passes/choose.go
@@ -96,6 +96,8 @@
 	load   load
 	budget time.Duration // longest read that harms no stream there
 	start  time.Duration // until a read starts
+	pass   time.Duration // of its passes with the request
+	first  time.Duration // to the request's first event
 	stays  time.Duration // how much longer its streams keep it from being free with the request
 }
 
@@ -239,18 +241,16 @@
 }
 
 // inTime reports whether a stream that starts then is likely to end before the deadline.
-func (p *Planner) inTime(t *Ticket, c candidate, first time.Duration, now time.Time) bool {
-	whole := first + time.Duration(lengthMargin*float64(p.writing(t, p.passWith(c))))
+func (p *Planner) inTime(t *Ticket, first, pass time.Duration, now time.Time) bool {
+	whole := first + time.Duration(lengthMargin*float64(p.writing(t, pass)))
 	return whole <= time.Duration(finishShare*float64(t.job.Deadline.Sub(now)))
 }
 
-func (p *Planner) firstEvent(c candidate, part time.Duration) time.Duration {
-	return c.start + part + p.passWith(c) + network
-}
-
-// passWith returns the time of an engine's passes with one more stream.
-func (p *Planner) passWith(c candidate) time.Duration {
-	return c.load.took(p.figures.Pass(c.load.slots+1, c.load.memory))
+// predict takes in what the engine's passes and the first event take with a request of
+// which it reads a part that long.
+func (p *Planner) predict(c *candidate, part time.Duration) {
+	c.pass = c.load.took(p.figures.Pass(c.load.slots+1, c.load.memory))
+	c.first = c.start + part + c.pass + network
 }
 
 // writing returns the time in which a request's stream is likely to be written.
@@ -262,7 +262,11 @@
 	limit := time.Duration(hurry * float64(t.left(now)))
 	var fit []candidate
 	for _, c := range list {
-		if c.budget >= t.read && p.canWrite(t, c) && p.firstEvent(c, c.load.took(t.read)) <= limit && p.inTime(t, c, 0, now) {
+		if c.budget < t.read || !p.canWrite(t, c) {
+			continue
+		}
+		p.predict(&c, c.load.took(t.read))
+		if c.first <= limit && p.inTime(t, 0, c.pass, now) {
 			c.stays = p.stays(t, c, now)
 			fit = append(fit, c)
 		}
@@ -272,14 +276,13 @@
 	}
 	slices.SortStableFunc(fit, func(a, b candidate) int {
 		return cmp.Or(
-			cmp.Compare(t.rank(a), t.rank(b)),
-			cmp.Compare(p.crowded(a), p.crowded(b)),
+			p.suits(t, a, b),
 			cmp.Compare(a.stays/staysStep, b.stays/staysStep),
-			p.packs(t, a, b),
+			fuller(a, b),
 		)
 	})
 	best := fit[int(p.cfg.Rand()*float64(min(len(fit), p.spread())))]
-	return choice{writer: best.engine, memory: t.job.need(), part: t.read, first: p.firstEvent(best, best.load.took(t.read)), pass: p.passWith(best)}, true
+	return choice{writer: best.engine, memory: t.job.need(), part: t.read, first: best.first, pass: best.pass}, true
 }
 
 // stays returns how much later an engine is free of streams with one more: short
@@ -289,7 +292,7 @@
 	if free.Before(now) {
 		free = now
 	}
-	return max(0, now.Add(p.firstEvent(c, c.load.took(t.read))+p.writing(t, p.passWith(c))).Sub(free))
+	return max(0, now.Add(c.first+p.writing(t, c.pass)).Sub(free))
 }
 
 // guard returns what is kept from the pauses that streams allow.
@@ -311,16 +314,15 @@
 	return 1 + p.entries()/entriesPerPick
 }
 
-// packs orders engines for a short prompt: those whose streams are as impatient
-// already, then empty ones, then those with patient streams; the fullest first that
-// have a slot to spare.
-func (p *Planner) packs(t *Ticket, a, b candidate) int {
-	return cmp.Or(
-		cmp.Compare(t.rank(a), t.rank(b)),
-		cmp.Compare(p.crowded(a), p.crowded(b)),
-		cmp.Compare(b.load.slots, a.load.slots),
-		cmp.Compare(a.start, b.start),
-	)
+// suits orders engines for a stream: those whose streams are as impatient already, then
+// empty ones, then those with patient streams; those with a slot to spare first.
+func (p *Planner) suits(t *Ticket, a, b candidate) int {
+	return cmp.Or(cmp.Compare(t.rank(a), t.rank(b)), cmp.Compare(p.crowded(a), p.crowded(b)))
+}
+
+// fuller orders engines that suit a stream equally: the fullest first.
+func fuller(a, b candidate) int {
+	return cmp.Or(cmp.Compare(b.load.slots, a.load.slots), cmp.Compare(a.start, b.start))
 }
 
 func (t *Ticket) rank(c candidate) int {
@@ -426,7 +428,7 @@
 	)
 	for _, c := range set {
 		start = max(start, c.start+c.load.took(part)-part)
-		if p.canWrite(t, c) && (!found || p.packs(t, c, writer) < 0) {
+		if p.canWrite(t, c) && (!found || cmp.Or(p.suits(t, c, writer), fuller(c, writer)) < 0) {
 			writer, found = c, true
 		}
 	}
@@ -443,11 +445,12 @@
 		}
 	}
 	writer.start = start
-	out.first, out.pass = p.firstEvent(writer, part), p.passWith(writer)
+	p.predict(&writer, part)
+	out.first, out.pass = writer.first, writer.pass
 	if out.held != nil {
 		out.first += holdTime
 	}
-	return out, p.inTime(t, writer, out.first, now)
+	return out, p.inTime(t, out.first, out.pass, now)
 }
 
 // hold spreads the memory of a prompt that no engine of the set holds alone: the
--- a/internal/prompt/passes/patterns_test.go
+++ b/internal/prompt/passes/patterns_test.go
@@ -83,6 +83,18 @@
 	}
 }
 
+// besideLost fails the test where more short prompts are lost than ran where a fault
+// struck, or where the others are not served as the target promises.
+func besideLost(t *testing.T, r *fleet.Result, most int, where string) {
+	t.Helper()
+	if r.Failed > most {
+		t.Errorf("%d short prompts were lost, at most %d ran %s", r.Failed, most, where)
+	}
+	if got := float64(r.OnTime) / float64(r.Asked-r.Failed); got < onTime {
+		t.Errorf("short prompts on time beside those that were lost: %.3f, want %.2f", got, onTime)
+	}
+}
+
 // A steady load of short and medium prompts.
 func TestCalmLoadIsOnTime(t *testing.T) {
 	t.Parallel()
@@ -141,12 +153,7 @@
 	cfg.Faults = []fleet.Fault{{At: 4 * time.Second, Kind: fleet.Cut, Count: engineCount / 4}}
 	r := play(t, cfg)["short"]
 	// Entries may each send one more before they hear of each other.
-	if most := engineCount / 4 * (cfg.Figures.Slots + cfg.Entries - 1) * days; r.Failed > most {
-		t.Errorf("%d short prompts were lost, at most %d ran on what was lost", r.Failed, most)
-	}
-	if got := float64(r.OnTime) / float64(r.Asked-r.Failed); got < onTime {
-		t.Errorf("short prompts on time beside those that were lost: %.3f, want %.2f", got, onTime)
-	}
+	besideLost(t, r, engineCount/4*(cfg.Figures.Slots+cfg.Entries-1)*days, "on what was lost")
 }
 
 // A failure domain is cut off in a burst and comes back: short prompts that were not
@@ -157,12 +164,7 @@
 	domain := engineCount / cfg.Domains
 	cfg.Faults = []fleet.Fault{{At: 3 * time.Second, For: 3 * time.Second, Kind: fleet.Cut, Count: domain}}
 	r := play(t, cfg)["short"]
-	if most := domain * (cfg.Figures.Slots + cfg.Entries - 1) * days; r.Failed > most {
-		t.Errorf("%d short prompts were lost, at most %d ran on what was lost", r.Failed, most)
-	}
-	if got := float64(r.OnTime) / float64(r.Asked-r.Failed); got < onTime {
-		t.Errorf("short prompts on time beside those that were lost: %.3f, want %.2f", got, onTime)
-	}
+	besideLost(t, r, domain*(cfg.Figures.Slots+cfg.Entries-1)*days, "on what was lost")
 }
 
 // A failure domain is cut off with its entries and engines at a busy time: callers of its
@@ -174,12 +176,7 @@
 	cfg.Faults = []fleet.Fault{{At: 3 * time.Second, For: 5 * time.Second, Kind: fleet.Part, Count: 1}}
 	r := play(t, cfg)["short"]
 	// Streams of two seconds, of which at most two in three have their engine elsewhere.
-	if most := int(60 * 2 * 2 / 3 * days); r.Failed > most {
-		t.Errorf("%d short prompts were lost, at most %d ran at engines out of reach", r.Failed, most)
-	}
-	if got := float64(r.OnTime) / float64(r.Asked-r.Failed); got < onTime {
-		t.Errorf("short prompts on time beside those that were lost: %.3f, want %.2f", got, onTime)
-	}
+	besideLost(t, r, int(60*2*2/3*days), "at engines out of reach")
 }
 
 // The entry that sends most stands still for three seconds: callers of the others do not
--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -273,18 +273,20 @@
 	return t, nil
 }
 
+// possible refuses a request that the engines which can be used don't hold, or can't
+// answer in time. It looks at as many of them as hold it.
 func (p *Planner) possible(t *Ticket, now time.Time) error {
-	usable := 0
+	usable, each := 0, int((1-keepMemory)*float64(p.figures.Memory))
 	for _, e := range p.engines {
-		if p.usable(e, now) && !t.job.Tried[e.name] {
-			usable++
+		if t.job.Tried[e.name] || !p.usable(e, now) {
+			continue
+		}
+		if usable++; t.job.need() <= usable*each {
+			return p.endsInTime(t, now)
 		}
-	}
-	if usable > 0 && t.job.need() > usable*int((1-keepMemory)*float64(p.figures.Memory)) {
-		return refuse("admit", KindTooLarge, maxRetryAfter, "%d tokens are more than %d engines hold", t.job.need(), usable)
 	}
 	if usable > 0 {
-		return p.endsInTime(t, now)
+		return refuse("admit", KindTooLarge, maxRetryAfter, "%d tokens are more than %d engines hold", t.job.need(), usable)
 	}
 	return refuse("admit", KindNoEngine, time.Second, "none of %d engines can be used", len(p.engines))
 }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -175,11 +175,7 @@
 func (f *Fleet) Use() (passengine.Use, time.Duration) {
 	var sum passengine.Use
 	for _, e := range f.engines {
-		u := e.Use()
-		sum.Reading += u.Reading
-		sum.Writing += u.Writing
-		sum.Preempted += u.Preempted
-		sum.Rejected += u.Rejected
+		sum.Add(e.Use())
 	}
 	return sum, f.ended.Sub(f.began)
 }
--- a/internal/standin/passengine/engine.go
+++ b/internal/standin/passengine/engine.go
@@ -53,6 +53,14 @@
 	Rejected  int
 }
 
+// Add takes in what became of another engine's time, or of another day's.
+func (u *Use) Add(o Use) {
+	u.Reading += o.Reading
+	u.Writing += o.Writing
+	u.Preempted += o.Preempted
+	u.Rejected += o.Rejected
+}
+
 // part is a share of a prompt that is read at an engine.
 type part struct {
 	req  *Request
