Pass reports between failure domains through one entry of each

Cause: above 64 entries each told its sends to its own failure domain only, yet placed prompts on the engines of all.

Change: a message goes to the entries of the own failure domain, and to one entry of each other one, which passes it on there. Repeats take another relay, so that one that fails holds a report up for 0.3 s at most. A report larger than a datagram is sent in parts. Entries of other failure domains no longer time out at the start. The state dump and the metrics tell the bytes to other failure domains apart (toldDomainBytes, told_domain_bytes).

--- a/internal/gateway/entry/entry_test.go
+++ b/internal/gateway/entry/entry_test.go
@@ -763,18 +763,23 @@
 	}
 }
 
-// With many entries, only those of the own failure domain get reports.
-func TestManyEntriesReportWithinDomain(t *testing.T) {
+// Every other entry is a peer, with its failure domain, whatever their number.
+func TestAllEntriesArePeers(t *testing.T) {
 	is := is.New(t)
 	env := newTestEnv(t)
-	for i := range maxBroadcastEntries {
+	const others = 116
+	for i := range others {
 		env.store.Put("keyed.status", fmt.Sprint("vm-", 100+i), platform.EncodeEntry(platform.Entry{Address: fmt.Sprint("127.0.0.1:", 20_000+i), Domain: []string{"a", "b"}[i%2]}))
 	}
-	env.await(func() bool { return env.entry.entryCount() == maxBroadcastEntries+1 })
-	is.Equal(len(env.entry.peers()), maxBroadcastEntries/2)
+	env.await(func() bool { return env.entry.entryCount() == others+1 })
+	domains := map[string]int{}
+	for _, p := range env.entry.peers() {
+		domains[p.Domain]++
+	}
+	is.Equal(domains, map[string]int{"a": others / 2, "b": others / 2})
 	env.store.Put("keyed.status", "vm-100", nil)
-	env.await(func() bool { return env.entry.entryCount() == maxBroadcastEntries })
-	is.Equal(len(env.entry.peers()), maxBroadcastEntries-1)
+	env.await(func() bool { return env.entry.entryCount() == others })
+	is.Equal(len(env.entry.peers()), others-1)
 }
 
 // A stopping entry refuses new requests and waits for those that it accepted before.
--- a/internal/gateway/entry/observe.go
+++ b/internal/gateway/entry/observe.go
@@ -82,28 +82,34 @@
 
 // State is the state dump. It contains no keys, prompts or answers.
 type State struct {
-	VM            string                  `json:"vm"`
-	FailureDomain string                  `json:"failureDomain"`
-	Leaving       bool                    `json:"leaving"`
-	Busy          int64                   `json:"busy"`
-	Streams       int64                   `json:"streams"`
-	Reservations  int64                   `json:"reservations"` // prompts with a memory lease
-	Version       int64                   `json:"version"`      // of the configuration; 0 if there is none
-	Upstreams     int                     `json:"upstreams"`
-	Unreachable   []string                `json:"cut"`     // addresses that can't be connected to
-	Entries       []string                `json:"entries"` // addresses of the other entries
-	Leads         bool                    `json:"leads"`   // whether it reads the store on behalf of others
-	ToldBytes     uint64                  `json:"toldBytes"`
-	Topics        []TopicState            `json:"topics"`
-	Services      map[string]ServiceState `json:"services"`
-	RetriesLeft   map[string]float64      `json:"retriesLeft"` // by service
+	VM            string   `json:"vm"`
+	FailureDomain string   `json:"failureDomain"`
+	Leaving       bool     `json:"leaving"`
+	Busy          int64    `json:"busy"`
+	Streams       int64    `json:"streams"`
+	Reservations  int64    `json:"reservations"` // prompts with a memory lease
+	Version       int64    `json:"version"`      // of the configuration; 0 if there is none
+	Upstreams     int      `json:"upstreams"`
+	Unreachable   []string `json:"cut"`     // addresses that can't be connected to
+	Entries       []string `json:"entries"` // addresses of the other entries
+	Leads         bool     `json:"leads"`   // whether it reads the store on behalf of others
+	ToldBytes     uint64   `json:"toldBytes"`
+	// ToldDomainBytes are those of ToldBytes that went to other failure domains.
+	ToldDomainBytes uint64                  `json:"toldDomainBytes"`
+	Topics          []TopicState            `json:"topics"`
+	Services        map[string]ServiceState `json:"services"`
+	RetriesLeft     map[string]float64      `json:"retriesLeft"` // by service
 }
 
 // State returns the state dump.
 func (s *Server) State() State {
+	told := s.exchange.Sent()
 	st := State{
 		VM: s.cfg.VM, FailureDomain: s.cfg.FailureDomain, Leaving: s.leaving.Load(), Busy: s.inFlight.Load(), Streams: s.streams.Load(), Reservations: s.leases.Load(),
-		Unreachable: s.reach.Unreachable(), Entries: s.peers(), Leads: s.readsStore(), ToldBytes: s.exchange.SentBytes(),
+		Unreachable: s.reach.Unreachable(), Leads: s.readsStore(), ToldBytes: told.Bytes, ToldDomainBytes: told.DomainBytes,
+	}
+	for _, p := range s.peers() {
+		st.Entries = append(st.Entries, p.Address)
 	}
 	if list := s.followers.Load(); list != nil {
 		for _, f := range *list {
@@ -189,7 +195,9 @@
 		scope.Gauge("reservations").Update(float64(s.leases.Load()))
 		scope.Gauge("entries_known").Update(float64(len(s.peers())))
 		scope.Gauge("upstreams_cut").Update(float64(len(s.reach.Unreachable())))
-		scope.Gauge("told_bytes").Update(float64(s.exchange.SentBytes()))
+		told := s.exchange.Sent()
+		scope.Gauge("told_bytes").Update(float64(told.Bytes))
+		scope.Gauge("told_domain_bytes").Update(float64(told.DomainBytes))
 		scope.Gauge("log_lines_dropped").Update(float64(s.droppedLines()))
 		for _, f := range *s.followers.Load() {
 			offset, healthy := f.Offset()
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -40,9 +40,6 @@
 	// storeAnswerTimeout is the time within which a working store answers a read of some topic: the
 	// shortest wait, and a margin for a slow store.
 	storeAnswerTimeout = serversWait + 600*time.Millisecond
-	// maxBroadcastEntries is the number of entries up to which each sends its reports to all
-	// others. The number of messages grows with its square.
-	maxBroadcastEntries = 64
 	// storeReaders is how many entries read the store with long waits; the others read when those
 	// announce new offsets. Calls are priced, and one of four entries nearly always reaches the
 	// store.
@@ -138,7 +135,7 @@
 	}
 	s.records = records.Serve(peerLn, logger.WithPrefix("records"), s.newest)
 	s.exchange = sends.New(conn, time.Now(), sends.Seams{
-		Report: s.sched.Report, OnReport: s.sched.SetReport, Peers: s.peers, Offsets: s.offsets, OnOffsets: s.applyOffsets,
+		Domain: cfg.FailureDomain, Report: s.sched.Report, OnReport: s.sched.SetReport, Peers: s.peers, Offsets: s.offsets, OnOffsets: s.applyOffsets,
 		Log: logger.WithPrefix("sends"),
 	})
 	s.sched.reportChanged = s.exchange.Changed
@@ -279,17 +276,14 @@
 	}
 }
 
-// peers returns the addresses of the entries that get this one's reports: all others, or with
-// more than maxBroadcastEntries those of the own failure domain, because an entry
-// tries the engines there first.
-func (s *Server) peers() []string {
+// peers returns the other entries.
+func (s *Server) peers() []sends.Peer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	many := len(s.entries) > maxBroadcastEntries
-	var out []string
+	out := make([]sends.Peer, 0, len(s.entries))
 	for vm, e := range s.entries {
-		if vm != s.cfg.VM && (!many || e.Domain == s.cfg.FailureDomain) {
-			out = append(out, e.Address)
+		if vm != s.cfg.VM {
+			out = append(out, sends.Peer{Address: e.Address, Domain: e.Domain})
 		}
 	}
 	return out
--- a/internal/peer/sends/exchange.go
+++ b/internal/peer/sends/exchange.go
@@ -1,10 +1,18 @@
 // Package sends reports this entry's prompts in flight to the other entries over UDP, at
 // each change and at regular intervals, and receives their reports. A message holds the
 // sender's complete state, so a lost or late one has no effect beyond the next message.
+//
+// A message goes to each entry of the own failure domain, and to one entry of each other
+// failure domain, the relay, which passes it on within its domain. So the bytes between
+// failure domains grow with the number of domains and not with the square of the entries.
+// Repeats take another relay than the reports of changes: a relay that fails holds up a
+// report until the next repeat only.
 package sends
 
 import (
+	"cmp"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,19 +35,33 @@
 	// with the later start time still ran, it would have sent three messages by then.
 	restartTimeout = 3 * repeatInterval
 	// probeInterval is how often a message is sent to an entry that is down.
-	probeInterval   = time.Second
-	maxMessageBytes = 60_000 // below the size limit of a UDP datagram
+	probeInterval = time.Second
+	// relayTimeout is the silence after which an entry is no longer chosen as a relay: three
+	// repeats of it were lost.
+	relayTimeout = time.Second
+	// maxMessageBytes is the size limit of a message. A datagram holds 65,507 bytes, among
+	// them the envelope of a relayed message.
+	maxMessageBytes = 60_000
+	// maxDatagramBytes is the size limit of a datagram.
+	maxDatagramBytes = 65_507
 )
 
+// Peer is another entry.
+type Peer struct {
+	Address string // host:port for messages
+	Domain  string // its failure domain
+}
+
 // Seams are the callbacks and settings of an Exchange.
 type Seams struct {
+	Domain string // this entry's failure domain
 	// Report returns this entry's report: its sends, the paces that engines reported to it and
 	// the requests that wait.
 	Report func() passes.Report
 	// OnReport receives another entry's report, by its address; an empty one when it is down.
 	OnReport func(entry string, r passes.Report)
-	// Peers returns the addresses of the other entries.
-	Peers func() []string
+	// Peers returns the other entries.
+	Peers func() []Peer
 	// Offsets returns how far this entry has read each of the store's topics, or nil to leave
 	// the offsets out of the message. OnOffsets receives another entry's offsets.
 	Offsets   func() []uint64
@@ -59,15 +81,24 @@
 	done  sync.WaitGroup
 
 	mu        sync.Mutex
-	peers     map[string]*peer // by address
+	peers     map[string]*peer     // by address
+	relayedTo map[string]time.Time // by failure domain: when a relay there got the latest message
 	leaving   bool
 	seq       uint64
-	sentBytes uint64
+	sent      Traffic
+}
+
+// Traffic counts what an exchange has sent.
+type Traffic struct {
+	Messages    uint64
+	Bytes       uint64
+	DomainBytes uint64 // of Bytes, those to other failure domains
 }
 
 type peer struct {
 	start        uint64
 	seq          uint64
+	parts        assembly // of the message with number seq
 	lastReceived time.Time
 	lastSent     time.Time
 	live         bool
@@ -80,7 +111,7 @@
 func New(conn net.PacketConn, start time.Time, seams Seams) *Exchange {
 	x := &Exchange{
 		conn: conn, self: conn.LocalAddr().String(), seams: seams, start: uint64(start.UnixNano()),
-		wake: make(chan struct{}, 1), stop: make(chan struct{}), peers: map[string]*peer{},
+		wake: make(chan struct{}, 1), stop: make(chan struct{}), peers: map[string]*peer{}, relayedTo: map[string]time.Time{},
 	}
 	x.done.Add(2)
 	go x.sendLoop()
@@ -142,11 +173,11 @@
 	return false, leavingSince
 }
 
-// SentBytes returns the number of bytes sent.
-func (x *Exchange) SentBytes() uint64 {
+// Sent returns what was sent so far.
+func (x *Exchange) Sent() Traffic {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.sentBytes
+	return x.sent
 }
 
 func (x *Exchange) sendLoop() {
@@ -177,14 +208,16 @@
 	x.seq++
 	m := message{start: x.start, seq: x.seq, leaving: x.leaving, sends: report.Sends, paces: report.Paces, waits: report.Waits, offsets: offsets}
 	x.mu.Unlock()
-	b := m.encode(now)
-	if len(b) > maxMessageBytes {
-		x.seams.Log.Warn("Report exceeds the message size limit; not sent to other entries.", "bytes", len(b), "sends", len(report.Sends))
-		return
+	parts := m.encode(now, maxMessageBytes)
+	if len(parts) > 1 {
+		x.seams.Log.Info("Report sent in parts.", "parts", len(parts), "sends", len(report.Sends))
 	}
-	for _, addr := range x.seams.Peers() {
-		if x.shouldSend(addr, now, changed) {
-			x.send(addr, b)
+	for _, r := range x.recipients(now, changed) {
+		for _, b := range parts {
+			if r.passOn {
+				b = askToPassOn(b)
+			}
+			x.send(r.peer, b)
 		}
 	}
 }
@@ -199,34 +232,102 @@
 	return p
 }
 
-// shouldSend reports whether a message to an entry is due, and records it as sent. An entry
-// that is down gets one only at each probeInterval.
-func (x *Exchange) shouldSend(addr string, now time.Time, changed bool) bool {
+// recipient is an entry that gets a message.
+type recipient struct {
+	peer   Peer
+	passOn bool // it is the relay for its failure domain
+}
+
+// recipients returns the entries to which a message is due, and records it as sent to them:
+// each entry of the own failure domain, and the relay of each other one. An entry that is
+// down gets a message at each probeInterval, wherever it is.
+func (x *Exchange) recipients(now time.Time, changed bool) []recipient {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	p := x.peer(addr)
-	interval := probeInterval
-	if p.live {
-		interval = repeatInterval
+	var out []recipient
+	domains := map[string][]Peer{} // live entries of other failure domains
+	for _, o := range x.seams.Peers() {
+		p := x.peer(o.Address)
+		switch {
+		case !p.live:
+			if now.Sub(p.lastSent) < probeInterval {
+				continue
+			}
+		case o.Domain != x.seams.Domain:
+			domains[o.Domain] = append(domains[o.Domain], o)
+			continue
+		case !changed && now.Sub(p.lastSent) < repeatInterval:
+			continue
+		}
+		p.lastSent = now
+		out = append(out, recipient{peer: o})
 	}
-	if !(p.live && changed) && now.Sub(p.lastSent) < interval {
-		return false
+	for domain, list := range domains {
+		if changed || now.Sub(x.relayedTo[domain]) >= repeatInterval {
+			x.relayedTo[domain] = now
+			out = append(out, recipient{peer: x.relay(list, now, changed), passOn: true})
+		}
 	}
-	p.lastSent = now
-	return true
+	return out
 }
 
-func (x *Exchange) send(addr string, b []byte) {
-	to, err := net.ResolveUDPAddr("udp", addr)
+// relay returns the entry that passes this entry's messages on to the given live ones of one
+// failure domain: the first one by a hash of both addresses, and for a repeat the second one.
+// Entries that are silent or leaving are the last resort. x.mu must be held.
+func (x *Exchange) relay(list []Peer, now time.Time, changed bool) Peer {
+	rank := func(o Peer) (bool, uint64) {
+		p := x.peers[o.Address]
+		return p.leaving || now.Sub(p.lastReceived) > relayTimeout, xxh3.HashString(x.self + " " + o.Address)
+	}
+	slices.SortFunc(list, func(a, b Peer) int {
+		lastA, hashA := rank(a)
+		lastB, hashB := rank(b)
+		switch {
+		case lastA != lastB && lastA:
+			return 1
+		case lastA != lastB:
+			return -1
+		}
+		return cmp.Compare(hashA, hashB)
+	})
+	if !changed && len(list) > 1 {
+		return list[1]
+	}
+	return list[0]
+}
+
+func (x *Exchange) send(o Peer, b []byte) {
+	to, err := net.ResolveUDPAddr("udp", o.Address)
 	if err == nil {
 		_, err = x.conn.WriteTo(b, to)
 	}
 	if err != nil {
-		x.seams.Log.Debug("Sending the report to an entry failed.", "entry", addr, "err", err)
+		x.seams.Log.Debug("Sending the report to an entry failed.", "entry", o.Address, "err", err)
 	}
 	x.mu.Lock()
-	x.sentBytes += uint64(len(b))
-	x.mu.Unlock()
+	defer x.mu.Unlock()
+	x.sent.Messages++
+	x.sent.Bytes += uint64(len(b))
+	if o.Domain != x.seams.Domain {
+		x.sent.DomainBytes += uint64(len(b))
+	}
+}
+
+// passOn sends a message from another failure domain to the live entries of the own one, which
+// get it from no one else. Those that are down get probes of the sender.
+func (x *Exchange) passOn(origin string, b []byte) {
+	b = envelop(origin, b)
+	for _, o := range x.seams.Peers() {
+		if o.Domain == x.seams.Domain && o.Address != origin && x.isLive(o.Address) {
+			x.send(o, b)
+		}
+	}
+}
+
+func (x *Exchange) isLive(addr string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.peer(addr).live
 }
 
 // expirePeers discards the reports of entries that were silent for longer than peerTimeout.
@@ -248,7 +349,7 @@
 
 func (x *Exchange) receiveLoop() {
 	defer x.done.Done()
-	b := make([]byte, maxMessageBytes)
+	b := make([]byte, maxDatagramBytes)
 	for {
 		n, from, err := x.conn.ReadFrom(b)
 		if err != nil {
@@ -259,32 +360,50 @@
 				continue // e.g. an ICMP port unreachable; keep receiving
 			}
 		}
-		now := time.Now()
-		m, err := decode(b[:n], now)
-		if err != nil {
-			x.seams.Log.Warn("Received a malformed message.", "from", from.String(), "err", err)
-			continue
-		}
-		if x.accept(from.String(), &m, now) {
-			x.seams.OnReport(from.String(), passes.Report{Sends: m.sends, Paces: m.paces, Waits: m.waits})
-			if len(m.offsets) > 0 {
-				x.seams.OnOffsets(from.String(), m.offsets)
-			}
-		}
+		x.receive(from.String(), b[:n], time.Now())
+	}
+}
+
+// receive handles a datagram: a message of its sender, or one that its sender passes on.
+func (x *Exchange) receive(from string, b []byte, now time.Time) {
+	origin, inner, relayed, err := open(b)
+	if relayed {
+		from, b = origin, inner
+	}
+	var m message
+	if err == nil {
+		m, err = decode(b, now)
+	}
+	if err != nil {
+		x.seams.Log.Warn("Received a malformed message.", "from", from, "err", err)
+		return
+	}
+	report, complete, isNew := x.accept(from, &m, now)
+	if !isNew {
+		return
+	}
+	if m.passOn && !relayed {
+		x.passOn(from, b)
+	}
+	if complete {
+		x.seams.OnReport(from, report)
+	}
+	if len(m.offsets) > 0 {
+		x.seams.OnOffsets(from, m.offsets)
 	}
 }
 
-// accept reports whether a message is newer than its sender's last one, and updates the
-// sender's state if so.
-func (x *Exchange) accept(addr string, m *message, now time.Time) bool {
+// accept reports whether a message, or the part of it, is new, and updates its sender's state if
+// so. It returns the report once all parts have arrived.
+func (x *Exchange) accept(addr string, m *message, now time.Time) (report passes.Report, complete, isNew bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	p := x.peer(addr)
 	switch {
-	case m.start == p.start && m.seq <= p.seq:
-		return false
+	case m.start == p.start && (m.seq < p.seq || m.seq == p.seq && p.parts.has(m.part)):
+		return passes.Report{}, false, false
 	case m.start < p.start && now.Sub(p.lastReceived) <= restartTimeout:
-		return false // sent before the entry restarted
+		return passes.Report{}, false, false // sent before the entry restarted
 	}
 	if !p.live || m.start != p.start {
 		x.Changed() // the entry has no report of this one yet
@@ -293,6 +412,10 @@
 	if m.leaving && !p.leaving {
 		p.leavingSince = now
 	}
+	if m.start != p.start || m.seq != p.seq {
+		p.parts = assembly{}
+	}
 	p.start, p.seq, p.lastReceived, p.live, p.leaving = m.start, m.seq, now, true, m.leaving
-	return true
+	report, complete = p.parts.add(m)
+	return report, complete, true
 }
--- a/internal/peer/sends/exchange_test.go
+++ b/internal/peer/sends/exchange_test.go
@@ -13,7 +13,13 @@
 )
 
 func newTestExchange() *Exchange {
-	return &Exchange{wake: make(chan struct{}, 1), peers: map[string]*peer{}, seams: Seams{Log: log.New(io.Discard), OnReport: func(string, passes.Report) {}}}
+	return &Exchange{wake: make(chan struct{}, 1), peers: map[string]*peer{}, relayedTo: map[string]time.Time{}, seams: Seams{Log: log.New(io.Discard), OnReport: func(string, passes.Report) {}}}
+}
+
+// accepts reports whether the exchange takes a message for a new one.
+func accepts(x *Exchange, from string, m *message, now time.Time) bool {
+	_, _, isNew := x.accept(from, m, now)
+	return isNew
 }
 
 // Two entries exchange their sends and offsets over UDP.
@@ -34,7 +40,7 @@
 					reports <- r.Sends
 				}
 			},
-			Peers:   func() []string { return []string{conns[1-i].LocalAddr().String()} },
+			Peers:   func() []Peer { return []Peer{{Address: conns[1-i].LocalAddr().String()}} },
 			Offsets: func() []uint64 { return []uint64{4, 5} },
 			OnOffsets: func(_ string, o []uint64) {
 				select {
--- a/internal/peer/sends/restart_test.go
+++ b/internal/peer/sends/restart_test.go
@@ -30,7 +30,7 @@
 		{"older", 0, 4000, 1, false},
 	} {
 		now = now.Add(c.after)
-		if got := x.accept("other", &message{start: c.start, seq: c.count}, now); got != c.want {
+		if got := accepts(x, "other", &message{start: c.start, seq: c.count}, now); got != c.want {
 			t.Errorf("%s: accepted %v", c.name, got)
 		}
 	}
--- a/internal/peer/sends/wire.go
+++ b/internal/peer/sends/wire.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
@@ -13,13 +14,21 @@
 // A message holds the sender's start time and sequence number, and its sends by engine.
 // Times are sent as ages or remaining durations, since the entries' clocks differ.
 const (
-	fieldStart   = 1 // fixed64: when the sender started, Unix nanoseconds
-	fieldSeq     = 2 // varint
-	fieldEngine  = 3 // bytes: an engine's name and sends, one field for each engine
-	fieldLeaving = 4 // varint: 1 if the sender is leaving
-	fieldOffset  = 5 // varint, one for each topic: how far the sender has read
-	fieldPace    = 6 // bytes: an engine's name and its reported pace
-	fieldWait    = 7 // bytes: a service's name and the due time of its first waiting request
+	fieldStart   = 1  // fixed64: when the sender started, Unix nanoseconds
+	fieldSeq     = 2  // varint
+	fieldEngine  = 3  // bytes: an engine's name and sends, one field for each engine
+	fieldLeaving = 4  // varint: 1 if the sender is leaving
+	fieldOffset  = 5  // varint, one for each topic: how far the sender has read
+	fieldPace    = 6  // bytes: an engine's name and its reported pace
+	fieldWait    = 7  // bytes: a service's name and the due time of its first waiting request
+	fieldPart    = 8  // varint: index of this part of a message that is sent in parts
+	fieldParts   = 9  // varint: number of parts; missing in a message of one part
+	fieldPassOn  = 10 // varint: 1 if the receiver is to pass the message on in its failure domain
+
+	// The envelope of a message that its sender asks another entry to pass on has these two
+	// fields only, so that an entry that doesn't know it finds no start time in it.
+	fieldOrigin  = 16 // string: address of the entry that wrote the message
+	fieldMessage = 17 // bytes: the message
 
 	fieldName = 1 // string
 	fieldSend = 2 // bytes: the varints of a send
@@ -34,19 +43,55 @@
 	sendNumbers = 7 // required varints of a send; later ones are optional
 
 	weightScale = 10 // a weight is sent in tenths
+
+	maxParts = 64 // of a message
 )
 
 type message struct {
 	start   uint64
 	seq     uint64
+	part    int // from 0
+	parts   int // 0 and 1 mean that the message is complete
 	leaving bool
+	passOn  bool // asks the receiver to pass it on in its failure domain
 	offsets []uint64
 	sends   []passes.Send
 	paces   []passes.Pace
 	waits   []passes.Wait
 }
 
-func (m *message) encode(now time.Time) []byte {
+// encode returns the message in parts of at most limit bytes. Each part holds all but the sends
+// and paces, which are divided among them.
+func (m *message) encode(now time.Time, limit int) [][]byte {
+	head, body := m.encodeHead(now), m.encodeBody(now)
+	var groups [][]byte // the fields of each part
+	for _, field := range body {
+		last := len(groups) - 1
+		if last < 0 || len(head)+len(groups[last])+len(field) > limit && len(groups) < maxParts {
+			groups = append(groups, nil)
+			last++
+		}
+		groups[last] = append(groups[last], field...)
+	}
+	if len(groups) == 0 {
+		return [][]byte{head}
+	}
+	var out [][]byte
+	for i, group := range groups {
+		b := slices.Clone(head)
+		if len(groups) > 1 {
+			b = protowire.AppendTag(b, fieldPart, protowire.VarintType)
+			b = protowire.AppendVarint(b, uint64(i))
+			b = protowire.AppendTag(b, fieldParts, protowire.VarintType)
+			b = protowire.AppendVarint(b, uint64(len(groups)))
+		}
+		out = append(out, append(b, group...))
+	}
+	return out
+}
+
+// encodeHead encodes what each part of a message holds.
+func (m *message) encodeHead(now time.Time) []byte {
 	b := protowire.AppendTag(nil, fieldStart, protowire.Fixed64Type)
 	b = protowire.AppendFixed64(b, m.start)
 	b = protowire.AppendTag(b, fieldSeq, protowire.VarintType)
@@ -59,24 +104,88 @@
 		b = protowire.AppendTag(b, fieldOffset, protowire.VarintType)
 		b = protowire.AppendVarint(b, o)
 	}
-	for _, p := range m.paces {
-		b = protowire.AppendTag(b, fieldPace, protowire.BytesType)
-		b = protowire.AppendBytes(b, encodePace(p, now))
-	}
 	for _, w := range m.waits {
 		b = protowire.AppendTag(b, fieldWait, protowire.BytesType)
 		b = protowire.AppendBytes(b, encodeWait(w, now))
 	}
+	return b
+}
+
+// encodeBody encodes the paces, and the sends by engine, a field each.
+func (m *message) encodeBody(now time.Time) [][]byte {
+	var out [][]byte
+	for _, p := range m.paces {
+		b := protowire.AppendTag(nil, fieldPace, protowire.BytesType)
+		out = append(out, protowire.AppendBytes(b, encodePace(p, now)))
+	}
 	for i := 0; i < len(m.sends); {
 		end := i + 1
 		for end < len(m.sends) && m.sends[end].Engine == m.sends[i].Engine {
 			end++
 		}
-		b = protowire.AppendTag(b, fieldEngine, protowire.BytesType)
-		b = protowire.AppendBytes(b, encodeEngine(m.sends[i:end], now))
+		b := protowire.AppendTag(nil, fieldEngine, protowire.BytesType)
+		out = append(out, protowire.AppendBytes(b, encodeEngine(m.sends[i:end], now)))
 		i = end
 	}
-	return b
+	return out
+}
+
+// assembly collects the parts of a message.
+type assembly struct {
+	received map[int]bool
+	report   passes.Report
+}
+
+// has reports whether a part has been added.
+func (a *assembly) has(part int) bool { return a.received[part] }
+
+// add adds a part, and returns the report once it is complete.
+func (a *assembly) add(m *message) (passes.Report, bool) {
+	if a.received == nil {
+		a.received = map[int]bool{}
+		a.report.Waits = m.waits
+	}
+	a.received[m.part] = true
+	a.report.Sends = append(a.report.Sends, m.sends...)
+	a.report.Paces = append(a.report.Paces, m.paces...)
+	if len(a.received) < m.parts {
+		return passes.Report{}, false
+	}
+	report := a.report
+	a.report = passes.Report{} // only the received parts matter from here on
+	return report, true
+}
+
+// askToPassOn returns an encoded message that asks its receiver to pass it on.
+func askToPassOn(b []byte) []byte {
+	b = protowire.AppendTag(slices.Clone(b), fieldPassOn, protowire.VarintType)
+	return protowire.AppendVarint(b, 1)
+}
+
+// envelop wraps a message of the entry at origin to be passed on.
+func envelop(origin string, b []byte) []byte {
+	out := protowire.AppendTag(nil, fieldOrigin, protowire.BytesType)
+	out = protowire.AppendString(out, origin)
+	out = protowire.AppendTag(out, fieldMessage, protowire.BytesType)
+	return protowire.AppendBytes(out, b)
+}
+
+// open returns the content of a datagram that another entry passed on, or relayed false for a
+// message of its sender.
+func open(b []byte) (origin string, inner []byte, relayed bool, err error) {
+	if num, _, n := protowire.ConsumeTag(b); n < 0 || num != fieldOrigin {
+		return "", nil, false, nil
+	}
+	err = eachField(b, func(num protowire.Number, _ uint64, data []byte) error {
+		switch num {
+		case fieldOrigin:
+			origin = string(data)
+		case fieldMessage:
+			inner = data
+		}
+		return nil
+	})
+	return origin, inner, true, err
 }
 
 func encodePace(p passes.Pace, now time.Time) []byte {
@@ -164,6 +273,12 @@
 			m.leaving = v == 1
 		case fieldOffset:
 			m.offsets = append(m.offsets, v)
+		case fieldPassOn:
+			m.passOn = v == 1
+		case fieldPart:
+			m.part = int(min(v, maxParts))
+		case fieldParts:
+			m.parts = int(min(v, maxParts))
 		case fieldPace:
 			p, err := decodePace(data, now)
 			m.paces = append(m.paces, p)
@@ -179,7 +294,7 @@
 		}
 		return nil
 	})
-	if err == nil && m.start == 0 {
+	if err == nil && (m.start == 0 || m.part > 0 && m.part >= m.parts) {
 		err = errMalformed
 	}
 	return m, err
--- a/internal/peer/sends/wire_test.go
+++ b/internal/peer/sends/wire_test.go
@@ -1,6 +1,7 @@
 package sends
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"testing"
@@ -51,13 +52,42 @@
 	return m
 }
 
-// A message decodes to what was encoded.
+func indexes(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+func comparePaces(a, b passes.Pace) int {
+	return cmp.Or(strings.Compare(a.Engine, b.Engine), cmp.Compare(a.Factor, b.Factor), a.At.Compare(b.At))
+}
+
+// A message decodes to what was encoded, in one part or many, which arrive in any order.
 func TestRapidMessages(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := drawMessage(t)
-		got, err := decode(m.encode(testNow), testNow)
-		if err != nil {
-			t.Fatal(err)
+		parts := m.encode(testNow, rapid.SampledFrom([]int{1, 100, maxMessageBytes}).Draw(t, "limit"))
+		var (
+			got message
+			all assembly
+		)
+		for _, i := range rapid.Permutation(indexes(len(parts))).Draw(t, "order") {
+			var err error
+			if got, err = decode(parts[i], testNow); err != nil {
+				t.Fatal(err)
+			}
+			r, complete := all.add(&got)
+			if complete != (len(all.received) == len(parts)) {
+				t.Fatalf("complete %v after %d of %d parts", complete, len(all.received), len(parts))
+			}
+			got.sends, got.paces, got.waits = r.Sends, r.Paces, r.Waits
+		}
+		slices.SortStableFunc(got.sends, func(a, b passes.Send) int { return strings.Compare(a.Engine, b.Engine) })
+		if len(parts) > 1 { // the order of paces among parts doesn't matter
+			slices.SortFunc(got.paces, comparePaces)
+			slices.SortFunc(m.paces, comparePaces)
 		}
 		if got.start != m.start || got.seq != m.seq || got.leaving != m.leaving ||
 			!slices.Equal(got.offsets, m.offsets) || !slices.Equal(got.sends, m.sends) || !slices.Equal(got.paces, m.paces) || !slices.Equal(got.waits, m.waits) {
@@ -68,9 +98,13 @@
 
 func FuzzDecode(f *testing.F) {
 	m := message{start: 1, seq: 2, sends: []passes.Send{{Engine: "i-1", Read: time.Second}}}
-	f.Add(m.encode(testNow))
+	f.Add(m.encode(testNow, maxMessageBytes)[0])
+	f.Add(envelop("10.0.0.1:1", m.encode(testNow, maxMessageBytes)[0]))
 	f.Add([]byte{})
 	f.Fuzz(func(t *testing.T, b []byte) {
+		if _, inner, relayed, err := open(b); err == nil && relayed {
+			b = inner
+		}
 		m, err := decode(b, testNow)
 		if err == nil && m.start == 0 {
 			t.Error("accepted a message without a start time")
@@ -83,7 +117,7 @@
 	is := is.New(t)
 	x := newTestExchange()
 	accept := func(start, count uint64) bool {
-		return x.accept("10.0.0.1:1", &message{start: start, seq: count}, testNow)
+		return accepts(x, "10.0.0.1:1", &message{start: start, seq: count}, testNow)
 	}
 	is.True(accept(5, 1))
 	is.True(!accept(5, 1))
@@ -102,14 +136,15 @@
 		is.Equal(len(r.Sends), 0)
 		expired = append(expired, entry)
 	}
-	is.True(x.accept("10.0.0.1:1", &message{start: 5, seq: 1}, testNow))
-	is.True(x.shouldSend("10.0.0.1:1", testNow, true))
+	is.True(accepts(x, "10.0.0.1:1", &message{start: 5, seq: 1}, testNow))
+	x.seams.Peers = func() []Peer { return []Peer{{Address: "10.0.0.1:1"}} }
+	is.Equal(len(x.recipients(testNow, true)), 1)
 	x.expirePeers(testNow.Add(peerTimeout))
 	is.Equal(len(expired), 0)
 	x.expirePeers(testNow.Add(peerTimeout + time.Millisecond))
 	is.Equal(expired, []string{"10.0.0.1:1"})
-	is.True(!x.shouldSend("10.0.0.1:1", testNow.Add(probeInterval/2), true))
-	is.True(x.shouldSend("10.0.0.1:1", testNow.Add(probeInterval), true))
+	is.Equal(len(x.recipients(testNow.Add(probeInterval/2), true)), 0)
+	is.Equal(len(x.recipients(testNow.Add(probeInterval), true)), 1)
 }
 
 // If all other entries leave, Staying returns when the first of those still live announced it.
@@ -117,7 +152,7 @@
 	is := is.New(t)
 	x := newTestExchange()
 	receive := func(entry string, count uint64, leaving bool, at time.Duration) {
-		is.True(x.accept(entry, &message{start: 5, seq: count, leaving: leaving}, testNow.Add(at)))
+		is.True(accepts(x, entry, &message{start: 5, seq: count, leaving: leaving}, testNow.Add(at)))
 	}
 	staying, left := x.Staying()
 	is.True(!staying && left.IsZero()) // no other entry
@@ -145,7 +180,7 @@
 		x.self = self
 		for _, other := range addresses {
 			if other != self {
-				x.accept(other, &message{start: 1, seq: 1}, testNow)
+				accepts(x, other, &message{start: 1, seq: 1}, testNow)
 			}
 		}
 		ranks[x.Rank()] = true
