Read the store as seldom with 117 entries as with 12

Cause: an entry that does not read for the others read each topic every 10 s for safety, and every second where nobody announced offsets. Calls are priced, refused ones too.

Ruled out: readers.

Change: both intervals grow with the entries, so that all of them together read a topic a bounded number of times a second. Any entry whose own read was answered lately announces its offsets, so that it matters little which one finds the store back.

--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -158,7 +158,7 @@
 
 func (s *Server) startFollowers(pause time.Duration) {
 	logger := s.log.WithPrefix("store")
-	seams := s.countStoreCalls(follow.Seams{Newest: s.store.Newest, Read: s.store.Read, Leads: s.readsStore, Ask: s.askEntry})
+	seams := s.countStoreCalls(follow.Seams{Newest: s.store.Newest, Read: s.store.Read, Leads: s.readsStore, Entries: s.entryCount, Ask: s.askEntry})
 	config, servers, entries := seams, seams, seams
 	config.Apply, entries.Apply = s.applyConfig, s.applyEntries
 	servers.Apply, servers.Reached = s.sched.ApplyServers, s.sched.StoreReached
@@ -194,11 +194,12 @@
 // and announce their offsets to the others.
 func (s *Server) readsStore() bool { return s.exchange.Rank() < storeReaders }
 
-// offsets returns this entry's offset in each topic, or nil if it doesn't read the store for
-// others or the store doesn't answer.
+// offsets returns this entry's offset in each topic, or nil if the store has not answered it
+// lately. Where it answers none of the entries that read for others, the first other one whose
+// own read is answered announces it.
 func (s *Server) offsets() []uint64 {
 	list := s.followers.Load()
-	if list == nil || !s.readsStore() {
+	if list == nil {
 		return nil
 	}
 	var (
--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -18,14 +18,19 @@
 )
 
 const (
-	// pollInterval is how often an entry that does not lead checks for hints from one that
+	// minPollInterval is how often an entry that does not lead checks for hints from one that
 	// does, and reads the store itself if there were none. It is half the time limit for
 	// putting a configuration in force.
-	pollInterval = time.Second
-	// safetyPollInterval is how often such an entry reads the store even while it gets
-	// hints. The entries that send them detect a stuck read of the configuration or the
-	// upstreams within 4 s.
-	safetyPollInterval = 10 * time.Second
+	minPollInterval = time.Second
+	// pollIntervalPerEntry stretches that interval, because calls are priced: all entries
+	// together read a topic that nobody announces up to 25 times a second, and the first one
+	// that is answered announces it to all.
+	pollIntervalPerEntry = 40 * time.Millisecond
+	// minSafetyPollInterval is how often such an entry reads the store even while it gets
+	// hints, and safetyPollIntervalPerEntry stretches it. The entries that send the hints
+	// detect a stuck read of the configuration or the upstreams within 4 s.
+	minSafetyPollInterval      = 10 * time.Second
+	safetyPollIntervalPerEntry = 800 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call. Each call has a
 	// price, but after an outage new records are needed within a second.
 	minRetryDelay = 150 * time.Millisecond
@@ -61,6 +66,8 @@
 	// Leads reports whether this entry reads the store with long polls and sends hints to
 	// the others. If it is nil, the entry leads.
 	Leads func() bool
+	// Entries returns the number of entries that share the store. If it is nil, there is one.
+	Entries func() int
 }
 
 // Settings configure how a topic is read.
@@ -200,16 +207,34 @@
 	f.offset, f.healthy = offset, healthy
 }
 
+// pollInterval and safetyPollInterval return how often an entry that does not lead reads the
+// store: without hints, and in any case.
+func (f *Follower) pollInterval() time.Duration {
+	return max(minPollInterval, time.Duration(f.entries())*pollIntervalPerEntry)
+}
+
+func (f *Follower) safetyPollInterval() time.Duration {
+	return max(minSafetyPollInterval, time.Duration(f.entries())*safetyPollIntervalPerEntry)
+}
+
+func (f *Follower) entries() int {
+	if f.seams.Entries == nil {
+		return 1
+	}
+	return f.seams.Entries()
+}
+
 // awaitRead blocks an entry that does not lead until a hint or a timeout calls for a read.
 func (f *Follower) awaitRead(ctx context.Context, next uint64, last time.Time) {
 	for ctx.Err() == nil && !f.seams.Leads() {
 		f.mu.Lock()
-		due := f.hintOffset > next || time.Since(f.lastHint) >= pollInterval && time.Since(last) >= pollInterval || time.Since(last) > safetyPollInterval
+		poll := f.pollInterval()
+		due := f.hintOffset > next || time.Since(f.lastHint) >= poll && time.Since(last) >= poll || time.Since(last) > f.safetyPollInterval()
 		f.mu.Unlock()
 		if due {
 			return
 		}
-		t := time.NewTimer(pollInterval)
+		t := time.NewTimer(minPollInterval/2 + rand.N(minPollInterval)) // entries that lose the hints together don't read together
 		select {
 		case <-f.wake:
 		case <-t.C:
@@ -282,7 +307,7 @@
 		return false
 	}
 	f.awaitRead(ctx, p.next, p.lastCall)
-	if p.failing || time.Since(p.lastCall) > safetyPollInterval {
+	if p.failing || time.Since(p.lastCall) > f.safetyPollInterval() {
 		return false
 	}
 	offset, ok := f.fetch(ctx, p.next)
--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -129,7 +129,7 @@
 }
 
 // An entry that gets hints reads the store only for a new hint and once every
-// safetyPollInterval.
+// minSafetyPollInterval.
 func TestFollowerReadsOnHint(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -144,7 +144,7 @@
 		hint(1, 2*time.Second)
 		before := s.callCount()
 		hint(1, 20*time.Second)
-		is.True(s.callCount()-before <= int(20*time.Second/safetyPollInterval))
+		is.True(s.callCount()-before <= int(20*time.Second/minSafetyPollInterval))
 		s.put("b")
 		f.Hint("other", 2)
 		time.Sleep(50 * time.Millisecond)
@@ -233,7 +233,7 @@
 		newFollower(t, s, false)
 		time.Sleep(10 * time.Second)
 		s.put("b")
-		time.Sleep(2 * pollInterval)
+		time.Sleep(2 * minPollInterval)
 		is.Equal(s.lastKey(), "b")
 	})
 }
