Choose engines by the rate of unknown sends, and limits by the longest pause

Cause: constants that held one site's measurement. An entry picked at random among one in five entries' number of best engines: 7 of 57 with 30 entries, 24 of 150 with 117. What meets at an engine is what was sent within a report's way, about 2 prompts in 8 ms on the large fleet, so that packing was given up for nothing and no engine stayed free for long reads. An engine without streams took reads of 0.7 s and late streams allowed pauses of 0.8 s, which is the longest pause of two deployments; others allow 1 s.

Change: the engines to choose from are one, and two for each send of other entries that isn't known yet, by the rate in their reports and the time of a report's way. The longest read of an idle engine, a fully busy one, and the limit of late streams follow from the longest pause that a route to the service allows.

--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -206,7 +206,7 @@
 			p = passes.New(passes.Settings{Service: name, Domain: s.domain, Now: s.now, Rand: rand.Float64, Entries: s.entryCount, Cut: s.unreachable, OnStaleChange: s.logStaleChange}, svc.Engine)
 			s.planners[name] = p
 		}
-		p.Configure(svc.Engine)
+		p.Configure(svc.Engine, s.table.LongestGap(name))
 		p.SetEngines(engines(servers))
 		s.reportsPending = true
 	}
--- a/internal/gateway/route/table.go
+++ b/internal/gateway/route/table.go
@@ -3,6 +3,7 @@
 package route
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -133,6 +134,20 @@
 // Services returns all services by name. The caller must not change the map.
 func (t *Table) Services() map[string]*Service { return t.services }
 
+// LongestGap returns the longest pause between events that a route to the service allows, or 0
+// if none sets a limit.
+func (t *Table) LongestGap(service string) time.Duration {
+	var longest time.Duration
+	for _, prefixes := range t.routes {
+		for _, r := range prefixes {
+			if slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service }) {
+				longest = max(longest, r.Gap)
+			}
+		}
+	}
+	return longest
+}
+
 // Match returns the host's route with the longest prefix of the path, or nil. A port
 // in the host and a query in the path are ignored.
 func (t *Table) Match(host, path string) *Route {
--- a/internal/prompt/passes/choose.go
+++ b/internal/prompt/passes/choose.go
@@ -45,11 +45,10 @@
 	// having arrived. 2.6% to 4.4% of short prompts in the last slot have a late first
 	// event, of others at most 0.3%.
 	lastResortSlots = 1
-	// maxIdleEngineRead is the longest read that an engine without streams gets at once:
-	// later requests wait for it.
-	maxIdleEngineRead = 700 * time.Millisecond
-	// busyReadBacklog is the read backlog from which an engine counts as fully busy.
-	busyReadBacklog = 700 * time.Millisecond
+	// idleReadShare is the share of the service's longest pause limit that a read on an engine
+	// without streams may take: later requests wait for it, and those with long limits start
+	// there. An engine with that much to read counts as fully busy.
+	idleReadShare = 0.875
 	// minFirstEventShareToHarm is the share of the time left that the first event must take for
 	// delays of other streams to be accepted: a request with more time waits instead.
 	minFirstEventShareToHarm = 0.75
@@ -63,9 +62,14 @@
 	// and maxPriceBusyShare that from which it costs maxReadPricePerSecond.
 	zeroPriceBusyShare = 0.15
 	maxPriceBusyShare  = 0.5
-	// entriesPerEngine is how many entries may choose the same engine at the same time:
-	// four send a prompt each before their reports reach each other.
-	entriesPerEngine = 5
+	// reportDelay is how long it takes until the other entries know of a send: its batch, the
+	// way through a relay, and the processing there.
+	reportDelay = 8 * time.Millisecond
+	// rateWindow is the age up to which sends count in the rate of the other entries.
+	rateWindow = time.Second
+	// choicesPerUnknownSend is how many engines there are to choose from for each send of
+	// other entries that isn't known yet, so that most of them choose another engine.
+	choicesPerUnknownSend = 2
 	// budgetResolution is the rounding of read budgets when engines are compared: half a pass.
 	budgetResolution = 30 * time.Millisecond
 	// occupancyResolution is the rounding of extra occupancy when engines are compared:
@@ -190,7 +194,7 @@
 
 func (p *Planner) newCandidate(e *engine, now time.Time) candidate {
 	l, margin := e.load(now), p.pauseMargin()
-	c := candidate{engine: e, load: l, readStart: l.pass/2 + l.readBacklog, readBudget: maxIdleEngineRead - l.passReads}
+	c := candidate{engine: e, load: l, readStart: l.pass/2 + l.readBacklog, readBudget: p.maxIdleRead() - l.passReads}
 	if l.pauseLimit != noLimit {
 		c.readBudget = time.Duration(float64(l.pauseLimit-margin-l.pass)/readOverrunFactor) - l.passReads
 	}
@@ -320,10 +324,17 @@
 	return p.cfg.Entries()
 }
 
+// maxIdleRead returns the longest read that an engine without streams gets at once.
+func (p *Planner) maxIdleRead() time.Duration {
+	return time.Duration(idleReadShare * float64(p.longestGap))
+}
+
 // topCount returns the number of best engines to choose from at random: entries with the
-// same view would all choose the same engine before their reports reach each other.
+// same view would all choose the same engine before their reports reach each other. It grows
+// with the sends of other entries that are not known yet.
 func (p *Planner) topCount() int {
-	return 1 + p.entries()/entriesPerEngine
+	unknown := p.otherEntriesRate * reportDelay.Seconds()
+	return 1 + int(choicesPerUnknownSend*unknown)
 }
 
 // compareSuitability orders engines for a stream by pauseRank, and those of the same rank
@@ -390,7 +401,7 @@
 	var (
 		best           choice
 		bestGain       float64
-		pricePerSecond = readPrice(list)
+		pricePerSecond = p.readPrice(list)
 	)
 	for n := 1; n <= min(len(list), maxReaders); n++ {
 		part := t.readAlone / time.Duration(n)
@@ -414,10 +425,10 @@
 
 // readPrice returns the weight that later requests lose by a second of reading. It rises
 // with the read backlogs of the engines.
-func readPrice(list []candidate) float64 {
+func (p *Planner) readPrice(list []candidate) float64 {
 	busyCount := 0.0
 	for _, c := range list {
-		busyCount += min(1, float64(c.load.readBacklog)/float64(busyReadBacklog))
+		busyCount += min(1, float64(c.load.readBacklog)/float64(p.maxIdleRead()))
 	}
 	busyShare := busyCount / float64(len(list))
 	return maxReadPricePerSecond * min(1, max(0, (busyShare-zeroPriceBusyShare)/(maxPriceBusyShare-zeroPriceBusyShare)))
--- a/internal/prompt/passes/deadline.go
+++ b/internal/prompt/passes/deadline.go
@@ -51,7 +51,7 @@
 // delayed.
 func (p *Planner) unplaceable(t *Ticket, now time.Time) bool {
 	part := p.minPartRead(t)
-	maxHarmlessPart := max(maxIdleEngineRead, time.Duration(float64(t.job.Gap-p.pauseMargin())/readOverrunFactor))
+	maxHarmlessPart := max(p.maxIdleRead(), time.Duration(float64(t.job.Gap-p.pauseMargin())/readOverrunFactor))
 	left := t.job.Target - now.Sub(t.job.Arrived)
 	return part > maxHarmlessPart && part > time.Duration(firstEventShare*float64(left))
 }
--- a/internal/prompt/passes/engine.go
+++ b/internal/prompt/passes/engine.go
@@ -17,9 +17,6 @@
 	minSlowdown           = 1.6 // times the prediction; lower ratios are noise
 	maxSlowdown           = 20
 	slowdownTTL           = 4 * time.Second
-	// latePauseLimit is the pause limit of a stream that is late already: the longest limit
-	// of any kind of request.
-	latePauseLimit = 800 * time.Millisecond
 )
 
 // Send is a request, or a part of its read, at one engine.
@@ -35,9 +32,9 @@
 	Writing bool      // the first event has come
 }
 
-// markLate raises the pause limit of a late stream and clears its weight: longer pauses
-// cost it nothing more.
-func (s *Send) markLate() { s.Gap, s.Weight = max(s.Gap, latePauseLimit), 0 }
+// markLate raises the pause limit of a late stream to the longest one of its service, and clears
+// its weight: longer pauses cost it nothing more.
+func (s *Send) markLate(longestGap time.Duration) { s.Gap, s.Weight = max(s.Gap, longestGap), 0 }
 
 // engine is the state of an engine as seen by an entry.
 type engine struct {
--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -32,6 +32,8 @@
 	// lateLossShare is the share of a request's weight that is lost where it is late: a late
 	// answer counts a quarter to its caller.
 	lateLossShare = 0.75
+	// defaultLongestGap is the longest pause limit of a service whose routes name none.
+	defaultLongestGap = 800 * time.Millisecond
 )
 
 // Engine is a registered engine.
@@ -182,7 +184,8 @@
 type Planner struct {
 	cfg                Settings
 	figures            *Figures
-	engines            []*engine // sorted by name
+	longestGap         time.Duration // longest pause that a route to the service allows
+	engines            []*engine     // sorted by name
 	byName             map[string]*engine
 	bounds             *queue.Bounds
 	waiting            *queue.Queue[*Ticket]  // by queueKey
@@ -191,6 +194,7 @@
 	reports            map[string]Report      // by entry
 	staleReasons       map[string]StaleReason // by entry; missing or "": current
 	nextStaleCheck     time.Time              // when the next report may become stale; zero: none
+	otherEntriesRate   float64                // streams that the other entries start, per second
 	otherEntriesDue    []time.Time            // due times of the first waiting request of each other entry
 	firstEventRatio    estimate.Moving        // actual time to the first event over the predicted one
 	changed            bool                   // own sends, paces or the queue changed since the last call of Sends
@@ -210,14 +214,18 @@
 func New(cfg Settings, figures *Figures) *Planner {
 	b := queue.NewBounds(maxWaiting, maxWaitingBytes)
 	return &Planner{
-		cfg: cfg, figures: figures, byName: map[string]*engine{}, staleReasons: map[string]StaleReason{}, bounds: b,
+		cfg: cfg, figures: figures, longestGap: defaultLongestGap, byName: map[string]*engine{}, staleReasons: map[string]StaleReason{}, bounds: b,
 		waiting: queue.New[*Ticket](b), firstEventRatio: estimate.NewMoving(firstEventRatioWindowSamples),
 	}
 }
 
-// Configure replaces the figures of the engines.
-func (p *Planner) Configure(f *Figures) {
+// Configure replaces the figures of the engines, and the longest pause between events that a
+// route to the service allows; 0 if none names one.
+func (p *Planner) Configure(f *Figures, longestGap time.Duration) {
 	p.figures = f
+	if p.longestGap = longestGap; longestGap <= 0 {
+		p.longestGap = defaultLongestGap
+	}
 	for _, e := range p.engines {
 		e.figures = f
 	}
@@ -378,7 +386,7 @@
 			s.Weight = t.weight()
 			s.Ends = now.Add(c.firstEvent + p.writeTime(t, c.pass))
 			if t.late(now) {
-				s.markLate()
+				s.markLate(p.longestGap)
 			}
 		} else if c.reserved != nil {
 			s.Context = c.reserved[i-1]
@@ -403,7 +411,7 @@
 	now := p.cfg.Now()
 	t.firstAt = now
 	if t.late(now) {
-		t.sends[0].markLate()
+		t.sends[0].markLate(p.longestGap)
 	}
 	ratio := now.Sub(t.placedAt).Seconds() / max(t.predictedFirstEvent.Seconds(), minPrediction.Seconds())
 	if t.overdue(now) {
@@ -425,7 +433,7 @@
 func (p *Planner) MarkLate(t *Ticket) {
 	if t.state == statePlaced {
 		p.suspect(t.engines[:1])
-		t.sends[0].markLate()
+		t.sends[0].markLate(p.longestGap)
 		p.changed = true
 	}
 }
--- a/internal/prompt/passes/planner_test.go
+++ b/internal/prompt/passes/planner_test.go
@@ -383,14 +383,14 @@
 	}
 	now = now.Add(job.Target + time.Millisecond)
 	p.FirstEvent(ticket)
-	if got := p.Sends()[0]; got.Gap != latePauseLimit || got.Weight != 0 {
+	if got := p.Sends()[0]; got.Gap != defaultLongestGap || got.Weight != 0 {
 		t.Errorf("a stream whose first event is late allows %s and has weight %v", got.Gap, got.Weight)
 	}
 	if _, err = p.Submit(job); err != nil {
 		t.Fatal(err)
 	}
 	for _, s := range p.Sends() {
-		if s.Gap != latePauseLimit || s.Weight != 0 {
+		if s.Gap != defaultLongestGap || s.Weight != 0 {
 			t.Errorf("a stream placed late allows %s and has weight %v", s.Gap, s.Weight)
 		}
 	}
--- a/internal/prompt/passes/report.go
+++ b/internal/prompt/passes/report.go
@@ -49,6 +49,7 @@
 		e.otherSends = e.otherSends[:0]
 	}
 	p.nextStaleCheck, p.otherEntriesDue = time.Time{}, p.otherEntriesDue[:0]
+	started := 0
 	for _, entry := range slices.Sorted(maps.Keys(p.reports)) {
 		r := p.reports[entry]
 		for _, pace := range r.Paces {
@@ -67,8 +68,12 @@
 				continue
 			}
 			e.otherSends = append(e.otherSends, s)
+			if s.Gap > 0 && now.Sub(s.At) < rateWindow {
+				started++
+			}
 		}
 	}
+	p.otherEntriesRate = float64(started) / rateWindow.Seconds()
 	maps.DeleteFunc(p.staleReasons, func(entry string, _ StaleReason) bool { _, reported := p.reports[entry]; return !reported })
 }
 
--- a/internal/standin/fleet/entry.go
+++ b/internal/standin/fleet/entry.go
@@ -44,6 +44,11 @@
 		Domain: fmt.Sprint(e.domain), Now: f.now, Rand: f.policyRand.Float64, Entries: func() int { return len(f.entries) },
 		Cut: func(address string) bool { return !f.reaches(e, f.byName[address]) },
 	}, &f.cfg.Figures)
+	longestGap := time.Duration(0)
+	for _, k := range f.cfg.Kinds {
+		longestGap = max(longestGap, k.Gap)
+	}
+	e.planner.Configure(&f.cfg.Figures, longestGap)
 	e.planner.SetEngines(f.plannerEngines())
 	return e
 }
