Try a takeover again where nothing was sent, and wait for the last attempt

Cause of TestSilentEngineIsRelievedLater: an engine whose connection failed (150 ms) stayed excluded for the rest of the request, so that the next try found no engine; and an engine whose head came later than 1.2 s and three times the prediction was given up though the route allowed no other attempt. Both ended the stream. The new tests bring each about and fail on the program before: "unexpected EOF" after 9.5 s, and 502 before a first event.

Cause of TestPromptFindsReachableEngine: it closed its stand-ins and sent to their ports, which another process may take. Ports that refuse are now bound until the test ends.

Change: what was not sent to is asked again in the next round, what states that it ran nothing too, within the retry budget; the last attempt that the route allows is waited for as long as the caller waits. Where the silent engine goes on before the other one has begun, its events are the answer (TestSilentEngineGoesOnDuringTakeover; it passed before as well, since the wait was shorter than the pause).

--- a/internal/base/ports/ports.go
+++ b/internal/base/ports/ports.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"testing"
 )
 
@@ -52,3 +53,26 @@
 	_ = ln.Close() // only a probe
 	return true
 }
+
+// Refusing returns a loopback address that refuses connections until the test ends: its port is
+// bound, so that no other process can listen there.
+func Refusing(t testing.TB) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) }) // only the port is lost with it
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr, ok := bound.(*syscall.SockaddrInet4)
+	if !ok {
+		t.Fatalf("bound to %v", bound)
+	}
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(addr.Port))
+}
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -45,6 +45,7 @@
 	ctx        context.Context // ends at the deadline, or when the caller disconnects
 	cancel     context.CancelFunc
 	tried      map[string]bool
+	unsent     []string    // of tried, those that the connection failed to
 	sends      int         // attempts that may have sent a byte
 	maybeRan   int         // attempts that may have run at the upstream
 	leaseCount int         // number of memory leases requested
@@ -102,6 +103,19 @@
 	return c.s.sched.TakeRetry(c.service)
 }
 
+// lastAttempt reports whether the route allows no attempt after one more that may run.
+func (c *call) lastAttempt() bool {
+	return c.route.Repeat != route.Idempotent || c.maybeRan+1 >= c.route.Attempts
+}
+
+// forgetUnsent makes the upstreams that got nothing of the request eligible again.
+func (c *call) forgetUnsent() {
+	for _, name := range c.unsent {
+		delete(c.tried, name)
+	}
+	c.unsent = nil
+}
+
 const (
 	// minRetryTime is the least remaining time for a retry.
 	minRetryTime = 60 * time.Millisecond
--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/route"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
@@ -41,6 +42,7 @@
 	cancel   context.CancelFunc // ends the exchange; nil before the request was sent
 	started  bool               // some of the answer arrived
 	closed   bool
+	silent   *engineStream // the stream that this one is to relieve; nil if it is the first
 }
 
 // readResult is the result of one read from an engine.
@@ -49,7 +51,10 @@
 	err  error
 }
 
-var errSilent = errors.New("no data arrived in time")
+var (
+	errSilent  = errors.New("no data arrived in time")
+	errResumed = errors.New("the silent engine goes on")
+)
 
 // engineName returns the name of the engine that generates the answer.
 func (es *engineStream) engineName() string {
@@ -66,9 +71,9 @@
 }
 
 // startOnEngine places the request and sends it to the engine, to continue after the last event
-// of the splitter. The head of the answer has been read when it returns. Errors are those of
-// Place, reserve and attempt.
-func (c *call) startOnEngine(after splitter, timing eventTiming) (*engineStream, platform.Answer, error) {
+// of the splitter. The head of the answer has been read when it returns. It gives up if the silent
+// stream that it is to relieve, if any, goes on. Errors are those of Place, reserve and attempt.
+func (c *call) startOnEngine(after splitter, timing eventTiming, silent *engineStream) (*engineStream, platform.Answer, error) {
 	written := min(timing.delivered*c.engine.Stride, c.req.MaxOutput)
 	t, err := c.s.sched.Place(c.ctx, c.service, passes.Job{
 		ID: c.req.ID, Tokens: c.req.Prompt + written, MaxTokens: c.req.MaxOutput - written, ExpectedTokens: max(0, c.req.LikelyOutput-written), Bytes: len(c.callerReq.Body()),
@@ -77,7 +82,7 @@
 	if err != nil {
 		return nil, platform.Answer{}, err
 	}
-	es := &engineStream{c: c, ticket: t, splitter: after.resume(), reads: make(chan readResult, readQueueLen), stop: make(chan struct{})}
+	es := &engineStream{c: c, ticket: t, silent: silent, splitter: after.resume(), reads: make(chan readResult, readQueueLen), stop: make(chan struct{})}
 	name, address := t.Engine()
 	c.tried[name] = true
 	load := t.Decision()
@@ -93,7 +98,10 @@
 	}
 	x, ans, err := es.attempt(address, platform.Attempt{
 		Instance: name, Helpers: helpers, Urgency: c.route.Priority, LastEvent: after.lastID,
-	}, es.firstEventTimeout())
+	}, es.firstEventTimeout(c.lastAttempt()))
+	if fault.Is(err, KindUnsent) {
+		c.unsent = append(c.unsent, name)
+	}
 	if err == nil && !c.accepts(ans.Status, after.lastID != "") {
 		x.Close()
 		err = fail("answer", KindUnknown, errInvalidAnswer)
@@ -125,9 +133,14 @@
 	return es.c.attempt(ctx, address, a, limit)
 }
 
-// awaitHead calls abort if a needed engine is unreachable before the head arrives.
+// awaitHead calls abort if a needed engine is unreachable before the head arrives, or if the
+// silent engine goes on.
 func (es *engineStream) awaitHead(headRead <-chan struct{}, abort func()) {
-	t := time.NewTimer(es.unreachableCheckDelay())
+	delay := es.unreachableCheckDelay()
+	if es.silent != nil {
+		delay = unreachablePollInterval
+	}
+	t := time.NewTimer(delay)
 	defer t.Stop()
 	for {
 		select {
@@ -135,7 +148,7 @@
 			return
 		case <-t.C:
 		}
-		if es.unreachableEngine() != "" {
+		if es.unreachableEngine() != "" || es.silentGoesOn() {
 			abort()
 			return
 		}
@@ -152,8 +165,15 @@
 	return status < fasthttp.StatusInternalServerError || c.route.Repeat != route.Idempotent || c.maybeRan >= c.route.Attempts
 }
 
-// firstEventTimeout limits the wait for the first event by its prediction.
-func (es *engineStream) firstEventTimeout() time.Duration {
+// silentGoesOn reports whether the engine that this one is to relieve sends again.
+func (es *engineStream) silentGoesOn() bool { return es.silent != nil && len(es.silent.reads) > 0 }
+
+// firstEventTimeout limits the wait for the first event by its prediction. The last attempt that
+// the route allows is waited for as long as the caller waits.
+func (es *engineStream) firstEventTimeout(last bool) time.Duration {
+	if last {
+		return es.c.remaining()
+	}
 	return min(es.c.remaining(), firstEventFactor*es.ticket.Predicted()+firstEventSlack)
 }
 
@@ -230,6 +250,9 @@
 		if left <= 0 || es.unreachableEngine() != "" {
 			return nil, errSilent
 		}
+		if !es.started && es.silentGoesOn() {
+			return nil, errResumed
+		}
 		t.Reset(min(left, unreachablePollInterval))
 	}
 }
--- a/internal/gateway/entry/entry_test.go
+++ b/internal/gateway/entry/entry_test.go
@@ -120,15 +120,15 @@
 	env.t.Helper()
 	env.version++
 	env.config["version"] = env.version
-	env.put()
+	env.putConfig()
 	env.await(func() bool {
 		t := env.entry.sched.Table()
 		return t != nil && t.Version() == int64(env.version)
 	})
 }
 
-// put writes the configuration to the store.
-func (env *testEnv) put() {
+// putConfig writes the configuration to the store.
+func (env *testEnv) putConfig() {
 	env.t.Helper()
 	b, err := json.Marshal(env.config)
 	if err != nil {
@@ -152,8 +152,21 @@
 }
 
 func (env *testEnv) publish(service string, s *server.Server, state string) {
-	env.store.Put("keyed.servers", s.Instance(), fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"a","slots":16,"state":%q,"sequence":1,"born":%d}`, service, s.Addr(), state, env.born))
+	env.put(service, s.Instance(), s.Addr(), state)
+}
+
+// put writes the record of a server to the store.
+func (env *testEnv) put(service, instance, address, state string) {
+	env.store.Put("keyed.servers", instance, fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":"a","slots":16,"state":%q,"sequence":1,"born":%d}`, service, address, state, env.born))
+}
+
+// register makes the entry know a server at an address, whatever is there.
+func (env *testEnv) register(service, instance, address string) {
+	env.t.Helper()
+	env.born++
+	env.put(service, instance, address, "ready")
+	env.await(func() bool { return env.hasServer(service, instance, env.born) })
 }
 
 // restart makes a server a new one to the entry, which forgets the earlier failures.
@@ -422,7 +435,7 @@
 		env := newTestEnv(t)
 		env.configure()
 		for i := range unreachable {
-			env.serve("engines", fmt.Sprintf("gone-%d", i)).Close()
+			env.register("engines", fmt.Sprintf("gone-%d", i), ports.Refusing(t))
 		}
 		env.serve("engines", "there")
 		r := env.do(env.request(http.MethodPost, "/ask/"))
@@ -534,6 +547,77 @@
 	is.Equal(b.Runs()[0].LastEvent, "2")
 }
 
+// An engine falls silent, and the connection to the only other one fails. Nothing was sent there,
+// so it must be asked again while the caller waits.
+func TestTakeoverIsTriedAgainAfterFailedConnection(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	ask := env.config["routes"].([]any)[3].(map[string]any)
+	ask["target_latency_ms"], ask["timeout_ms"] = 2500, 9500
+	env.configure()
+	a := env.serve("engines", "i-1", server.StopEvent)
+	got := make(chan reply, 1)
+	req := env.request(http.MethodPost, "/ask/")
+	req.Header.Set("X-Deadline-Milliseconds", "9500")
+	go func() { got <- env.do(req) }()
+	env.await(func() bool { return len(a.Runs()) == 1 })
+	refusing := ports.Refusing(t)
+	env.register("engines", "i-2", refusing)
+	env.await(func() bool { return env.entry.reach.IsUnreachable(refusing) })
+	b := server.New(listen(t), "i-2", testEvents)
+	t.Cleanup(b.Close)
+	env.register("engines", "i-2", b.Addr())
+	r := <-got
+	is.NoErr(r.err)
+	is.Equal(r.body, server.Events(testEvents))
+	is.Equal(b.Runs()[0].LastEvent, "2")
+}
+
+// The engine that is to resume a stream takes longer for its head than predicted. No other one may
+// be asked any more, so it is waited for as long as the caller waits.
+func TestLastAttemptIsWaitedFor(t *testing.T) {
+	for name, first := range map[string]server.Script{"in a stream": server.StopEvent, "before the first event": server.Silent} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			env := newTestEnv(t)
+			ask := env.config["routes"].([]any)[3].(map[string]any)
+			ask["target_latency_ms"], ask["timeout_ms"] = 2500, 9500
+			env.configure()
+			a := env.serve("engines", "i-1", first)
+			got := make(chan reply, 1)
+			req := env.request(http.MethodPost, "/ask/")
+			req.Header.Set("X-Deadline-Milliseconds", "9500")
+			go func() { got <- env.do(req) }()
+			env.await(func() bool { return len(a.Runs()) == 1 })
+			env.serve("engines", "i-2", server.LateHead)
+			r := <-got
+			is.NoErr(r.err)
+			is.Equal(r.body, server.Events(testEvents))
+		})
+	}
+}
+
+// An engine falls silent and goes on while the one that is to resume its stream has sent nothing
+// yet. Its events are the answer.
+func TestSilentEngineGoesOnDuringTakeover(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	ask := env.config["routes"].([]any)[3].(map[string]any)
+	ask["target_latency_ms"], ask["timeout_ms"] = 2500, 9500
+	env.configure()
+	a := env.serve("engines", "i-1", server.PauseEvent)
+	got := make(chan reply, 1)
+	req := env.request(http.MethodPost, "/ask/")
+	req.Header.Set("X-Deadline-Milliseconds", "9500")
+	go func() { got <- env.do(req) }()
+	env.await(func() bool { return len(a.Runs()) == 1 })
+	env.serve("engines", "i-2", server.Silent)
+	r := <-got
+	is.NoErr(r.err)
+	is.Equal(r.body, server.Events(testEvents))
+}
+
 // An unreachable engine must be given up sooner than a slow one that may continue, both within a
 // stream and before its first event.
 func TestUnreachableEngineIsGivenUp(t *testing.T) {
--- a/internal/gateway/entry/recovery_test.go
+++ b/internal/gateway/entry/recovery_test.go
@@ -40,7 +40,7 @@
 	env.config["routes"] = append(routes[:1:1], routes[2:]...) // without /look/
 	env.version++
 	env.config["version"] = env.version
-	env.put()
+	env.putConfig()
 	env.replaceEntry()
 	env.await(func() bool { return env.ready() == http.StatusOK })
 	is.Equal(env.do(env.request(http.MethodGet, "/look/")).status, http.StatusNotFound)
--- a/internal/gateway/entry/reset_test.go
+++ b/internal/gateway/entry/reset_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"fmt"
 	"net/http"
 	"testing"
 
@@ -33,10 +32,7 @@
 			seen := 0
 			for n := range longest {
 				for _, reset := range []func(after int){c.CutRequests, c.CutResponses} {
-					env.born++ // a new server to the entry, which forgets the earlier failures
-					env.store.Put("keyed.servers", "i-1", fmt.Appendf(nil,
-						`{"service":%q,"address":%q,"zone":"a","slots":16,"state":"ready","sequence":1,"born":%d}`, service, c.Addr(), env.born))
-					env.await(func() bool { return env.hasServer(service, "i-1", env.born) })
+					env.register(service, "i-1", c.Addr()) // a new server to the entry, which forgets the earlier failures
 					s.SetScripts()
 					reset(n)
 					r := env.do(env.request(http.MethodPost, path))
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
+	"github.com/dogwoodmill/dogwoodmill/internal/gateway/route"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
@@ -47,14 +48,15 @@
 	latency        time.Duration // from the request's arrival to the first event
 	maxGap         time.Duration // between events
 	takeover       takeover
-	noEngineLogged bool // the last attempt found no engine; limits logging
+	takeoverErr    error // why the last engine that was asked runs nothing; nil if none was
+	noEngineLogged bool  // the last attempt found no engine; limits logging
 	closed         bool
 }
 
 // serveStream answers with the events of an engine.
 func (c *call) serveStream(ctx *fasthttp.RequestCtx, finish func()) {
 	st := &stream{c: c, finish: finish, silenceLimit: c.silenceLimit()}
-	if err := st.open(splitter{}, eventTiming{since: c.arrived, target: c.route.Target, callerLeavesAt: c.callerLeavesAt(c.arrived)}); err != nil {
+	if err := st.open(splitter{}, eventTiming{since: c.arrived, target: c.route.Target, callerLeavesAt: c.callerLeavesAt(c.arrived)}, nil); err != nil {
 		c.refuse(ctx, err, passes.RetryAfter(err))
 		finish()
 		return
@@ -77,16 +79,19 @@
 }
 
 // open sends the request to engines until one has generated an event after the last one of the
-// splitter or has answered completely. The stream continues with that engine.
-func (st *stream) open(after splitter, timing eventTiming) error {
+// splitter or has answered completely. The stream continues with that engine, unless the silent
+// one, if any, has gone on by then.
+func (st *stream) open(after splitter, timing eventTiming, silent *engineStream) error {
 	for {
-		es, ans, err := st.c.startOnEngine(after, timing)
+		es, ans, err := st.c.startOnEngine(after, timing, silent)
 		if err == nil {
 			if err = st.awaitFirst(es, ans); err == nil {
 				return nil
 			}
 		}
 		switch {
+		case silent != nil && len(silent.reads) > 0:
+			return err
 		case fault.Is(err, KindLease):
 			pause.For(st.c.ctx, reserveRetryDelay)
 		case isRefusal(err) || !st.c.takeRetry(err):
@@ -108,7 +113,8 @@
 // awaitFirst reads from an engine until an event or the answer is complete, and then makes it
 // the stream's engine.
 func (st *stream) awaitFirst(es *engineStream, ans platform.Answer) error {
-	c, limit := st.c, es.firstEventTimeout()
+	c := st.c
+	limit := es.firstEventTimeout(c.route.Repeat != route.Idempotent || c.maybeRan >= c.route.Attempts)
 	var events []byte
 	complete := false
 	for len(events) == 0 && !complete {
@@ -217,21 +223,32 @@
 	if st.takeover == takeoverDone || time.Now().After(st.nextTiming().callerLeavesAt) {
 		return
 	}
+	c.forgetUnsent()
+	if st.takeoverErr != nil && !c.takeRetry(st.takeoverErr) {
+		c.s.log.Warn("No other engine may be asked to go on.", "id", c.req.ID, "err", st.takeoverErr)
+		st.takeover = takeoverDone
+		return
+	}
 	silent := st.engine
 	timing := eventTiming{since: st.lastEventAt, callerLeavesAt: time.Now(), delivered: st.events} // no queueing, because nobody reads from the silent engine meanwhile
-	err := st.open(silent.splitter, timing)
+	err := st.open(silent.splitter, timing, silent)
+	st.takeoverErr = nil
 	switch {
 	case err == nil:
 		st.takeover, st.silenceLimit, st.noEngineLogged = takeoverDone, c.silenceLimit(), false
+		return
 	case isRefusal(err):
-		if !st.noEngineLogged { // repeated attempts are logged once
-			c.s.log.Info("No other engine can resume the stream yet.", "id", c.req.ID, "err", err)
-		}
-		st.noEngineLogged, st.silenceLimit = true, takeoverRetryDelay
+	case fault.Is(err, KindUnsent), fault.Is(err, KindNotRun), fault.Is(err, KindLease): // nothing runs there
+		st.takeoverErr = err
 	default:
 		c.s.log.Warn("No other engine goes on.", "id", c.req.ID, "err", err)
 		st.takeover = takeoverDone
+		return
+	}
+	if !st.noEngineLogged { // repeated attempts are logged once
+		c.s.log.Info("No other engine can resume the stream yet.", "id", c.req.ID, "err", err)
 	}
+	st.noEngineLogged, st.silenceLimit = true, takeoverRetryDelay
 }
 
 func (st *stream) resumable() bool { return st.c.route.Resume && st.engine.splitter.lastID != "" }
@@ -245,7 +262,7 @@
 	if !st.resumable() || !c.takeRetry(err) {
 		return err
 	}
-	return st.open(st.engine.splitter, st.nextTiming())
+	return st.open(st.engine.splitter, st.nextTiming(), nil)
 }
 
 // nextTiming returns the timing of the next event of an interrupted stream.
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -32,6 +32,7 @@
 	Silent                     // no response
 	StopEvent                  // a stream that stalls for good after some events
 	PauseEvent                 // a stream that stalls for longPause after some events
+	LateHead                   // a whole response after longPause
 )
 
 const eventsBeforeFault = 2 // in scripts that cut, stop or pause a stream
@@ -225,6 +226,8 @@
 		return
 	case Silent:
 		return
+	case LateHead:
+		time.Sleep(longPause)
 	case Fail:
 		_, _ = io.WriteString(conn, "HTTP/1.1 500 Internal Server Error\r\n"+header+"Content-Length: 5\r\n\r\nwrong")
 		return
