Bound what an upstream may send, in bytes, memory and time

Ruled out: heads. The buffer of 16 KiB and one deadline bound them already, interim answers too; the tests stay as proof.

An engine that sends but comments counts as silent. Metrics answers_too_large and buffered_answer_bytes. A record call that fails for another reason than an unknown topic says so.

--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -56,14 +56,15 @@
 func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
 
 // attempt sends the request to an upstream and returns its answer once the head was read, for
-// which limit is the time limit. The answer ends with ctx, which is c.ctx or derived from it.
+// which limit is the time limit. Until Progress is called, at most the given bytes are received.
+// The answer ends with ctx, which is c.ctx or derived from it.
 // The kind of an error is KindUnsent, KindNotRun, or KindUnknown if the request may have run.
-func (c *call) attempt(ctx context.Context, address string, a platform.Attempt, limit time.Duration) (*httpconn.Exchange, platform.Answer, error) {
+func (c *call) attempt(ctx context.Context, address string, a platform.Attempt, limit time.Duration, bytes int64) (*httpconn.Exchange, platform.Answer, error) {
 	a.Left, a.Workspace = c.remaining(), c.workspace
 	req := fasthttp.AcquireRequest()
 	platform.EncodeAttempt(&req.Header, &c.callerReq.Header, a)
 	req.SetBodyRaw(c.callerReq.Body())
-	x, err := httpconn.Do(ctx, c.s.upstreams, address, req, httpconn.Limits{Header: limit, Read: limit, Buffer: maxAnswerHeadBytes})
+	x, err := httpconn.Do(ctx, c.s.upstreams, address, req, httpconn.Limits{Header: limit, Read: limit, Buffer: maxAnswerHeadBytes, Bytes: bytes})
 	if fault.Is(err, httpconn.KindUnsent) {
 		if c.ctx.Err() == nil {
 			c.s.reach.ReportFailure(address)
@@ -73,6 +74,7 @@
 	c.sends++
 	if err != nil {
 		c.maybeRan++
+		c.countTooLarge(err)
 		return nil, platform.Answer{}, fail("send", KindUnknown, err)
 	}
 	ans := platform.DecodeAnswer(x.Header())
--- a/internal/gateway/entry/errors.go
+++ b/internal/gateway/entry/errors.go
@@ -18,6 +18,8 @@
 	KindNotRun Kind = "not run"
 	// KindUnknown means that the request was sent and may have run.
 	KindUnknown Kind = "may have run"
+	// KindTooLarge means that an upstream sent more than is allowed.
+	KindTooLarge Kind = "too large"
 	// KindRefused means that the entry refused the request without sending it.
 	KindRefused Kind = "refused"
 	// KindLease means that no memory could be reserved for a prompt.
--- a/internal/gateway/entry/observe.go
+++ b/internal/gateway/entry/observe.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -12,6 +14,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/follow"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
@@ -152,6 +155,13 @@
 	}
 }
 
+// countTooLarge counts an answer that was given up because of its size.
+func (c *call) countTooLarge(err error) {
+	if fault.Is(err, httpconn.KindTooLarge) || fault.Is(err, KindTooLarge) || errors.Is(err, bufio.ErrBufferFull) {
+		c.s.metrics.Scope().Counter("answers_too_large").Inc(1)
+	}
+}
+
 // recordFirstEvent records how long the prompt waited for its engines, and the ratio of its
 // first event's time to the prediction.
 func (es *engineStream) recordFirstEvent() {
@@ -196,6 +206,7 @@
 		scope.Gauge("entries_known").Update(float64(len(s.peers())))
 		scope.Gauge("upstreams_cut").Update(float64(len(s.reach.Unreachable())))
 		told := s.exchange.Sent()
+		scope.Gauge("buffered_answer_bytes").Update(float64(s.bodies.used.Load()))
 		scope.Gauge("told_bytes").Update(float64(told.Bytes))
 		scope.Gauge("told_domain_bytes").Update(float64(told.DomainBytes))
 		scope.Gauge("log_lines_dropped").Update(float64(s.droppedLines()))
--- a/internal/gateway/entry/plain.go
+++ b/internal/gateway/entry/plain.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"io"
+	"bytes"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -20,6 +20,8 @@
 	minAttemptTime = 250 * time.Millisecond
 	// maxAnswerBytes is the size limit of an answer of a plain service.
 	maxAnswerBytes = 16 << 20
+	// maxAnswerWireBytes is the size limit of an answer with its head and framing.
+	maxAnswerWireBytes = 2 * maxAnswerBytes
 	// plainRetryAfter is the Retry-After when no server of a plain service took the request.
 	plainRetryAfter = 150 * time.Millisecond
 )
@@ -29,6 +31,15 @@
 	upstream string
 	exchange *httpconn.Exchange // has the head; closed after the answer is relayed or dropped
 	body     []byte
+	memory   *bodyMemory
+	held     int64 // bytes taken from memory
+}
+
+// release closes the exchange and frees the memory of the body.
+func (a *plainAnswer) release() {
+	a.exchange.Close()
+	a.memory.free(a.held)
+	a.held = 0
 }
 
 func (a *plainAnswer) status() int { return a.exchange.Status() }
@@ -42,7 +53,7 @@
 	var fallback *plainAnswer
 	drop := func() {
 		if fallback != nil {
-			fallback.exchange.Close()
+			fallback.release()
 		}
 	}
 	for {
@@ -98,19 +109,25 @@
 	if c.route.Repeat == route.Idempotent && c.maybeRan+1 < c.route.Attempts {
 		limit = min(limit, max(minAttemptTime, time.Duration(attemptShare*float64(limit))))
 	}
-	x, _, err := c.attempt(c.ctx, k.Address(), platform.Attempt{Instance: k.Name(), Urgency: c.route.Priority}, limit)
+	until := time.Now().Add(limit)
+	x, _, err := c.attempt(c.ctx, k.Address(), platform.Attempt{Instance: k.Name(), Urgency: c.route.Priority}, limit, maxAnswerWireBytes)
 	if err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(x, maxAnswerBytes))
-	if err == nil && x.Header().ContentLength() >= 0 && len(body) != x.Header().ContentLength() {
-		err = io.ErrUnexpectedEOF
-	}
+	a := &plainAnswer{upstream: k.Name(), exchange: x, memory: c.s.bodies}
+	a.body, err = x.ReadAll(maxAnswerBytes, until, func(n int) bool {
+		ok := a.memory.take(n)
+		if ok {
+			a.held += int64(n)
+		}
+		return ok
+	})
 	if err != nil {
-		x.Close()
+		a.release()
+		c.countTooLarge(err)
 		return nil, fail("read", KindUnknown, err)
 	}
-	return &plainAnswer{upstream: k.Name(), exchange: x, body: body}, nil
+	return a, nil
 }
 
 func (c *call) outcome(a *plainAnswer, err error) plain.Outcome {
@@ -129,14 +146,15 @@
 // relay passes a server's answer to the caller. A status that guarantees that the request did
 // not run is not passed on, because the server did not mark it as not run.
 func (c *call) relay(ctx *fasthttp.RequestCtx, a *plainAnswer) {
-	defer a.exchange.Close()
 	switch a.status() {
 	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable, fasthttp.StatusRequestTimeout:
+		a.release()
 		c.refuse(ctx, fail("answer", KindUnknown, nil), 0)
 		return
 	}
 	platform.CopyAnswer(&ctx.Response.Header, a.exchange.Header())
-	ctx.Response.SetBodyRaw(a.body)
+	a.exchange.Close()
+	ctx.Response.SetBodyStream(&heldBody{Reader: bytes.NewReader(a.body), release: a.release}, len(a.body))
 	c.countOutcome("answered")
 	c.s.log.Info("Answered.", "id", c.req.ID, "route", c.route.Name, "upstream", a.upstream, "status", a.status(),
 		"took_ms", time.Since(c.arrived).Milliseconds(), "sends", c.sends, "version", c.version)
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -74,6 +74,7 @@
 	engines      *platform.Engines
 	reach        *reach.Prober
 	metrics      *metrics.Metrics
+	bodies       *bodyMemory
 	records      *records.Server
 	exchange     *sends.Exchange
 	followers    atomic.Pointer[[]*follow.Follower] // in the order of the offsets in entries' messages
@@ -109,7 +110,7 @@
 	s := &Server{
 		cfg: cfg, log: logger, sched: newScheduler(cfg.FailureDomain, cfg.Retries, logger),
 		store: platform.NewStore(network, cfg.Store), upstreams: network.WithDialTimeout(dialTimeout),
-		droppedLines: dropped, started: time.Now(), metrics: metrics.New(cfg.VM), entries: map[string]platform.Entry{},
+		droppedLines: dropped, started: time.Now(), metrics: metrics.New(cfg.VM), bodies: newBodyMemory(cfg.Memory), entries: map[string]platform.Entry{},
 	}
 	s.engines = platform.NewEngines(s.upstreams)
 	s.reach = reach.New(reach.Settings{
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -42,7 +42,7 @@
 	complete       bool   // the answer is complete
 	err            error  // why the answer is not complete
 	finish         func()
-	silenceLimit   time.Duration
+	silentAt       time.Time // when the engine counts as silent if no event comes
 	events         int
 	lastEventAt    time.Time
 	latency        time.Duration // from the request's arrival to the first event
@@ -55,7 +55,7 @@
 
 // serveStream answers with the events of an engine.
 func (c *call) serveStream(ctx *fasthttp.RequestCtx, finish func()) {
-	st := &stream{c: c, finish: finish, silenceLimit: c.silenceLimit()}
+	st := &stream{c: c, finish: finish}
 	if err := st.open(splitter{}, eventTiming{since: c.arrived, target: c.route.Target, callerLeavesAt: c.callerLeavesAt(c.arrived)}, nil); err != nil {
 		c.refuse(ctx, err, passes.RetryAfter(err))
 		finish()
@@ -90,7 +90,7 @@
 			}
 		}
 		switch {
-		case silent != nil && len(silent.reads) > 0:
+		case silent != nil && silent.goesOn():
 			return err
 		case fault.Is(err, KindLease):
 			pause.For(st.c.ctx, reserveRetryDelay)
@@ -114,14 +114,15 @@
 // the stream's engine.
 func (st *stream) awaitFirst(es *engineStream, ans platform.Answer) error {
 	c := st.c
-	limit := es.firstEventTimeout(c.route.Repeat != route.Idempotent || c.maybeRan >= c.route.Attempts)
-	var events []byte
-	complete := false
-	for len(events) == 0 && !complete {
-		b, err := es.next(limit)
-		events = append(events, b...)
+	until := time.Now().Add(es.firstEventTimeout(c.route.Repeat != route.Idempotent || c.maybeRan >= c.route.Attempts))
+	var blocks []byte
+	events, complete := 0, false
+	for events == 0 && !complete {
+		b, n, err := es.next(until)
+		blocks = append(blocks, b...)
+		events += n
 		complete = errors.Is(err, io.EOF)
-		if err != nil && !complete && len(events) == 0 {
+		if err != nil && !complete && events == 0 {
 			c.s.log.Warn("An engine sent no first event.", "id", c.req.ID, "upstream", es.engineName(), "err", err)
 			es.fail("")
 			return fail("read", KindUnknown, err)
@@ -130,7 +131,7 @@
 	if st.engine != nil {
 		st.engine.fail("")
 	}
-	st.engine, st.pending, st.complete = es, append(st.pending, events...), complete
+	st.engine, st.pending, st.complete = es, append(st.pending, blocks...), complete
 	if ans.Status < fasthttp.StatusMultipleChoices {
 		c.s.sched.FirstEvent(c.service, es.ticket)
 	}
@@ -152,7 +153,7 @@
 			st.reportLate()
 		}
 	}
-	st.lastEventAt = now
+	st.lastEventAt, st.silentAt = now, now.Add(st.c.silenceLimit())
 }
 
 // reportLate reports to the planner that the answer missed its objective: further pauses make it
@@ -182,11 +183,10 @@
 
 // fill waits for the next events.
 func (st *stream) fill() {
-	b, err := st.engine.next(st.silenceLimit)
-	if len(b) > 0 {
-		st.pending = append(st.pending, b...)
+	b, events, err := st.engine.next(st.silentAt)
+	st.pending = append(st.pending, b...)
+	if events > 0 {
 		st.recordEvent(time.Now())
-		st.silenceLimit = st.c.silenceLimit()
 	}
 	switch {
 	case err == nil:
@@ -221,6 +221,7 @@
 		}
 	}
 	if st.takeover == takeoverDone || time.Now().After(st.nextTiming().callerLeavesAt) {
+		st.silentAt = time.Now().Add(c.silenceLimit())
 		return
 	}
 	c.forgetUnsent()
@@ -235,7 +236,7 @@
 	st.takeoverErr = nil
 	switch {
 	case err == nil:
-		st.takeover, st.silenceLimit, st.noEngineLogged = takeoverDone, c.silenceLimit(), false
+		st.takeover, st.noEngineLogged = takeoverDone, false
 		return
 	case isRefusal(err):
 	case fault.Is(err, KindUnsent), fault.Is(err, KindNotRun), fault.Is(err, KindLease): // nothing runs there
@@ -248,7 +249,7 @@
 	if !st.noEngineLogged { // repeated attempts are logged once
 		c.s.log.Info("No other engine can resume the stream yet.", "id", c.req.ID, "err", err)
 	}
-	st.noEngineLogged, st.silenceLimit = true, takeoverRetryDelay
+	st.noEngineLogged, st.silentAt = true, time.Now().Add(takeoverRetryDelay)
 }
 
 func (st *stream) resumable() bool { return st.c.route.Resume && st.engine.splitter.lastID != "" }
--- a/internal/peer/records/records.go
+++ b/internal/peer/records/records.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"strings"
 	"time"
@@ -115,10 +114,14 @@
 		return nil, 0, fail(KindUnreachable, err)
 	}
 	defer x.Close()
-	if x.Status() != fasthttp.StatusOK {
+	switch x.Status() {
+	case fasthttp.StatusOK:
+	case fasthttp.StatusNotFound:
 		return nil, 0, fail(KindUnknown, fmt.Errorf("status %d", x.Status()))
+	default:
+		return nil, 0, fail(KindUnreachable, fmt.Errorf("status %d", x.Status()))
 	}
-	body, err := io.ReadAll(io.LimitReader(x, maxBodyBytes))
+	body, err := x.ReadAll(maxBodyBytes, time.Now().Add(callTimeout), func(int) bool { return true })
 	if err != nil {
 		return nil, 0, fail(KindUnreachable, err)
 	}
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -33,6 +33,7 @@
 	StopEvent                  // a stream that stalls for good after some events
 	PauseEvent                 // a stream that stalls for longPause after some events
 	LateHead                   // a whole response after longPause
+	Raw                        // what the function of SetRaw writes
 )
 
 const eventsBeforeFault = 2 // in scripts that cut, stop or pause a stream
@@ -58,6 +59,7 @@
 
 	mu      sync.Mutex
 	onRun   func(*Run)
+	raw     func(w io.Writer, header string)
 	pace    float64
 	reports int // load reports served
 	scripts []Script
@@ -94,6 +96,14 @@
 	s.onRun = onRun
 }
 
+// SetRaw sets the function that answers requests with script Raw. It gets the connection and the
+// header lines of a sound response.
+func (s *Server) SetRaw(raw func(w io.Writer, header string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.raw = raw
+}
+
 // SetScripts replaces the remaining scripts and clears the recorded runs.
 func (s *Server) SetScripts(scripts ...Script) {
 	s.mu.Lock()
@@ -218,6 +228,12 @@
 		header += "X-Response-Seal: seal-" + s.instance + "\r\n"
 	}
 	switch script {
+	case Raw:
+		s.mu.Lock()
+		raw := s.raw
+		s.mu.Unlock()
+		raw(conn, header)
+		return
 	case Reset:
 		if t, ok := conn.(*net.TCPConn); ok {
 			_ = t.SetLinger(0) // makes Close send a reset
--- a/internal/upstream/httpconn/conn.go
+++ b/internal/upstream/httpconn/conn.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"os"
 	"time"
 
@@ -20,6 +19,12 @@
 const (
 	defaultReadBufferBytes = 4 << 10  // bytes
 	maxBufferedBodyBytes   = 64 << 20 // size limit of a response body that is not streamed
+	minBodyBytes           = 4 << 10  // first piece of memory of ReadAll
+)
+
+var (
+	errTooLarge = errors.New("more bytes than allowed")
+	errNoMemory = errors.New("no memory is left for it")
 )
 
 // Limits are the time limits of an exchange.
@@ -29,11 +34,14 @@
 	// Buffer is the size of the read buffer in bytes. It must hold the response header.
 	// 0 means 4 KiB.
 	Buffer int
+	// Bytes is the most that is received, header and framing included, until the next call of
+	// Progress. A server in trouble may send without end. 0 means no limit.
+	Bytes int64
 }
 
 // Exchange is a request and its response.
 type Exchange struct {
-	conn      net.Conn
+	conn      *boundedConn
 	resp      *fasthttp.Response
 	body      io.Reader
 	limits    Limits
@@ -45,10 +53,11 @@
 // exchange. Ending ctx aborts it. An error is of KindUnsent if the connection failed and
 // of KindNoAnswer if the request may have reached the server.
 func Do(ctx context.Context, network *netio.Network, addr string, req *fasthttp.Request, limits Limits) (*Exchange, error) {
-	conn, err := network.Dial(ctx, addr)
+	dialled, err := network.Dial(ctx, addr)
 	if err != nil {
 		return nil, fail("dial", KindUnsent, err)
 	}
+	conn := newBoundedConn(dialled, limits.Bytes)
 	x := &Exchange{conn: conn, limits: limits, resp: fasthttp.AcquireResponse(), writeDone: make(chan struct{})}
 	x.stop = context.AfterFunc(ctx, func() { _ = conn.Close() }) // unblocks reads and writes
 	if err := x.exchange(req); err != nil {
@@ -115,11 +124,46 @@
 		return n, err
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return n, fail("read", KindSilent, err)
+	case errors.Is(err, errTooLarge):
+		return n, fail("read", KindTooLarge, err)
 	default:
 		return n, fail("read", KindNoAnswer, err)
 	}
 }
 
+// Progress starts the limit on received bytes anew: what came so far was of use.
+func (x *Exchange) Progress() { x.conn.reset() }
+
+// ReadAll reads the body to its end. It fails with KindTooLarge if it has more than most bytes or
+// if take, which is called with the size of each further piece of memory, returns false; with
+// KindSilent if it does not end by the given time; and with KindNoAnswer if it is shorter than
+// declared.
+func (x *Exchange) ReadAll(most int, until time.Time, take func(n int) bool) ([]byte, error) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			more := min(max(minBodyBytes, cap(body)), most+1-len(body))
+			if !take(more) {
+				return nil, fail("read", KindTooLarge, errNoMemory)
+			}
+			body = append(make([]byte, 0, len(body)+more), body...)
+		}
+		n, err := x.ReadWithin(body[len(body):cap(body)], time.Until(until))
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > most:
+			return nil, fail("read", KindTooLarge, errTooLarge)
+		case errors.Is(err, io.EOF):
+			if declared := x.Header().ContentLength(); declared >= 0 && declared != len(body) {
+				return nil, fail("read", KindNoAnswer, io.ErrUnexpectedEOF)
+			}
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
 // Close closes the connection and waits for the write to end. After it the request may
 // be reused.
 func (x *Exchange) Close() {
--- a/internal/upstream/httpconn/errors.go
+++ b/internal/upstream/httpconn/errors.go
@@ -17,6 +17,8 @@
 	KindNoAnswer Kind = "no answer"
 	// KindSilent means that a read took longer than its limit.
 	KindSilent Kind = "silent"
+	// KindTooLarge means that the server sent more than is allowed.
+	KindTooLarge Kind = "too large"
 )
 
 // Error is the error type of this package.
