Make room for new workspaces, and look at more engines than the first 64

Cause: the tables of fair shares and of retries kept 20,000 workspaces for good, so that later ones were neither charged nor given retries. A prompt's feasibility was checked on the first 64 engines of the list, whether usable or not. A watch whose records were gone listed again without a pause.

Change: workspaces that lose nothing by it are deleted from a full table, at each thousandth request without room; engines are looked at until 64 usable ones and one that holds the prompt are found; a list is followed by the delay of a resumed watch.

--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -229,6 +229,7 @@
 		}
 		if fault.Is(err, KindGone) {
 			if err = c.relist(ctx, kind, handle); err == nil {
+				pause.For(ctx, delay) // the next watch may be refused again
 				continue
 			}
 		}
--- a/internal/prompt/fair/clock_test.go
+++ b/internal/prompt/fair/clock_test.go
@@ -1,6 +1,7 @@
 package fair_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -26,3 +27,18 @@
 	c.Refund("greedy", 1, 10)
 	is.Equal(c.Ahead(c.Tag("greedy", 1, 10)), 10.0)
 }
+
+// Workspaces that are idle make room in the table for new ones. The table used to stay full, and
+// new workspaces were not charged.
+func TestIdleWorkspacesMakeRoom(t *testing.T) {
+	is := is.New(t)
+	c := fair.NewClock()
+	const workspaces = 20_000 // as many as the table holds
+	var last float64
+	for i := range workspaces {
+		last = max(last, c.Tag(fmt.Sprint("old-", i), 1, 1))
+	}
+	c.Served(last + 1)
+	c.Tag("new", 1, 10)
+	is.Equal(c.Ahead(c.Tag("new", 1, 10)), 10.0) // it was charged
+}
--- a/internal/prompt/retry/budget.go
+++ b/internal/prompt/retry/budget.go
@@ -2,12 +2,17 @@
 // not multiply the load on the remaining ones.
 package retry
 
+import "maps"
+
 const (
 	// perRequest is the number of retries that a first attempt adds to the budget.
 	perRequest = 0.1
 	maxRetries = 20.0
-	// maxWorkspaces bounds the table. Workspaces beyond it have no retries.
+	// maxWorkspaces bounds the table. A workspace for which there is no room has no retries.
 	maxWorkspaces = 20_000
+	// evictInterval is how many requests without room in the table it takes to look for
+	// workspaces to evict again.
+	evictInterval = 1000
 )
 
 // Budget counts the retries left by workspace. It is not safe for concurrent use.
@@ -16,6 +21,7 @@
 	maxLeft      float64
 	initialShare float64 // part of maxLeft that a new workspace has
 	left         map[string]float64
+	noRoom       int // requests without room in the table since it was full
 }
 
 // New returns a budget that is full at first for each workspace.
@@ -35,7 +41,7 @@
 func (b *Budget) Request(workspace string) {
 	left, ok := b.left[workspace]
 	if !ok {
-		if len(b.left) >= maxWorkspaces {
+		if !b.hasRoom() {
 			return
 		}
 		left = b.initialShare * b.maxLeft
@@ -43,6 +49,19 @@
 	b.left[workspace] = min(left+b.perRequest, b.maxLeft)
 }
 
+// hasRoom reports whether the table has room for another workspace. If it is full, it evicts
+// those with a full budget, which lose nothing but what they start with again.
+func (b *Budget) hasRoom() bool {
+	if len(b.left) < maxWorkspaces {
+		return true
+	}
+	if b.noRoom%evictInterval == 0 {
+		maps.DeleteFunc(b.left, func(_ string, left float64) bool { return left >= b.maxLeft })
+	}
+	b.noRoom++
+	return len(b.left) < maxWorkspaces
+}
+
 // Retry takes one retry from the budget and reports whether one was left.
 func (b *Budget) Retry(workspace string) bool {
 	if b.left[workspace] < 1 {
--- a/internal/prompt/scheduler/pool.go
+++ b/internal/prompt/scheduler/pool.go
@@ -281,8 +281,10 @@
 func (p *Pool) checkFeasible(t *Ticket, now time.Time) error {
 	p.largestMemory = 0
 	usable := 0
-	for i := range min(len(p.engines), maxScannedEngines) {
-		e := p.engines[i]
+	for _, e := range p.engines {
+		if usable >= maxScannedEngines && t.job.need() <= p.largestMemory {
+			break // enough to choose from, and one that holds it
+		}
 		e.Sync()
 		if e.Usable(now) && !t.job.Tried[e.Name()] {
 			usable++
