--- /dev/null
+++ b/internal/gateway/entry/stop_test.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/server"
+)
+
+// stopLoad is what callers of an entry that stops saw, by request.
+type stopLoad struct {
+	mu       sync.Mutex
+	answered map[string]bool // in full
+	refused  map[string]bool // with a status that promises that it did not run
+}
+
+func (l *stopLoad) note(id string, status int, whole bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case status == http.StatusOK && whole:
+		l.answered[id] = true
+	case status == http.StatusServiceUnavailable:
+		l.refused[id] = true
+	}
+}
+
+// call sends requests in pairs over kept connections, the second one right behind the first, until
+// the entry accepts no more connections.
+func (l *stopLoad) call(address, caller, path, want string) {
+	for n := 0; ; n++ {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		br := bufio.NewReader(c)
+		for kept := true; kept; n++ {
+			ids := []string{fmt.Sprintf("%s-%d-a", caller, n), fmt.Sprintf("%s-%d-b", caller, n)}
+			text := ""
+			for _, id := range ids {
+				text += fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token key-1\r\nX-Attempt-Id: %s\r\n"+
+					"X-Deadline-Milliseconds: 4000\r\nX-Model: m\r\nX-Token-Counts: 1460,400\r\nContent-Length: 0\r\n\r\n", path, id)
+			}
+			if _, err := io.WriteString(c, text); err != nil {
+				break
+			}
+			for _, id := range ids {
+				res, err := http.ReadResponse(br, nil)
+				if err != nil {
+					kept = false
+					break
+				}
+				body, err := io.ReadAll(res.Body)
+				l.note(id, res.StatusCode, err == nil && string(body) == want)
+				if res.Close {
+					kept = false
+					break
+				}
+			}
+		}
+		_ = c.Close() // the entry has closed it already, or will
+	}
+}
+
+// An entry is stopped under load, with requests on new and on kept connections and others right
+// behind them. Whatever ran was answered in full, and what was refused did not run.
+func TestPlannedStopUnderLoad(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.configure()
+	desk, engine := env.serve("desk", "i-1"), env.serve("engines", "i-2")
+	load := &stopLoad{answered: map[string]bool{}, refused: map[string]bool{}}
+	var callers sync.WaitGroup
+	const callersPerPath = 4
+	address := env.entry.callersLn.Addr().String()
+	for i := range callersPerPath {
+		callers.Go(func() { load.call(address, fmt.Sprint("plain-", i), "/once/", "plain answer") })
+		callers.Go(func() { load.call(address, fmt.Sprint("stream-", i), "/ask/", server.Events(testEvents)) })
+	}
+	env.await(func() bool { return len(desk.Runs()) > 0 && len(engine.Runs()) > 0 })
+	is.NoErr(env.entry.Shutdown(context.Background()))
+	callers.Wait()
+	runs := append(desk.Runs(), engine.Runs()...)
+	for _, r := range runs {
+		if !load.answered[r.ID] {
+			t.Errorf("%s ran and its caller got no whole answer", r.ID)
+		}
+		if load.refused[r.ID] {
+			t.Errorf("%s ran, though its refusal states that it did not", r.ID)
+		}
+	}
+	is.True(len(load.answered) > 2*callersPerPath)
+}
--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -373,3 +373,42 @@
 		is.Equal(fetches(), 1)
 	})
 }
+
+// The store is away for all of a large fleet's entries that don't lead. Together they ask it at
+// most 25 times a second and topic, as they do where nobody announces offsets, and one that is
+// answered lets the others know.
+func TestLargeFleetAsksRarelyDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const entries = 117
+		s := &fakeStore{}
+		s.put("a")
+		var list []*Follower
+		for range entries {
+			f := New(Settings{Topic: "t", Wait: 2 * time.Second}, Seams{
+				Newest: s.newest, Read: s.read, Apply: s.apply, Leads: func() bool { return false }, Entries: func() int { return entries },
+				Ask: func(context.Context, string, string) ([]platform.Keyed, uint64, error) {
+					return s.newest(t.Context(), "t")
+				},
+			}, log.New(io.Discard))
+			t.Cleanup(f.Close)
+			list = append(list, f)
+		}
+		time.Sleep(10 * time.Second)
+		s.set(func() { s.down = true })
+		before := s.callCount()
+		const outage = 20 * time.Second
+		time.Sleep(outage)
+		is.True(s.callCount()-before <= int(outage/pollIntervalPerEntry))
+		s.set(func() { s.down = false })
+		s.put("b")
+		for _, f := range list[1:] {
+			f.Hint("other", 2) // as the first one announces
+		}
+		time.Sleep(maxRetryDelay)
+		for _, f := range list[1:] {
+			offset, _ := f.Offset()
+			is.Equal(offset, uint64(2))
+		}
+	})
+}
--- a/internal/gateway/route/table_test.go
+++ b/internal/gateway/route/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -63,3 +64,17 @@
 	is.True(newTable().Keyed())
 	is.True(!NewTable(Settings{}).Keyed())
 }
+
+// The longest pause is that of the routes to the service, whatever their share.
+func TestLongestGap(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(Settings{Routes: []*Route{
+		{Host: "h", Prefix: "/a/", Gap: 200 * time.Millisecond, Shares: []Share{{Service: "x", Weight: 9}, {Service: "y", Weight: 1}}},
+		{Host: "h", Prefix: "/b/", Gap: time.Second, Shares: []Share{{Service: "x", Weight: 1}}},
+		{Host: "h", Prefix: "/c/", Shares: []Share{{Service: "z", Weight: 1}}},
+	}})
+	is.Equal(table.LongestGap("x"), time.Second)
+	is.Equal(table.LongestGap("y"), 200*time.Millisecond)
+	is.Equal(table.LongestGap("z"), time.Duration(0))
+	is.Equal(table.LongestGap("none"), time.Duration(0))
+}
--- a/internal/prompt/passes/planner_test.go
+++ b/internal/prompt/passes/planner_test.go
@@ -450,3 +450,38 @@
 		t.Errorf("%q, want %q", got, want)
 	}
 }
+
+// The number of engines to choose from follows the sends of other entries that can't be known
+// yet, and not the number of entries.
+func TestChoicesFollowUnknownSends(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for _, c := range []struct{ perSecond, want int }{{0, 1}, {50, 1}, {70, 2}, {300, 5}, {600, 10}} {
+		for _, entries := range []int{4, 117, 1100} {
+			p := New(Settings{Now: func() time.Time { return now }, Rand: func() float64 { return 0 }, Entries: func() int { return entries }}, UsersFigures())
+			p.SetEngines([]Engine{{Name: "a", Address: "a"}})
+			sends := []Send{{Engine: "a", Read: time.Second, At: now}, {Engine: "a", Gap: time.Second, At: now.Add(-rateWindow)}} // a helper's, and an older one
+			for range c.perSecond {
+				sends = append(sends, Send{Engine: "a", Gap: time.Second, At: now.Add(-rateWindow / 2)})
+			}
+			p.SetReports(map[string]Report{"other": {ReceivedAt: now, Sends: sends}})
+			if got := p.topCount(); got != c.want {
+				t.Errorf("%d sends a second of %d entries: %d engines to choose from, want %d", c.perSecond, entries, got, c.want)
+			}
+		}
+	}
+}
+
+// The longest read of an idle engine follows the longest pause that a route allows.
+func TestIdleReadFollowsLongestPause(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p := New(Settings{Now: func() time.Time { return now }, Rand: func() float64 { return 0 }}, UsersFigures())
+	p.SetEngines([]Engine{{Name: "a", Address: "a"}})
+	for _, c := range []struct{ gap, want time.Duration }{
+		{0, 700 * time.Millisecond}, {400 * time.Millisecond, 350 * time.Millisecond}, {time.Second, 875 * time.Millisecond},
+	} {
+		p.Configure(UsersFigures(), c.gap)
+		if got := p.candidates(now)[0].readBudget; got != c.want {
+			t.Errorf("longest pause %s: an idle engine reads for %s, want %s", c.gap, got, c.want)
+		}
+	}
+}
--- a/internal/standin/fleet/entry.go
+++ b/internal/standin/fleet/entry.go
@@ -291,7 +291,7 @@
 		r.Waits = []passes.Wait{w}
 	}
 	for _, o := range e.fleet.entries {
-		if o != e && e.fleet.connected(e.domain, o.domain) {
+		if o != e && e.fleet.connected(e.domain, o.domain) && (!e.fleet.near || o.domain == e.domain) {
 			e.fleet.clock.After(e.fleet.cfg.Lag, func() {
 				r.ReceivedAt = e.fleet.now()
 				o.reports[e.name], o.reportsChanged = r, true
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -48,6 +48,7 @@
 	cut         map[string]bool // engines that entries can't connect to, by name
 	partitioned map[int]bool    // failure domains that are partitioned
 	deaf        bool            // entries get no reports from each other
+	near        bool            // entries get no reports from those of other failure domains
 	results     []Result        // by index in Settings.Kinds
 	issued      int             // requests so far
 	startedAt   time.Time
@@ -152,7 +153,7 @@
 				if at >= from+ph.For {
 					break
 				}
-				f.clock.After(at, func() { f.issue(i) })
+				f.clock.After(at, func() { f.issue(i, ph.Skew) })
 			}
 		}
 		from += ph.For
@@ -182,8 +183,11 @@
 
 // applyFault begins or ends a fault.
 func (f *Fleet) applyFault(ft Fault, on bool) {
-	if ft.Kind == Deaf {
+	switch ft.Kind {
+	case Deaf:
 		f.deaf = on
+	case Near:
+		f.near = on
 	}
 	for i := ft.First; i < ft.First+ft.Count; i++ {
 		switch ft.Kind {
@@ -202,7 +206,7 @@
 			f.entries[i].freeze(on)
 		case Part:
 			f.partitioned[i] = on
-		case Deaf:
+		case Deaf, Near:
 		}
 	}
 	if ft.Kind == Part && on {
@@ -250,8 +254,9 @@
 	}
 }
 
-// issue draws a request of the kind and submits it to a random entry.
-func (f *Fleet) issue(kind int) {
+// issue draws a request of the kind and submits it to a random entry, of the first failure domain
+// with the probability of skew.
+func (f *Fleet) issue(kind int, skew float64) {
 	k := &f.cfg.Kinds[kind]
 	r := &request{
 		fleet: f, id: f.issued, kind: kind, tokens: k.drawTokens(f.loadRand), events: k.drawEvents(f.loadRand), issuedAt: f.now(), retriesLeft: k.Returns,
@@ -260,5 +265,9 @@
 	f.results[kind].Asked++
 	f.results[kind].Owed += k.worth(r.tokens)
 	f.issued++
-	f.entries[f.loadRand.IntN(len(f.entries))].submit(r)
+	n := len(f.entries)
+	if skew > 0 && f.loadRand.Float64() < skew {
+		n = max(1, n/max(1, f.cfg.Domains))
+	}
+	f.entries[f.loadRand.IntN(n)].submit(r)
 }
--- a/internal/standin/fleet/settings.go
+++ b/internal/standin/fleet/settings.go
@@ -84,6 +84,7 @@
 type Phase struct {
 	For   time.Duration
 	Rates []float64
+	Skew  float64 // share of the requests that come to the entries of the first failure domain only
 }
 
 // FaultKind is the effect of a fault.
@@ -95,6 +96,7 @@
 	Slow   FaultKind = "slow"   // engines are slower by a factor
 	Cut    FaultKind = "cut"    // entries can't connect to engines; requests running there end
 	Deaf   FaultKind = "deaf"   // entries get no reports from each other
+	Near   FaultKind = "near"   // entries get no reports from those of other failure domains
 	Freeze FaultKind = "freeze" // entries are suspended and resume at the end of the fault
 	Part   FaultKind = "part"   // failure domains, with their entries and engines, are partitioned from all others
 )
