Test restarts, second copies and broken answers on kept connections

Change: an entry that starts again while the store turns it away takes the newest records of the others, and nothing that was withdrawn; a server's second copy reaches no later request of any kind, since each has a connection of its own; a broken answer closes the caller's kept connection; responses are bounded in bytes, memory and time at the connection.

Conclusion: proofs, no change of behaviour.

--- a/internal/gateway/entry/entry_test.go
+++ b/internal/gateway/entry/entry_test.go
@@ -64,10 +64,16 @@
 
 // startEntry starts an entry on loopback that is shut down at the end of the test.
 func startEntry(t *testing.T, vm, domain, store string) *Server {
+	t.Helper()
+	return startEntryAt(t, vm, domain, store, ports.Free(t, 1)[0])
+}
+
+// startEntryAt is startEntry with the port for other entries, as after a restart.
+func startEntryAt(t *testing.T, vm, domain, store string, peerPort int) *Server {
 	t.Helper()
 	s, err := newServer(platform.Settings{
 		VM: vm, FailureDomain: domain, IP: "127.0.0.1", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0",
-		PeerPort: ports.Free(t, 1)[0], Store: store, Grace: 8 * time.Second, Heartbeat: time.Second,
+		PeerPort: peerPort, Store: store, Grace: 8 * time.Second, Heartbeat: time.Second,
 		Retries: platform.RetryBound{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	}, netio.TCP(), time.Millisecond, log.New(io.Discard), func() int64 { return 0 })
 	if err != nil {
--- a/internal/gateway/entry/recovery_test.go
+++ b/internal/gateway/entry/recovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -96,3 +97,50 @@
 	env.await(func() bool { return env.entry.sched.Table().Version() == int64(env.version) })
 	is.Equal(env.do(env.request(http.MethodGet, "/look/")).status, http.StatusOK)
 }
+
+// An entry starts again while the store turns it away. Of two others one still reaches the store,
+// and one froze before a key and an upstream were withdrawn. The entry serves by the records of
+// the first: what was withdrawn is not in use again.
+func TestRestartTakesNothingWithdrawn(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.configure()
+	env.serve("desk", "i-gone")
+	env.serve("desk", "i-stays")
+	records := []struct{ topic, key string }{{"keyed.op", "config"}, {"keyed.servers", "i-gone"}, {"keyed.servers", "i-stays"}, {"keyed.status", "vm-1"}}
+	var stores []*store.Server
+	var others []*Server
+	for i := range 2 { // each has a store of its own, so that outages differ
+		own := store.Serve(listen(t))
+		t.Cleanup(own.Close)
+		for _, r := range records {
+			own.Put(r.topic, r.key, env.store.Value(r.topic, r.key))
+		}
+		stores = append(stores, own)
+		others = append(others, startEntry(t, fmt.Sprint("vm-", i+2), "b", own.Addr()))
+		env.await(func() bool { return others[i].sched.Ready() && others[i].entryCount() == 2 })
+	}
+	stale, current := stores[0], stores[1]
+	stale.SetOutage(true) // it knows no more, and tells no offsets
+	env.await(func() bool { return others[0].offsets() == nil })
+	env.config["tenants"] = []any{map[string]any{"name": "guild", "api_keys": []any{"key-2"}}}
+	env.version++
+	env.config["version"] = env.version
+	b, err := json.Marshal(env.config)
+	is.NoErr(err)
+	current.Put("keyed.op", "config", b)
+	current.Put("keyed.servers", "i-gone", nil)
+	env.await(func() bool { return others[1].sched.Table().Version() == int64(env.version) })
+
+	env.store.SetOutage(true)
+	_ = env.entry.Shutdown(cancelledContext()) // as after a power loss
+	env.entry = startEntryAt(t, "vm-1", "a", env.store.Addr(), env.entry.cfg.PeerPort)
+	env.await(env.entry.sched.Ready)
+	is.Equal(env.entry.sched.Table().Version(), int64(env.version))
+	is.Equal(env.do(env.request(http.MethodGet, "/look/")).status, http.StatusUnauthorized)
+	env.await(func() bool { return env.known("desk", "i-stays") })
+	is.True(!env.known("desk", "i-gone"))
+	req := env.request(http.MethodGet, "/look/")
+	req.Header.Set("Authorization", "Token key-2")
+	is.Equal(env.do(req).status, http.StatusOK)
+}
--- a/internal/gateway/entry/unending_test.go
+++ b/internal/gateway/entry/unending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -230,3 +231,22 @@
 		is.Equal(env.do(env.request(http.MethodGet, "/look/")).body, "plain answer")
 	}
 }
+
+// An engine's answer breaks off. The caller's kept connection is closed, so that nothing that
+// comes on it can pass for the rest of that answer or for another one.
+func TestBrokenAnswerClosesCallersConnection(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.configure()
+	env.serve("engines", "i-1", server.CutEvent)
+	c, err := net.Dial("tcp", env.entry.callersLn.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	const head = " HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token key-1\r\nX-Model: m\r\nX-Token-Counts: 1460,400\r\nContent-Length: 0\r\n"
+	_, err = io.WriteString(c, "POST /ask/"+head+"X-Attempt-Id: a\r\n\r\nPOST /ask/"+head+"X-Attempt-Id: b\r\n\r\n")
+	is.NoErr(err)
+	all, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.Equal(strings.Count(string(all), "HTTP/1.1 "), 1)
+	is.True(!strings.HasSuffix(string(all), "0\r\n\r\n")) // the last chunk of a complete answer
+}
--- a/internal/upstream/httpconn/conn_test.go
+++ b/internal/upstream/httpconn/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -102,3 +103,50 @@
 	_, err = httpconn.Do(t.Context(), netio.TCP(), addr, req, limits)
 	is.True(fault.Is(err, httpconn.KindUnsent))
 }
+
+// A server sends each response twice. The second copy belongs to no later request: not to one to
+// the store, an engine or another entry, which all use this package.
+func TestSecondCopyOfResponseIsDropped(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = ln.Close() }()
+	go func() {
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+			_, _ = io.WriteString(c, whole+whole) // a failed write shows at the reader
+		}
+	}()
+	for n := range 3 {
+		req := fasthttp.AcquireRequest()
+		req.SetRequestURI("http://" + ln.Addr().String() + "/")
+		x, err := httpconn.Do(t.Context(), netio.TCP(), ln.Addr().String(), req, limits)
+		is.NoErr(err)
+		b, err := x.ReadAll(10, time.Now().Add(10*time.Second), func(int) bool { return true })
+		is.NoErr(err)
+		is.Equal(string(b), fmt.Sprint(n))
+		x.Close()
+	}
+}
+
+// A response is bounded in bytes, in memory and in time, whatever its framing.
+func TestResponseIsBounded(t *testing.T) {
+	is := is.New(t)
+	srv := server(t)
+	read := func(path string, most int, until time.Duration, take bool) error {
+		x, err := httpconn.Do(t.Context(), netio.TCP(), srv.Listener.Addr().String(), request(srv, path), limits)
+		is.NoErr(err)
+		defer x.Close()
+		_, err = x.ReadAll(most, time.Now().Add(until), func(int) bool { return take })
+		return err
+	}
+	is.NoErr(read("/whole", 5, time.Minute, true))
+	is.True(fault.Is(read("/whole", 4, time.Minute, true), httpconn.KindTooLarge))
+	is.True(fault.Is(read("/whole", 5, time.Minute, false), httpconn.KindTooLarge))
+	is.True(fault.Is(read("/silent", 5, 50*time.Millisecond, true), httpconn.KindSilent))
+	is.True(fault.Is(read("/cut", 5, time.Minute, true), httpconn.KindNoAnswer))
+}
