--- a/internal/gateway/entry/recovery_test.go
+++ b/internal/gateway/entry/recovery_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -98,48 +98,76 @@
 	is.Equal(env.do(env.request(http.MethodGet, "/look/")).status, http.StatusOK)
 }
 
-// An entry starts again while the store turns it away. Of two others one still reaches the store,
-// and one froze before a key and an upstream were withdrawn. The entry serves by the records of
-// the first: what was withdrawn is not in use again.
+// turnAway accepts connections and closes them, as a store that turns an entry away, and counts
+// them.
+func turnAway(t *testing.T) (address string, count *atomic.Int64) {
+	t.Helper()
+	ln, count := listen(t), &atomic.Int64{}
+	t.Cleanup(func() { _ = ln.Close() }) // ends the loop
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			count.Add(1)
+			_ = c.Close() // nothing is answered
+		}
+	}()
+	return ln.Addr().String(), count
+}
+
+// An entry starts again while the store turns it away. Another one froze before a key and an
+// upstream were withdrawn: by its records alone the entry serves nobody. By those of one that still
+// reaches the store it does, and nothing that was withdrawn is in use again.
 func TestRestartTakesNothingWithdrawn(t *testing.T) {
 	is := is.New(t)
 	env := newTestEnv(t)
 	env.configure()
 	env.serve("desk", "i-gone")
 	env.serve("desk", "i-stays")
-	records := []struct{ topic, key string }{{"keyed.op", "config"}, {"keyed.servers", "i-gone"}, {"keyed.servers", "i-stays"}, {"keyed.status", "vm-1"}}
-	var stores []*store.Server
-	var others []*Server
-	for i := range 2 { // each has a store of its own, so that outages differ
+	// startOther starts an entry whose store has the same records and is its own.
+	startOther := func(vm string) (*Server, *store.Server) {
 		own := store.Serve(listen(t))
 		t.Cleanup(own.Close)
-		for _, r := range records {
+		for _, r := range []struct{ topic, key string }{{"keyed.op", "config"}, {"keyed.servers", "i-gone"}, {"keyed.servers", "i-stays"}, {"keyed.status", "vm-1"}} {
 			own.Put(r.topic, r.key, env.store.Value(r.topic, r.key))
 		}
-		stores = append(stores, own)
-		others = append(others, startEntry(t, fmt.Sprint("vm-", i+2), "b", own.Addr()))
-		env.await(func() bool { return others[i].sched.Ready() && others[i].entryCount() == 2 })
+		other := startEntry(t, vm, "b", own.Addr())
+		env.await(func() bool { return other.sched.Ready() && other.entryCount() == 2 })
+		return other, own
 	}
-	stale, current := stores[0], stores[1]
-	stale.SetOutage(true) // it knows no more, and tells no offsets
-	env.await(func() bool { return others[0].offsets() == nil })
+	stale, staleStore := startOther("vm-2")
+	staleStore.SetOutage(true)
+	env.await(func() bool { return stale.offsets() == nil })
+
+	_ = env.entry.Shutdown(cancelledContext()) // as after a power loss
+	address, calls := turnAway(t)
+	env.entry = startEntryAt(t, "vm-1", "a", address, env.entry.cfg.PeerPort)
+	env.await(func() bool {
+		staying, _ := env.entry.exchange.Staying() // it hears the stale one
+		return staying
+	})
+	const tries = 12 // four of each topic
+	heard := calls.Load()
+	env.await(func() bool { return calls.Load() >= heard+tries })
+	is.True(!env.entry.sched.Ready())
+	is.Equal(env.do(env.request(http.MethodGet, "/look/")).status, http.StatusServiceUnavailable)
+
+	_, currentStore := startOther("vm-3")
 	env.config["tenants"] = []any{map[string]any{"name": "guild", "api_keys": []any{"key-2"}}}
 	env.version++
 	env.config["version"] = env.version
 	b, err := json.Marshal(env.config)
 	is.NoErr(err)
-	current.Put("keyed.op", "config", b)
-	current.Put("keyed.servers", "i-gone", nil)
-	env.await(func() bool { return others[1].sched.Table().Version() == int64(env.version) })
-
-	env.store.SetOutage(true)
-	_ = env.entry.Shutdown(cancelledContext()) // as after a power loss
-	env.entry = startEntryAt(t, "vm-1", "a", env.store.Addr(), env.entry.cfg.PeerPort)
-	env.await(env.entry.sched.Ready)
-	is.Equal(env.entry.sched.Table().Version(), int64(env.version))
+	currentStore.Put("keyed.servers", "i-gone", nil)
+	currentStore.Put("keyed.op", "config", b)
+	env.await(func() bool {
+		table := env.entry.sched.Table()
+		return table != nil && table.Version() == int64(env.version)
+	})
 	is.Equal(env.do(env.request(http.MethodGet, "/look/")).status, http.StatusUnauthorized)
-	env.await(func() bool { return env.known("desk", "i-stays") })
-	is.True(!env.known("desk", "i-gone"))
+	env.await(func() bool { return env.known("desk", "i-stays") && !env.known("desk", "i-gone") })
 	req := env.request(http.MethodGet, "/look/")
 	req.Header.Set("Authorization", "Token key-2")
 	is.Equal(env.do(req).status, http.StatusOK)
--- a/internal/upstream/httpconn/conn_test.go
+++ b/internal/upstream/httpconn/conn_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -36,6 +37,11 @@
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	})
+	mux.HandleFunc("/endless", func(w http.ResponseWriter, _ *http.Request) {
+		for err := error(nil); err == nil; {
+			_, err = io.WriteString(w, strings.Repeat("x", 1000))
+		}
+	})
 	mux.HandleFunc("/silent", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "hel")
 		_ = http.NewResponseController(w).Flush()
@@ -150,3 +156,64 @@
 	is.True(fault.Is(read("/silent", 5, 50*time.Millisecond, true), httpconn.KindSilent))
 	is.True(fault.Is(read("/cut", 5, time.Minute, true), httpconn.KindNoAnswer))
 }
+
+// What is received is bounded until it is of use, whatever the reader takes of it.
+func TestReceivedBytesAreBounded(t *testing.T) {
+	is := is.New(t)
+	srv := server(t)
+	const most = 100_000
+	bounded := limits
+	bounded.Bytes = most
+	x, err := httpconn.Do(t.Context(), netio.TCP(), srv.Listener.Addr().String(), request(srv, "/endless"), bounded)
+	is.NoErr(err)
+	defer x.Close()
+	buf, n := make([]byte, 4<<10), 0
+	for err == nil && n <= 2*most {
+		var k int
+		k, err = x.Read(buf)
+		n += k
+	}
+	is.True(fault.Is(err, httpconn.KindTooLarge))
+	x.Progress()
+	_, err = x.Read(buf)
+	is.NoErr(err)
+}
+
+// FuzzResponse reads arbitrary bytes as a response. It must end, with at most as many bytes as
+// allowed, and a body shorter than declared is an error.
+func FuzzResponse(f *testing.F) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirstHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst",
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfirst", "HTTP/1.1 200 OK\r\n\r\nfirst",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=y\r\nfirst\r\n0\r\nX-More: y\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfi", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxy", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "\r\n\r\n", "HTTP/1.1 ",
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		const most = 64
+		network := netio.New(func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() {
+				_, _ = io.Copy(io.Discard, far) // the request
+			}()
+			go func() {
+				_, _ = far.Write(b) // ends when the reader closes
+				_ = far.Close()
+			}()
+			return near, nil
+		}, nil)
+		req := fasthttp.AcquireRequest()
+		req.SetRequestURI("http://upstream/")
+		x, err := httpconn.Do(t.Context(), network, "upstream", req, limits)
+		if err != nil {
+			return
+		}
+		defer x.Close()
+		body, err := x.ReadAll(most, time.Now().Add(time.Minute), func(int) bool { return true })
+		if declared := x.Header().ContentLength(); err == nil && (len(body) > most || declared >= 0 && declared != len(body)) {
+			t.Errorf("%d bytes of %d declared pass for a whole body", len(body), declared)
+		}
+	})
+}
