End all connections in the test of a planned stop, as the process's end does

Cause: without the waits for what is in progress the test passed, since the entry's goroutines live on in the test, and its streams were too short to be cut.

Change: streams of 1.5 s, and all callers' connections are closed once the shutdown has returned. Without the waits it fails.

--- a/internal/gateway/entry/stop_test.go
+++ b/internal/gateway/entry/stop_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 
@@ -15,6 +17,16 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/server"
 )
 
+// closeAll closes all connections.
+func (l *callerListener) closeAll() {
+	l.mu.Lock()
+	list := slices.Collect(maps.Keys(l.conns))
+	l.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close() // the other end sees it
+	}
+}
+
 // stopLoad is what callers of an entry that stops saw, by request.
 type stopLoad struct {
 	mu       sync.Mutex
@@ -76,7 +88,7 @@
 	is := is.New(t)
 	env := newTestEnv(t)
 	env.configure()
-	desk, engine := env.serve("desk", "i-1"), env.serve("engines", "i-2")
+	desk, engine := env.serve("desk", "i-1"), env.serve("engines", "i-2", slices.Repeat([]server.Script{server.PauseEvent}, 1000)...) // streams of 1.5 s
 	load := &stopLoad{answered: map[string]bool{}, refused: map[string]bool{}}
 	var callers sync.WaitGroup
 	const callersPerPath = 4
@@ -87,6 +99,7 @@
 	}
 	env.await(func() bool { return len(desk.Runs()) > 0 && len(engine.Runs()) > 0 })
 	is.NoErr(env.entry.Shutdown(context.Background()))
+	env.entry.callersLn.closeAll() // as the end of the process does
 	callers.Wait()
 	runs := append(desk.Runs(), engine.Runs()...)
 	for _, r := range runs {
