Say once which attempts a route allows, and blame no engine for a silent one that goes on

Cause: three places compared attempts in their own words. An engine that was asked to go on for a silent one, and was let go because that one spoke again, counted as failed.

Change: call.mayRunAgain; no failure where the silent engine goes on. Relays are sorted by two comparisons in place of a switch.

--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -99,15 +99,16 @@
 	case fault.Is(err, KindUnsent):
 		return len(c.tried) < maxUnsent
 	case fault.Is(err, KindNotRun):
-	case c.route.Repeat != route.Idempotent || c.maybeRan >= c.route.Attempts:
+	case !c.mayRunAgain(c.maybeRan):
 		return false
 	}
 	return c.s.sched.TakeRetry(c.service)
 }
 
-// lastAttempt reports whether the route allows no attempt after one more that may run.
-func (c *call) lastAttempt() bool {
-	return c.route.Repeat != route.Idempotent || c.maybeRan+1 >= c.route.Attempts
+// mayRunAgain reports whether the route allows a further attempt after the given number of them
+// that may have run.
+func (c *call) mayRunAgain(ran int) bool {
+	return c.route.Repeat == route.Idempotent && ran < c.route.Attempts
 }
 
 // forgetUnsent makes the upstreams that got nothing of the request eligible again.
--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -11,7 +11,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
-	"github.com/dogwoodmill/dogwoodmill/internal/gateway/route"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
 	"github.com/dogwoodmill/dogwoodmill/platform"
@@ -104,7 +103,7 @@
 	}
 	x, ans, err := es.attempt(address, platform.Attempt{
 		Instance: name, Helpers: helpers, Urgency: c.route.Priority, LastEvent: after.lastID,
-	}, es.firstEventTimeout(c.lastAttempt()))
+	}, es.firstEventTimeout(c.mayRunAgain(c.maybeRan+1)))
 	if fault.Is(err, KindUnsent) {
 		c.unsent = append(c.unsent, name)
 	}
@@ -168,7 +167,7 @@
 	if resumed {
 		return status < fasthttp.StatusMultipleChoices
 	}
-	return status < fasthttp.StatusInternalServerError || c.route.Repeat != route.Idempotent || c.maybeRan >= c.route.Attempts
+	return status < fasthttp.StatusInternalServerError || !c.mayRunAgain(c.maybeRan)
 }
 
 // silentGoesOn reports whether the engine that this one is to relieve has sent an event since.
@@ -196,10 +195,10 @@
 	return false
 }
 
-// firstEventTimeout limits the wait for the first event by its prediction. The last attempt that
-// the route allows is waited for as long as the caller waits.
-func (es *engineStream) firstEventTimeout(last bool) time.Duration {
-	if last {
+// firstEventTimeout limits the wait for the first event by its prediction if another attempt is
+// allowed after this one. The last attempt is waited for as long as the caller waits.
+func (es *engineStream) firstEventTimeout(another bool) time.Duration {
+	if !another {
 		return es.c.remaining()
 	}
 	return min(es.c.remaining(), firstEventFactor*es.ticket.Predicted()+firstEventSlack)
@@ -317,12 +316,13 @@
 }
 
 // fail closes the stream after a failure of the engine at address. If address is "", the failure
-// is that of an unreachable engine if there is one, and otherwise of the writer.
+// is that of an unreachable engine if there is one, and otherwise of the writer. None has failed
+// where the caller left or the silent engine goes on.
 func (es *engineStream) fail(address string) {
 	if address == "" {
 		address = es.unreachableEngine()
 	}
-	es.close(passes.Outcome{Failed: es.c.ctx.Err() == nil, FailedAddress: address})
+	es.close(passes.Outcome{Failed: es.c.ctx.Err() == nil && !es.silentGoesOn(), FailedAddress: address})
 }
 
 func (es *engineStream) consume(r readResult) (blocks []byte, events int, err error) {
--- a/internal/gateway/entry/plain.go
+++ b/internal/gateway/entry/plain.go
@@ -106,7 +106,7 @@
 // fetch sends the request to a server and reads the complete answer.
 func (c *call) fetch(k *plain.Pick) (*plainAnswer, error) {
 	limit := c.remaining()
-	if c.route.Repeat == route.Idempotent && c.maybeRan+1 < c.route.Attempts {
+	if c.mayRunAgain(c.maybeRan + 1) {
 		limit = min(limit, max(minAttemptTime, time.Duration(attemptShare*float64(limit))))
 	}
 	until := time.Now().Add(limit)
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -9,7 +9,6 @@
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
-	"github.com/dogwoodmill/dogwoodmill/internal/gateway/route"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
@@ -114,7 +113,7 @@
 // the stream's engine.
 func (st *stream) awaitFirst(es *engineStream, ans platform.Answer) error {
 	c := st.c
-	until := time.Now().Add(es.firstEventTimeout(c.route.Repeat != route.Idempotent || c.maybeRan >= c.route.Attempts))
+	until := time.Now().Add(es.firstEventTimeout(c.mayRunAgain(c.maybeRan)))
 	var blocks []byte
 	events, complete := 0, false
 	for events == 0 && !complete {
--- a/internal/peer/sends/exchange.go
+++ b/internal/peer/sends/exchange.go
@@ -275,20 +275,15 @@
 // failure domain: the first one by a hash of both addresses, and for a repeat the second one.
 // Entries that are silent or leaving are the last resort. x.mu must be held.
 func (x *Exchange) relay(list []Peer, now time.Time, changed bool) Peer {
-	rank := func(o Peer) (bool, uint64) {
-		p := x.peers[o.Address]
-		return p.leaving || now.Sub(p.lastReceived) > relayTimeout, xxh3.HashString(x.self + " " + o.Address)
-	}
-	slices.SortFunc(list, func(a, b Peer) int {
-		lastA, hashA := rank(a)
-		lastB, hashB := rank(b)
-		switch {
-		case lastA != lastB && lastA:
+	lastResort := func(o Peer) int {
+		if p := x.peers[o.Address]; p.leaving || now.Sub(p.lastReceived) > relayTimeout {
 			return 1
-		case lastA != lastB:
-			return -1
 		}
-		return cmp.Compare(hashA, hashB)
+		return 0
+	}
+	hash := func(o Peer) uint64 { return xxh3.HashString(x.self + " " + o.Address) }
+	slices.SortFunc(list, func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(lastResort(a), lastResort(b)), cmp.Compare(hash(a), hash(b)))
 	})
 	if !changed && len(list) > 1 {
 		return list[1]
