Tell changes in place of whole states, and gather what relays pass on

Each change of an entry was a datagram of its whole state, about 800 bytes, to 115 others, some 120,000 a second: an entry woke up 1,000 times a second.

Change: relays pass on what came within 8 ms in one datagram, for the own failure domain, too, and there are two in a domain, each for half of the senders. A message holds the engines whose sends changed since the last whole state, which goes out each 0.3 s; changes of a whole state that was lost wait for the next one.

--- a/internal/peer/sends/exchange.go
+++ b/internal/peer/sends/exchange.go
@@ -1,18 +1,20 @@
 // Package sends reports this entry's prompts in flight to the other entries over UDP, at
 // each change and at regular intervals, and receives their reports. A message holds the
-// sender's complete state, so a lost or late one has no effect beyond the next message.
+// sender's complete state, or the changes since the last such message, so a lost or late one
+// has no effect beyond the next complete one.
 //
-// A message goes to each entry of the own failure domain, and to one entry of each other
-// failure domain, the relay, which passes it on within its domain. So the bytes between
-// failure domains grow with the number of domains and not with the square of the entries.
-// Repeats take another relay than the reports of changes: a relay that fails holds up a
-// report until the next repeat only.
+// A message goes to one entry of each failure domain, the relay, which passes it on within its
+// domain, together with what else came within passOnInterval. So the bytes between failure
+// domains grow with the number of domains, and the datagrams with that of the entries, not with
+// its square. Repeats take another relay than the reports of changes: a relay that fails holds
+// up a report until the next repeat only.
 package sends
 
 import (
 	"cmp"
 	"net"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -36,6 +38,12 @@
 	restartTimeout = 3 * repeatInterval
 	// probeInterval is how often a message is sent to an entry that is down.
 	probeInterval = time.Second
+	// passOnInterval is the shortest time between datagrams with which a relay passes messages
+	// on: well below the duration of an engine's pass.
+	passOnInterval = 8 * time.Millisecond
+	// relayGroups is the number of relays of a failure domain. Each sender is in one of the
+	// groups.
+	relayGroups = 2
 	// relayTimeout is the silence after which an entry is no longer chosen as a relay: three
 	// repeats of it were lost.
 	relayTimeout = time.Second
@@ -77,17 +85,27 @@
 	seams Seams
 	start uint64
 	wake  chan struct{}
+	relay chan struct{} // messages to pass on are pending
 	stop  chan struct{}
 	done  sync.WaitGroup
 
 	mu        sync.Mutex
+	pending   []relayed            // to pass on
 	peers     map[string]*peer     // by address
 	relayedTo map[string]time.Time // by failure domain: when a relay there got the latest message
 	leaving   bool
 	seq       uint64
+	whole     wholeState // of this entry, in the latest message that held all
 	sent      Traffic
 }
 
+// wholeState is the state in a message that held all of it.
+type wholeState struct {
+	seq   uint64
+	at    time.Time // zero: the next message has to hold all
+	sends []passes.Send
+}
+
 // Traffic counts what an exchange has sent.
 type Traffic struct {
 	Messages    uint64
@@ -99,6 +117,7 @@
 	start        uint64
 	seq          uint64
 	parts        assembly // of the message with number seq
+	whole        wholeState
 	lastReceived time.Time
 	lastSent     time.Time
 	live         bool
@@ -111,10 +130,11 @@
 func New(conn net.PacketConn, start time.Time, seams Seams) *Exchange {
 	x := &Exchange{
 		conn: conn, self: conn.LocalAddr().String(), seams: seams, start: uint64(start.UnixNano()),
-		wake: make(chan struct{}, 1), stop: make(chan struct{}), peers: map[string]*peer{}, relayedTo: map[string]time.Time{},
+		wake: make(chan struct{}, 1), relay: make(chan struct{}, 1), stop: make(chan struct{}), peers: map[string]*peer{}, relayedTo: map[string]time.Time{},
 	}
-	x.done.Add(2)
+	x.done.Add(3)
 	go x.sendLoop()
+	go x.relayLoop()
 	go x.receiveLoop()
 	return x
 }
@@ -203,12 +223,13 @@
 func (x *Exchange) broadcast(now time.Time, changed bool) {
 	x.expirePeers(now)
 	report := x.seams.Report()
+	sortByEngine(report.Sends)
 	offsets := x.seams.Offsets()
 	x.mu.Lock()
 	x.seq++
 	m := message{start: x.start, seq: x.seq, leaving: x.leaving, sends: report.Sends, paces: report.Paces, waits: report.Waits, offsets: offsets}
+	parts := x.encode(&m, changed, now)
 	x.mu.Unlock()
-	parts := m.encode(now, maxMessageBytes)
 	if len(parts) > 1 {
 		x.seams.Log.Info("Report sent in parts.", "parts", len(parts), "sends", len(report.Sends))
 	}
@@ -222,6 +243,19 @@
 	}
 }
 
+// encode encodes a message of this entry's state: all of it for a repeat, and where there was none
+// for repeatInterval or the changes since then don't fit into one datagram. x.mu must be held.
+func (x *Exchange) encode(m *message, changed bool, now time.Time) [][]byte {
+	if changed && now.Sub(x.whole.at) < repeatInterval {
+		changes := m.changesSince(x.whole)
+		if parts := changes.encode(now, maxMessageBytes); len(parts) == 1 {
+			return parts
+		}
+	}
+	x.whole = wholeState{seq: m.seq, at: now, sends: m.sends}
+	return m.encode(now, maxMessageBytes)
+}
+
 // peer returns the state of the entry at an address. The caller holds the lock.
 func (x *Exchange) peer(addr string) *peer {
 	p := x.peers[addr]
@@ -238,50 +272,45 @@
 	passOn bool // it is the relay for its failure domain
 }
 
-// recipients returns the entries to which a message is due, and records it as sent to them:
-// each entry of the own failure domain, and the relay of each other one. An entry that is
-// down gets a message at each probeInterval, wherever it is.
+// recipients returns the entries to which a message is due, and records it as sent to them: the
+// relay of each failure domain, and at each probeInterval the entries that are down.
 func (x *Exchange) recipients(now time.Time, changed bool) []recipient {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	var out []recipient
-	domains := map[string][]Peer{} // live entries of other failure domains
+	domains := map[string][]Peer{} // live entries
 	for _, o := range x.seams.Peers() {
 		p := x.peer(o.Address)
 		switch {
-		case !p.live:
-			if now.Sub(p.lastSent) < probeInterval {
-				continue
-			}
-		case o.Domain != x.seams.Domain:
+		case p.live:
 			domains[o.Domain] = append(domains[o.Domain], o)
-			continue
-		case !changed && now.Sub(p.lastSent) < repeatInterval:
-			continue
+		case now.Sub(p.lastSent) >= probeInterval:
+			p.lastSent = now
+			out = append(out, recipient{peer: o})
 		}
-		p.lastSent = now
-		out = append(out, recipient{peer: o})
 	}
 	for domain, list := range domains {
 		if changed || now.Sub(x.relayedTo[domain]) >= repeatInterval {
-			x.relayedTo[domain] = now
-			out = append(out, recipient{peer: x.relay(list, now, changed), passOn: true})
+			to := x.relayOf(list, now, changed)
+			x.relayedTo[domain], x.peers[to.Address].lastSent = now, now
+			out = append(out, recipient{peer: to, passOn: len(list) > 1})
 		}
 	}
 	return out
 }
 
-// relay returns the entry that passes this entry's messages on to the given live ones of one
-// failure domain: the first one by a hash of both addresses, and for a repeat the second one.
-// Entries that are silent or leaving are the last resort. x.mu must be held.
-func (x *Exchange) relay(list []Peer, now time.Time, changed bool) Peer {
+// relayOf returns the entry that passes this entry's messages on to the given live ones of one
+// failure domain: the first one by a hash of its address and this entry's group, and for a repeat
+// the second one. Entries that are silent or leaving are the last resort. x.mu must be held.
+func (x *Exchange) relayOf(list []Peer, now time.Time, changed bool) Peer {
+	group := strconv.FormatUint(xxh3.HashString(x.self)%relayGroups, 10)
 	lastResort := func(o Peer) int {
 		if p := x.peers[o.Address]; p.leaving || now.Sub(p.lastReceived) > relayTimeout {
 			return 1
 		}
 		return 0
 	}
-	hash := func(o Peer) uint64 { return xxh3.HashString(x.self + " " + o.Address) }
+	hash := func(o Peer) uint64 { return xxh3.HashString(group + " " + o.Address) }
 	slices.SortFunc(list, func(a, b Peer) int {
 		return cmp.Or(cmp.Compare(lastResort(a), lastResort(b)), cmp.Compare(hash(a), hash(b)))
 	})
@@ -308,21 +337,48 @@
 	}
 }
 
-// passOn sends a message from another failure domain to the live entries of the own one, which
-// get it from no one else. Those that are down get probes of the sender.
+// passOn keeps a message for the next datagrams of relayLoop.
 func (x *Exchange) passOn(origin string, b []byte) {
-	b = envelop(origin, b)
-	for _, o := range x.seams.Peers() {
-		if o.Domain == x.seams.Domain && o.Address != origin && x.isLive(o.Address) {
-			x.send(o, b)
-		}
+	x.mu.Lock()
+	x.pending = append(x.pending, relayed{origin: origin, data: slices.Clone(b)})
+	x.mu.Unlock()
+	select {
+	case x.relay <- struct{}{}:
+	default: // a pass is scheduled already
 	}
 }
 
-func (x *Exchange) isLive(addr string) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.peer(addr).live
+// relayLoop passes pending messages on to the live entries of the own failure domain, which get
+// them from no one else. Those that are down get probes of the senders.
+func (x *Exchange) relayLoop() {
+	defer x.done.Done()
+	for {
+		select {
+		case <-x.relay:
+		case <-x.stop:
+			return
+		}
+		x.mu.Lock()
+		list := x.pending
+		x.pending = nil
+		var to []Peer
+		for _, o := range x.seams.Peers() {
+			if o.Domain == x.seams.Domain && x.peer(o.Address).live {
+				to = append(to, o)
+			}
+		}
+		x.mu.Unlock()
+		for _, b := range envelop(list, maxDatagramBytes) {
+			for _, o := range to {
+				x.send(o, b)
+			}
+		}
+		select {
+		case <-time.After(passOnInterval):
+		case <-x.stop:
+			return
+		}
+	}
 }
 
 // expirePeers discards the reports of entries that were silent for longer than peerTimeout.
@@ -359,16 +415,28 @@
 	}
 }
 
-// receive handles a datagram: a message of its sender, or one that its sender passes on.
+// receive handles a datagram: a message of its sender, or those that its sender passes on.
 func (x *Exchange) receive(from string, b []byte, now time.Time) {
-	origin, inner, relayed, err := open(b)
-	if relayed {
-		from, b = origin, inner
+	list, err := open(b)
+	if err != nil {
+		x.seams.Log.Warn("Received a malformed message.", "from", from, "err", err)
+		return
 	}
-	var m message
-	if err == nil {
-		m, err = decode(b, now)
+	if list == nil {
+		x.receiveMessage(from, b, true, now)
+		return
+	}
+	for _, r := range list {
+		if r.origin != x.self {
+			x.receiveMessage(r.origin, r.data, false, now)
+		}
 	}
+}
+
+// receiveMessage handles a message of the entry at an address. Only one that came from it directly
+// may be passed on.
+func (x *Exchange) receiveMessage(from string, b []byte, direct bool, now time.Time) {
+	m, err := decode(b, now)
 	if err != nil {
 		x.seams.Log.Warn("Received a malformed message.", "from", from, "err", err)
 		return
@@ -377,7 +445,7 @@
 	if !isNew {
 		return
 	}
-	if m.passOn && !relayed {
+	if m.passOn && direct {
 		x.passOn(from, b)
 	}
 	if complete {
@@ -401,6 +469,7 @@
 		return passes.Report{}, false, false // sent before the entry restarted
 	}
 	if !p.live || m.start != p.start {
+		x.whole.at = time.Time{}
 		x.Changed() // the entry has no report of this one yet
 		x.seams.Log.Info("Entry is up.", "entry", addr, "restarted", p.start != 0 && m.start != p.start)
 	}
@@ -410,7 +479,20 @@
 	if m.start != p.start || m.seq != p.seq {
 		p.parts = assembly{}
 	}
+	if m.start != p.start {
+		p.whole = wholeState{}
+	}
 	p.start, p.seq, p.lastReceived, p.live, p.leaving = m.start, m.seq, now, true, m.leaving
 	report, complete = p.parts.add(m)
+	switch {
+	case !complete:
+	case m.base == 0:
+		sortByEngine(report.Sends) // parts come in any order
+		p.whole = wholeState{seq: m.seq, sends: report.Sends}
+	case m.base == p.whole.seq:
+		report.Sends = m.applyTo(p.whole.sends)
+	default:
+		complete = false // the message with the state that this one changes was lost
+	}
 	return report, complete, true
 }
--- a/internal/peer/sends/wire.go
+++ b/internal/peer/sends/wire.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
@@ -24,9 +25,10 @@
 	fieldPart    = 8  // varint: index of this part of a message that is sent in parts
 	fieldParts   = 9  // varint: number of parts; missing in a message of one part
 	fieldPassOn  = 10 // varint: 1 if the receiver is to pass the message on in its failure domain
+	fieldBase    = 11 // varint: number of the message that this one holds the changes since
 
-	// The envelope of a message that its sender asks another entry to pass on has these two
-	// fields only, so that an entry that doesn't know it finds no start time in it.
+	// The envelope of messages that their senders asked to pass on has these two fields only,
+	// by turns, so that an entry that doesn't know it finds no start time in it.
 	fieldOrigin  = 16 // string: address of the entry that wrote the message
 	fieldMessage = 17 // bytes: the message
 
@@ -50,8 +52,10 @@
 type message struct {
 	start   uint64
 	seq     uint64
-	part    int // from 0
-	parts   int // 0 and 1 mean that the message is complete
+	part    int      // from 0
+	parts   int      // 0 and 1 mean that the message is complete
+	base    uint64   // number of the message with the state that this one changes; 0: it holds all
+	cleared []string // engines without sends since the base
 	leaving bool
 	passOn  bool // asks the receiver to pass it on in its failure domain
 	offsets []uint64
@@ -96,6 +100,10 @@
 	b = protowire.AppendFixed64(b, m.start)
 	b = protowire.AppendTag(b, fieldSeq, protowire.VarintType)
 	b = protowire.AppendVarint(b, m.seq)
+	if m.base > 0 {
+		b = protowire.AppendTag(b, fieldBase, protowire.VarintType)
+		b = protowire.AppendVarint(b, m.base)
+	}
 	if m.leaving {
 		b = protowire.AppendTag(b, fieldLeaving, protowire.VarintType)
 		b = protowire.AppendVarint(b, 1)
@@ -118,13 +126,17 @@
 		b := protowire.AppendTag(nil, fieldPace, protowire.BytesType)
 		out = append(out, protowire.AppendBytes(b, encodePace(p, now)))
 	}
+	for _, name := range m.cleared {
+		b := protowire.AppendTag(nil, fieldEngine, protowire.BytesType)
+		out = append(out, protowire.AppendBytes(b, encodeEngine(name, nil, now)))
+	}
 	for i := 0; i < len(m.sends); {
 		end := i + 1
 		for end < len(m.sends) && m.sends[end].Engine == m.sends[i].Engine {
 			end++
 		}
 		b := protowire.AppendTag(nil, fieldEngine, protowire.BytesType)
-		out = append(out, protowire.AppendBytes(b, encodeEngine(m.sends[i:end], now)))
+		out = append(out, protowire.AppendBytes(b, encodeEngine(m.sends[i].Engine, m.sends[i:end], now)))
 		i = end
 	}
 	return out
@@ -156,36 +168,117 @@
 	return report, true
 }
 
+// sortByEngine sorts sends by engine and keeps the order of those at the same one.
+func sortByEngine(list []passes.Send) {
+	slices.SortStableFunc(list, func(a, b passes.Send) int { return strings.Compare(a.Engine, b.Engine) })
+}
+
+// changesSince returns a message of the changes since an earlier state: the engines whose sends
+// differ, and those that have none any more.
+func (m *message) changesSince(old wholeState) message {
+	out := *m
+	out.base, out.sends = old.seq, nil
+	eachEngine(old.sends, m.sends, func(name string, before, after []passes.Send) {
+		switch {
+		case len(after) == 0:
+			out.cleared = append(out.cleared, name)
+		case !slices.Equal(before, after):
+			out.sends = append(out.sends, after...)
+		}
+	})
+	return out
+}
+
+// applyTo returns the sends that a message of changes makes of those that it changes, sorted by
+// engine.
+func (m *message) applyTo(old []passes.Send) []passes.Send {
+	out := make([]passes.Send, 0, len(old)+len(m.sends))
+	eachEngine(old, m.sends, func(name string, before, after []passes.Send) {
+		switch {
+		case len(after) > 0:
+			out = append(out, after...)
+		case !slices.Contains(m.cleared, name):
+			out = append(out, before...)
+		}
+	})
+	return out
+}
+
+// eachEngine calls f for each engine of two lists, which are sorted by engine, with its sends.
+func eachEngine(a, b []passes.Send, f func(name string, a, b []passes.Send)) {
+	for len(a) > 0 || len(b) > 0 {
+		var name string
+		switch {
+		case len(b) == 0, len(a) > 0 && a[0].Engine < b[0].Engine:
+			name = a[0].Engine
+		default:
+			name = b[0].Engine
+		}
+		i, j := countOf(a, name), countOf(b, name)
+		f(name, a[:i], b[:j])
+		a, b = a[i:], b[j:]
+	}
+}
+
+// countOf returns the number of leading sends at an engine.
+func countOf(list []passes.Send, name string) int {
+	i := slices.IndexFunc(list, func(s passes.Send) bool { return s.Engine != name })
+	if i < 0 {
+		return len(list)
+	}
+	return i
+}
+
 // askToPassOn returns an encoded message that asks its receiver to pass it on.
 func askToPassOn(b []byte) []byte {
 	b = protowire.AppendTag(slices.Clone(b), fieldPassOn, protowire.VarintType)
 	return protowire.AppendVarint(b, 1)
 }
 
-// envelop wraps a message of the entry at origin to be passed on.
-func envelop(origin string, b []byte) []byte {
-	out := protowire.AppendTag(nil, fieldOrigin, protowire.BytesType)
-	out = protowire.AppendString(out, origin)
-	out = protowire.AppendTag(out, fieldMessage, protowire.BytesType)
-	return protowire.AppendBytes(out, b)
+// relayed is a message that is passed on.
+type relayed struct {
+	origin string // address of the entry that wrote it
+	data   []byte
+}
+
+// envelop wraps messages to be passed on in datagrams of at most limit bytes, but for one that is
+// larger by itself.
+func envelop(list []relayed, limit int) [][]byte {
+	var out [][]byte
+	for _, r := range list {
+		b := protowire.AppendTag(nil, fieldOrigin, protowire.BytesType)
+		b = protowire.AppendString(b, r.origin)
+		b = protowire.AppendTag(b, fieldMessage, protowire.BytesType)
+		b = protowire.AppendBytes(b, r.data)
+		if last := len(out) - 1; last >= 0 && len(out[last])+len(b) <= limit {
+			out[last] = append(out[last], b...)
+		} else {
+			out = append(out, b)
+		}
+	}
+	return out
 }
 
-// open returns the content of a datagram that another entry passed on, or relayed false for a
-// message of its sender.
-func open(b []byte) (origin string, inner []byte, relayed bool, err error) {
+// open returns the messages of a datagram that another entry passed on, or nil for a message of
+// its sender.
+func open(b []byte) ([]relayed, error) {
 	if num, _, n := protowire.ConsumeTag(b); n < 0 || num != fieldOrigin {
-		return "", nil, false, nil
+		return nil, nil
 	}
-	err = eachField(b, func(num protowire.Number, _ uint64, data []byte) error {
+	out := []relayed{}
+	err := eachField(b, func(num protowire.Number, _ uint64, data []byte) error {
 		switch num {
 		case fieldOrigin:
-			origin = string(data)
+			out = append(out, relayed{origin: string(data)})
 		case fieldMessage:
-			inner = data
+			if len(out) == 0 {
+				return errMalformed
+			}
+			out[len(out)-1].data = data
 		}
 		return nil
 	})
-	return origin, inner, true, err
+	return out, err
 }
 
 func encodePace(p passes.Pace, now time.Time) []byte {
@@ -234,9 +327,9 @@
 	return w, err
 }
 
-func encodeEngine(list []passes.Send, now time.Time) []byte {
+func encodeEngine(name string, list []passes.Send, now time.Time) []byte {
 	b := protowire.AppendTag(nil, fieldName, protowire.BytesType)
-	b = protowire.AppendString(b, list[0].Engine)
+	b = protowire.AppendString(b, name)
 	for _, s := range list {
 		b = protowire.AppendTag(b, fieldSend, protowire.BytesType)
 		b = protowire.AppendBytes(b, encodeSend(s, now))
@@ -273,6 +366,8 @@
 			m.leaving = v == 1
 		case fieldOffset:
 			m.offsets = append(m.offsets, v)
+		case fieldBase:
+			m.base = v
 		case fieldPassOn:
 			m.passOn = v == 1
 		case fieldPart:
@@ -288,8 +383,11 @@
 			m.waits = append(m.waits, w)
 			return err
 		case fieldEngine:
-			list, err := decodeEngine(data, now)
+			name, list, err := decodeEngine(data, now)
 			m.sends = append(m.sends, list...)
+			if len(list) == 0 {
+				m.cleared = append(m.cleared, name)
+			}
 			return err
 		}
 		return nil
@@ -300,12 +398,8 @@
 	return m, err
 }
 
-func decodeEngine(b []byte, now time.Time) ([]passes.Send, error) {
-	var (
-		name string
-		out  []passes.Send
-	)
-	err := eachField(b, func(num protowire.Number, _ uint64, data []byte) error {
+func decodeEngine(b []byte, now time.Time) (name string, out []passes.Send, err error) {
+	err = eachField(b, func(num protowire.Number, _ uint64, data []byte) error {
 		switch num {
 		case fieldName:
 			name = string(data)
@@ -319,7 +413,7 @@
 		}
 		return nil
 	})
-	return out, err
+	return name, out, err
 }
 
 func decodeSend(b []byte, now time.Time) (passes.Send, error) {
--- a/internal/prompt/passes/choose.go
+++ b/internal/prompt/passes/choose.go
@@ -63,8 +63,8 @@
 	zeroPriceBusyShare = 0.15
 	maxPriceBusyShare  = 0.5
 	// reportDelay is how long it takes until the other entries know of a send: its batch, the
-	// way through a relay, and the processing there.
-	reportDelay = 8 * time.Millisecond
+	// way to a relay, the batch there, and the processing.
+	reportDelay = 12 * time.Millisecond
 	// rateWindow is the age up to which sends count in the rate of the other entries.
 	rateWindow = time.Second
 	// choicesPerUnknownSend is how many engines there are to choose from for each send of
