Put a whole state together though later messages overtake its parts

A message of changes that came between the parts of a whole state discarded the parts, so that a report larger than a datagram was known to nobody while its sender changed it often.

Change: parts are collected by their own message's number; later messages count as heard, and their changes apply once the whole state is there.

--- a/internal/peer/sends/exchange.go
+++ b/internal/peer/sends/exchange.go
@@ -116,7 +116,7 @@
 type peer struct {
 	start        uint64
 	seq          uint64
-	parts        assembly // of the message with number seq
+	parts        assembly // of the latest message in parts, which later ones may overtake
 	whole        wholeState
 	lastReceived time.Time
 	lastSent     time.Time
@@ -125,6 +125,19 @@
 	leavingSince time.Time // when its first message with the leaving flag arrived
 }
 
+// isOld reports whether a message of the same process, or the part of it, has been received or
+// overtaken. Parts of a message may come after later messages, which hold the changes since.
+func (p *peer) isOld(m *message) bool {
+	switch {
+	case m.start != p.start:
+		return false
+	case m.parts > 1:
+		return m.seq <= p.whole.seq || m.seq < p.parts.seq || m.seq == p.parts.seq && p.parts.received[m.part]
+	default:
+		return m.seq <= p.seq
+	}
+}
+
 // New starts an exchange over conn. The start time identifies this process to the other
 // entries. Close stops the exchange and closes conn.
 func New(conn net.PacketConn, start time.Time, seams Seams) *Exchange {
@@ -462,28 +475,25 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	p := x.peer(addr)
-	switch {
-	case m.start == p.start && (m.seq < p.seq || m.seq == p.seq && p.parts.has(m.part)):
+	if p.isOld(m) || m.start < p.start && now.Sub(p.lastReceived) <= restartTimeout { // the latter was sent before the entry restarted
 		return passes.Report{}, false, false
-	case m.start < p.start && now.Sub(p.lastReceived) <= restartTimeout:
-		return passes.Report{}, false, false // sent before the entry restarted
 	}
 	if !p.live || m.start != p.start {
 		x.whole.at = time.Time{}
 		x.Changed() // the entry has no report of this one yet
 		x.seams.Log.Info("Entry is up.", "entry", addr, "restarted", p.start != 0 && m.start != p.start)
 	}
+	if m.start != p.start {
+		p.start, p.seq, p.leaving, p.parts, p.whole = m.start, 0, false, assembly{}, wholeState{}
+	}
 	if m.leaving && !p.leaving {
 		p.leavingSince = now
 	}
-	if m.start != p.start || m.seq != p.seq {
-		p.parts = assembly{}
-	}
-	if m.start != p.start {
-		p.whole = wholeState{}
+	p.seq, p.lastReceived, p.live, p.leaving = max(p.seq, m.seq), now, true, p.leaving || m.leaving
+	report, complete = passes.Report{Sends: m.sends, Paces: m.paces, Waits: m.waits}, true
+	if m.parts > 1 {
+		report, complete = p.parts.add(m)
 	}
-	p.start, p.seq, p.lastReceived, p.live, p.leaving = m.start, m.seq, now, true, m.leaving
-	report, complete = p.parts.add(m)
 	switch {
 	case !complete:
 	case m.base == 0:
--- a/internal/peer/sends/wire.go
+++ b/internal/peer/sends/wire.go
@@ -144,18 +144,16 @@
 
 // assembly collects the parts of a message.
 type assembly struct {
+	seq      uint64 // number of the message
 	received map[int]bool
 	report   passes.Report
 }
 
-// has reports whether a part has been added.
-func (a *assembly) has(part int) bool { return a.received[part] }
-
-// add adds a part, and returns the report once it is complete.
+// add adds a part, and returns the report once it is complete. A part of another message starts
+// anew.
 func (a *assembly) add(m *message) (passes.Report, bool) {
-	if a.received == nil {
-		a.received = map[int]bool{}
-		a.report.Waits = m.waits
+	if a.received == nil || a.seq != m.seq {
+		*a = assembly{seq: m.seq, received: map[int]bool{}, report: passes.Report{Waits: m.waits}}
 	}
 	a.received[m.part] = true
 	a.report.Sends = append(a.report.Sends, m.sends...)
--- a/internal/peer/sends/wire_test.go
+++ b/internal/peer/sends/wire_test.go
@@ -116,6 +116,34 @@
 	})
 }
 
+// Later messages overtake the parts of a whole state. It is put together all the same, and the
+// changes since it are applied from then on.
+func TestPartsAreOvertaken(t *testing.T) {
+	is := is.New(t)
+	x := newTestExchange()
+	receive := func(m message) (sends int, complete bool) {
+		r, complete, isNew := x.accept("10.0.0.1:1", &m, testNow)
+		is.True(isNew)
+		return len(r.Sends), complete
+	}
+	part := func(i int) message {
+		return message{start: 5, seq: 2, part: i, parts: 2, sends: []passes.Send{{Engine: string(rune('a' + i))}}}
+	}
+	_, complete := receive(part(1))
+	is.True(!complete)
+	_, complete = receive(message{start: 5, seq: 3, base: 2, leaving: true, cleared: []string{"a"}})
+	is.True(!complete)
+	sends, complete := receive(part(0))
+	is.True(complete)
+	is.Equal(sends, 2)
+	is.True(x.peers["10.0.0.1:1"].leaving)
+	sends, complete = receive(message{start: 5, seq: 4, base: 2, cleared: []string{"a"}})
+	is.True(complete)
+	is.Equal(sends, 1)
+	first := part(0)
+	is.True(!accepts(x, "10.0.0.1:1", &first, testNow)) // it came before
+}
+
 // Changes of a state that was lost are not applied: they wait for the next whole one.
 func TestChangesOfLostStateAreIgnored(t *testing.T) {
 	is := is.New(t)
