Say once what a patient caller does in tests, and drop what nothing reads

Cause: read once more. Six tests wrote out the same patient caller and its configuration, and restart what register does. Traffic.Messages had no reader left since reports go through relays.

Behaviour and assertions stay.

Before / after: make lint and make check pass; the race detector passes on gateway/entry, peer, upstream/httpconn and platform.

--- a/internal/command/experiment/drawn_test.go
+++ b/internal/command/experiment/drawn_test.go
@@ -23,9 +23,6 @@
 		Step: span(0.0008, 0.0012).Round(time.Microsecond), StepPerWriter: 4830 * time.Nanosecond, StepPerContext: 2540 * time.Nanosecond,
 		ReadTokens: between(150_000, 300_000), ReadPairs: time.Duration(between(70_000, 110_000)), StepPerHelpers: 100 * time.Microsecond,
 	}
-	if e.Step == 0 {
-		e.Step = time.Millisecond
-	}
 	figures := passes.Figures{
 		Slots: e.Slots, Memory: e.MemoryTokens, Stride: e.Stride, Chunk: e.ChunkTokens, Step: e.Step, PerWriter: e.StepPerWriter, PerContext: e.StepPerContext,
 		ReadRate: e.ReadTokens, PerPairs: e.ReadPairs, PerHop: e.StepPerHelpers,
--- a/internal/gateway/entry/entry_test.go
+++ b/internal/gateway/entry/entry_test.go
@@ -56,6 +56,27 @@
 	return env
 }
 
+// newPatientEnv is newTestEnv with a configuration by which callers of prompts wait for four times
+// 2.5 s, until askPatiently's deadline.
+func newPatientEnv(t *testing.T) *testEnv {
+	t.Helper()
+	env := newTestEnv(t)
+	ask := env.config["routes"].([]any)[3].(map[string]any)
+	ask["target_latency_ms"], ask["timeout_ms"] = 2500, 9500
+	env.configure()
+	return env
+}
+
+// askPatiently sends a prompt whose caller waits for 9.5 s, and returns the channel of its reply.
+func (env *testEnv) askPatiently() <-chan reply {
+	env.t.Helper()
+	got := make(chan reply, 1)
+	req := env.request(http.MethodPost, "/ask/")
+	req.Header.Set("X-Deadline-Milliseconds", "9500")
+	go func() { got <- env.do(req) }()
+	return got
+}
+
 // start starts an entry without waiting until it is ready.
 func (env *testEnv) start() {
 	env.t.Helper()
@@ -177,9 +198,7 @@
 
 // restart makes a server a new one to the entry, which forgets the earlier failures.
 func (env *testEnv) restart(service string, s *server.Server) {
-	env.born++
-	env.publish(service, s, "ready")
-	env.await(func() bool { return env.hasServer(service, s.Instance(), env.born) })
+	env.register(service, s.Instance(), s.Addr())
 }
 
 // hasServer reports whether the entry has the record of a server with the given start number.
@@ -534,15 +553,9 @@
 // stream, as long as the caller waits.
 func TestSilentEngineIsRelievedLater(t *testing.T) {
 	is := is.New(t)
-	env := newTestEnv(t)
-	ask := env.config["routes"].([]any)[3].(map[string]any)
-	ask["target_latency_ms"], ask["timeout_ms"] = 2500, 9500 // the caller waits for four times the target
-	env.configure()
+	env := newPatientEnv(t)
 	env.serve("engines", "i-1", server.StopEvent)
-	got := make(chan reply, 1)
-	req := env.request(http.MethodPost, "/ask/")
-	req.Header.Set("X-Deadline-Milliseconds", "9500")
-	go func() { got <- env.do(req) }()
+	got := env.askPatiently()
 	env.await(func() bool { // until the first attempt found no engine
 		return env.check(func(sched *scheduler) bool { return sched.planners["engines"].Counts().Refused > 0 })
 	})
@@ -557,15 +570,9 @@
 // so it must be asked again while the caller waits.
 func TestTakeoverIsTriedAgainAfterFailedConnection(t *testing.T) {
 	is := is.New(t)
-	env := newTestEnv(t)
-	ask := env.config["routes"].([]any)[3].(map[string]any)
-	ask["target_latency_ms"], ask["timeout_ms"] = 2500, 9500
-	env.configure()
+	env := newPatientEnv(t)
 	a := env.serve("engines", "i-1", server.StopEvent)
-	got := make(chan reply, 1)
-	req := env.request(http.MethodPost, "/ask/")
-	req.Header.Set("X-Deadline-Milliseconds", "9500")
-	go func() { got <- env.do(req) }()
+	got := env.askPatiently()
 	env.await(func() bool { return len(a.Runs()) == 1 })
 	refusing := ports.Refusing(t)
 	env.register("engines", "i-2", refusing)
@@ -586,15 +593,9 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			env := newTestEnv(t)
-			ask := env.config["routes"].([]any)[3].(map[string]any)
-			ask["target_latency_ms"], ask["timeout_ms"] = 2500, 9500
-			env.configure()
+			env := newPatientEnv(t)
 			a := env.serve("engines", "i-1", first)
-			got := make(chan reply, 1)
-			req := env.request(http.MethodPost, "/ask/")
-			req.Header.Set("X-Deadline-Milliseconds", "9500")
-			go func() { got <- env.do(req) }()
+			got := env.askPatiently()
 			env.await(func() bool { return len(a.Runs()) == 1 })
 			env.serve("engines", "i-2", server.LateHead)
 			r := <-got
@@ -608,15 +609,9 @@
 // yet. Its events are the answer.
 func TestSilentEngineGoesOnDuringTakeover(t *testing.T) {
 	is := is.New(t)
-	env := newTestEnv(t)
-	ask := env.config["routes"].([]any)[3].(map[string]any)
-	ask["target_latency_ms"], ask["timeout_ms"] = 2500, 9500
-	env.configure()
+	env := newPatientEnv(t)
 	a := env.serve("engines", "i-1", server.PauseEvent)
-	got := make(chan reply, 1)
-	req := env.request(http.MethodPost, "/ask/")
-	req.Header.Set("X-Deadline-Milliseconds", "9500")
-	go func() { got <- env.do(req) }()
+	got := env.askPatiently()
 	env.await(func() bool { return len(a.Runs()) == 1 })
 	env.serve("engines", "i-2", server.Silent)
 	r := <-got
@@ -652,10 +647,7 @@
 				defer mu.Unlock()
 				unreachableAddr = a.Addr()
 			})
-			got := make(chan reply, 1)
-			req := env.request(http.MethodPost, "/ask/")
-			req.Header.Set("X-Deadline-Milliseconds", "9500")
-			go func() { got <- env.do(req) }()
+			got := env.askPatiently()
 			env.await(func() bool { return len(a.Runs()) > 0 })
 			b := env.serve("engines", "i-2")
 			r := <-got
--- a/internal/gateway/entry/unending_test.go
+++ b/internal/gateway/entry/unending_test.go
@@ -192,10 +192,7 @@
 // its time. Comments are no answer: the other one's events are.
 func TestCommentsDoNotEndTakeover(t *testing.T) {
 	is := is.New(t)
-	env := newTestEnv(t)
-	ask := env.config["routes"].([]any)[3].(map[string]any)
-	ask["target_latency_ms"], ask["timeout_ms"] = 2500, 9500
-	env.configure()
+	env := newPatientEnv(t)
 	a := env.serve("engines", "i-1", server.Raw)
 	a.SetRaw(func(w io.Writer, header string) {
 		_, err := io.WriteString(w, okLine+header+chunkedLine+"1f\r\n"+server.Event(1)+server.Event(2)+"\r\n")
@@ -204,10 +201,7 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 	})
-	got := make(chan reply, 1)
-	req := env.request(http.MethodPost, "/ask/")
-	req.Header.Set("X-Deadline-Milliseconds", "9500")
-	go func() { got <- env.do(req) }()
+	got := env.askPatiently()
 	env.await(func() bool { return len(a.Runs()) == 1 })
 	env.serve("engines", "i-2", server.LateHead)
 	r := <-got
--- a/internal/peer/records/records.go
+++ b/internal/peer/records/records.go
@@ -121,7 +121,7 @@
 	default:
 		return nil, 0, fail(KindUnreachable, fmt.Errorf("status %d", x.Status()))
 	}
-	body, err := x.ReadAll(maxBodyBytes, time.Now().Add(callTimeout), func(int) bool { return true })
+	body, err := x.ReadAll(maxBodyBytes, time.Now().Add(callTimeout), nil)
 	if err != nil {
 		return nil, 0, fail(KindUnreachable, err)
 	}
--- a/internal/peer/sends/exchange.go
+++ b/internal/peer/sends/exchange.go
@@ -108,7 +108,6 @@
 
 // Traffic counts what an exchange has sent.
 type Traffic struct {
-	Messages    uint64
 	Bytes       uint64
 	DomainBytes uint64 // of Bytes, those to other failure domains
 }
@@ -343,7 +342,6 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.sent.Messages++
 	x.sent.Bytes += uint64(len(b))
 	if o.Domain != x.seams.Domain {
 		x.sent.DomainBytes += uint64(len(b))
--- a/internal/upstream/httpconn/conn.go
+++ b/internal/upstream/httpconn/conn.go
@@ -135,15 +135,15 @@
 func (x *Exchange) Progress() { x.conn.reset() }
 
 // ReadAll reads the body to its end. It fails with KindTooLarge if it has more than most bytes or
-// if take, which is called with the size of each further piece of memory, returns false; with
-// KindSilent if it does not end by the given time; and with KindNoAnswer if it is shorter than
+// if take, which is called with the size of each further piece of memory unless it is nil, returns
+// false; with KindSilent if it does not end by the given time; and with KindNoAnswer if it is shorter than
 // declared.
 func (x *Exchange) ReadAll(most int, until time.Time, take func(n int) bool) ([]byte, error) {
 	var body []byte
 	for {
 		if len(body) == cap(body) {
 			more := min(max(minBodyBytes, cap(body)), most+1-len(body))
-			if !take(more) {
+			if take != nil && !take(more) {
 				return nil, fail("read", KindTooLarge, errNoMemory)
 			}
 			body = append(make([]byte, 0, len(body)+more), body...)
--- a/internal/upstream/httpconn/conn_test.go
+++ b/internal/upstream/httpconn/conn_test.go
@@ -132,7 +132,7 @@
 		req.SetRequestURI("http://" + ln.Addr().String() + "/")
 		x, err := httpconn.Do(t.Context(), netio.TCP(), ln.Addr().String(), req, limits)
 		is.NoErr(err)
-		b, err := x.ReadAll(10, time.Now().Add(10*time.Second), func(int) bool { return true })
+		b, err := x.ReadAll(10, time.Now().Add(10*time.Second), nil)
 		is.NoErr(err)
 		is.Equal(string(b), fmt.Sprint(n))
 		x.Close()
@@ -211,7 +211,7 @@
 			return
 		}
 		defer x.Close()
-		body, err := x.ReadAll(most, time.Now().Add(time.Minute), func(int) bool { return true })
+		body, err := x.ReadAll(most, time.Now().Add(time.Minute), nil)
 		if declared := x.Header().ContentLength(); err == nil && (len(body) > most || declared >= 0 && declared != len(body)) {
 			t.Errorf("%d bytes of %d declared pass for a whole body", len(body), declared)
 		}
