--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -122,7 +122,7 @@
 		events += n
 		complete = errors.Is(err, io.EOF)
 		if err != nil && !complete && events == 0 {
-			c.s.log.Warn("An engine sent no first event.", "id", c.req.ID, "upstream", es.engineName(), "err", err)
+			c.s.log.Warn("An engine sent no first event.", "id", c.req.ID, "upstream", es.engineName(), "segments", c.req.Segments.String(), "err", err)
 			es.fail("")
 			return fail("read", KindUnknown, err)
 		}
--- /dev/null
+++ b/internal/prompt/segment/segment.go
@@ -0,0 +1,38 @@
+// Package segment identifies the segments of prompts. Prompts that share text name the same
+// segments, so what is known of one prompt's segment holds for others that have it.
+package segment
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/zeebo/xxh3"
+)
+
+// ID identifies a segment.
+type ID uint64
+
+// Parse returns the ID of a segment from its name. Names are hexadecimal numbers; others are
+// hashed.
+func Parse(name string) ID {
+	n, err := strconv.ParseUint(name, 16, 64)
+	if err != nil {
+		n = xxh3.HashString(name)
+	}
+	return ID(n)
+}
+
+// String returns the hexadecimal number.
+func (id ID) String() string { return strconv.FormatUint(uint64(id), 16) }
+
+// List is the segments of a prompt that others may have, in order.
+type List []ID
+
+// String returns the IDs for log lines.
+func (l List) String() string {
+	names := make([]string, len(l))
+	for i, id := range l {
+		names[i] = id.String()
+	}
+	return strings.Join(names, ",")
+}
