--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -61,6 +61,8 @@
 	onRun   func(*Run)
 	raw     func(w io.Writer, header string)
 	pace    float64
+	poison  string // segment of prompts on which the server crashes
+	crashed bool
 	reports int // load reports served
 	scripts []Script
 	runs    []*Run
@@ -118,6 +120,38 @@
 	s.pace = pace
 }
 
+// SetPoison makes the server crash as it begins to answer a prompt with the segment.
+func (s *Server) SetPoison(segment string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.poison = segment
+}
+
+// Crashed reports whether the server has crashed.
+func (s *Server) Crashed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashed
+}
+
+// isPoison reports whether the server crashes on the prompt of a run.
+func (s *Server) isPoison(run *Run) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.poison != "" && strings.Contains(","+run.Header.Get("X-Prompt-Prefix"), ","+s.poison+":")
+}
+
+// crash closes the listener and all connections.
+func (s *Server) crash() {
+	_ = s.ln.Close() // stops accept
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashed = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
 // Reports returns the number of load reports served.
 func (s *Server) Reports() int {
 	s.mu.Lock()
@@ -134,12 +168,7 @@
 
 // Close stops the server and closes its connections.
 func (s *Server) Close() {
-	_ = s.ln.Close() // stops accept
-	s.mu.Lock()
-	for conn := range s.conns {
-		_ = conn.Close()
-	}
-	s.mu.Unlock()
+	s.crash()
 	s.wg.Wait()
 }
 
@@ -258,6 +287,10 @@
 		return
 	}
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+header+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	if s.isPoison(run) {
+		s.crash()
+		return
+	}
 	if err := s.stream(conn, run, script); err == nil {
 		_, _ = io.WriteString(conn, "0\r\n\r\n")
 	}
