Hold prompts back on whose segments engines crash

Cause: an entry takes the crash of an engine for the engine's failure. The prompt that caused it is sent to the next engine, its caller sends it again, others with the same segment follow, and each takes down an engine with all streams there. The class: a request that harms whoever runs it, retried like one that was harmed.

Change: internal/prompt/quarantine. At the end of a connection before an answer is proven (100 ms of events, or complete) the entry looks whether the engine still takes connections. If not, the prompts there are evidence: suspects, whose answers had begun, or else bystanders, which were still read. Held is what is in two crashes of suspects or three of bystanders and was not answered since; of segments that are always together the one that fewer prompts have. Crashes at one moment count once (a lost failure domain). Entries report crashes for 2 s, the segments in question that they have seen answered, and what they hold; an answer seen anywhere ends a hold. Held prompts get 503, not run, at once, queued ones too; those at engines without an event are aborted. A probe goes out about each ten minutes in all. Bounds: 128 crashes, 64 segments each, 32 held, 16,384 answered segments; a report has at most 16 crashes.

--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -12,6 +12,7 @@
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
@@ -38,12 +39,13 @@
 type engineStream struct {
 	c        *call
 	ticket   *passes.Ticket
+	watch    *quarantine.Attempt
 	lease    *memoryLease // reserved at helpers; nil if none is needed
 	exchange *httpconn.Exchange
 	splitter splitter
 	reads    chan readResult
 	stop     chan struct{}
-	cancel   context.CancelFunc // ends the exchange; nil before the request was sent
+	cancel   context.CancelFunc // ends the exchange
 	started  bool               // some of the answer arrived
 	closed   bool
 	silent   *engineStream // the stream that this one is to relieve; nil if it is the first
@@ -79,15 +81,23 @@
 // of the splitter. The head of the answer has been read when it returns. It gives up if the silent
 // stream that it is to relieve, if any, goes on. Errors are those of Place, reserve and attempt.
 func (c *call) startOnEngine(after splitter, timing eventTiming, silent *engineStream) (*engineStream, platform.Answer, error) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	watch, held := c.s.quarantine.Watch(c.req.Segments, cancel)
+	if watch == nil {
+		cancel()
+		return nil, platform.Answer{}, fail("admit", KindHeld, fmt.Errorf("engines crash on segment %s", held))
+	}
 	written := min(timing.delivered*c.engine.Stride, c.req.MaxOutput)
-	t, err := c.s.sched.Place(c.ctx, c.service, passes.Job{
+	t, err := c.s.sched.Place(ctx, c.service, passes.Job{
 		ID: c.req.ID, Tokens: c.req.Prompt + written, MaxTokens: c.req.MaxOutput - written, ExpectedTokens: max(0, c.req.LikelyOutput-written), Bytes: len(c.callerReq.Body()),
 		Target: timing.target, Gap: c.route.Gap, Arrived: timing.since, Deadline: c.deadline, CallerLeavesAt: timing.callerLeavesAt, Begun: timing.delivered > 0, MayHaveRun: c.maybeRan > 0, Tried: c.tried,
 	})
 	if err != nil {
-		return nil, platform.Answer{}, err
+		cancel()
+		watch.End(false)
+		return nil, platform.Answer{}, heldOr(watch, err)
 	}
-	es := &engineStream{c: c, ticket: t, silent: silent, splitter: after.resume(), reads: make(chan readResult, readQueueLen), stop: make(chan struct{})}
+	es := &engineStream{c: c, ticket: t, watch: watch, cancel: cancel, silent: silent, splitter: after.resume(), reads: make(chan readResult, readQueueLen), stop: make(chan struct{})}
 	name, address := t.Engine()
 	c.tried[name] = true
 	load := t.Decision()
@@ -101,7 +111,8 @@
 		es.close(passes.Outcome{})
 		return nil, platform.Answer{}, err
 	}
-	x, ans, err := es.attempt(address, platform.Attempt{
+	watch.Sent()
+	x, ans, err := es.attempt(ctx, address, platform.Attempt{
 		Instance: name, Helpers: helpers, Urgency: c.route.Priority, LastEvent: after.lastID,
 	}, es.firstEventTimeout(c.mayRunAgain(c.maybeRan+1)))
 	if fault.Is(err, KindUnsent) {
@@ -112,6 +123,8 @@
 		err = fail("answer", KindUnknown, errInvalidAnswer)
 	}
 	if err != nil {
+		es.checkCrash(err, false)
+		err = heldOr(watch, err)
 		c.s.log.Warn("An engine did not answer.", "id", c.req.ID, "upstream", name, "segments", c.req.Segments.String(), "status", ans.Status, "fault", ans.Fault, "err", err)
 		es.fail(ans.Fault)
 		return nil, ans, err
@@ -123,13 +136,11 @@
 
 // attempt sends the request to the engine that generates the answer. It stops waiting for the
 // head if an engine that the answer needs is unreachable.
-func (es *engineStream) attempt(address string, a platform.Attempt, limit time.Duration) (*httpconn.Exchange, platform.Answer, error) {
-	ctx, cancel := context.WithCancel(es.c.ctx)
-	es.cancel = cancel
+func (es *engineStream) attempt(ctx context.Context, address string, a platform.Attempt, limit time.Duration) (*httpconn.Exchange, platform.Answer, error) {
 	headRead, watcherDone := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(watcherDone)
-		es.awaitHead(headRead, cancel)
+		es.awaitHead(headRead, es.cancel)
 	}()
 	defer func() {
 		close(headRead)
@@ -170,6 +181,14 @@
 	return status < fasthttp.StatusInternalServerError || !c.mayRunAgain(c.maybeRan)
 }
 
+// heldOr returns err, or that of a held prompt if the attempt was aborted because of that.
+func heldOr(watch *quarantine.Attempt, err error) error {
+	if watch.Aborted() {
+		return fail("read", KindHeld, err)
+	}
+	return err
+}
+
 // silentGoesOn reports whether the engine that this one is to relieve has sent an event since.
 func (es *engineStream) silentGoesOn() bool { return es.silent != nil && es.silent.goesOn() }
 
@@ -322,7 +341,7 @@
 	if address == "" {
 		address = es.unreachableEngine()
 	}
-	es.close(passes.Outcome{Failed: es.c.ctx.Err() == nil && !es.silentGoesOn(), FailedAddress: address})
+	es.close(passes.Outcome{Failed: es.c.ctx.Err() == nil && !es.silentGoesOn() && !es.watch.Aborted(), FailedAddress: address})
 }
 
 func (es *engineStream) consume(r readResult) (blocks []byte, events int, err error) {
@@ -359,9 +378,8 @@
 	if es.exchange != nil {
 		es.exchange.Close()
 	}
-	if es.cancel != nil {
-		es.cancel()
-	}
+	es.cancel()
+	es.watch.End(out.Answered)
 	es.c.s.sched.Done(es.c.service, es.ticket, out)
 	if es.lease != nil {
 		es.lease.release()
--- a/internal/gateway/entry/errors.go
+++ b/internal/gateway/entry/errors.go
@@ -24,6 +24,8 @@
 	KindRefused Kind = "refused"
 	// KindLease means that no memory could be reserved for a prompt.
 	KindLease Kind = "memory not reserved"
+	// KindHeld means that engines crash on a segment of the prompt.
+	KindHeld Kind = "held back"
 	// KindCallerGone means that the caller disconnected.
 	KindCallerGone Kind = "caller left"
 )
--- a/internal/gateway/entry/observe.go
+++ b/internal/gateway/entry/observe.go
@@ -95,8 +95,10 @@
 	Upstreams     int      `json:"upstreams"`
 	Unreachable   []string `json:"cut"`     // addresses that can't be connected to
 	Entries       []string `json:"entries"` // addresses of the other entries
-	Leads         bool     `json:"leads"`   // whether it reads the store on behalf of others
-	ToldBytes     uint64   `json:"toldBytes"`
+	// Held are the segments on which engines crash, in hexadecimal.
+	Held      string `json:"heldSegments"`
+	Leads     bool   `json:"leads"` // whether it reads the store on behalf of others
+	ToldBytes uint64 `json:"toldBytes"`
 	// ToldDomainBytes are those of ToldBytes that went to other failure domains.
 	ToldDomainBytes uint64                  `json:"toldDomainBytes"`
 	Topics          []TopicState            `json:"topics"`
@@ -109,7 +111,7 @@
 	told := s.exchange.Sent()
 	st := State{
 		VM: s.cfg.VM, FailureDomain: s.cfg.FailureDomain, Leaving: s.leaving.Load(), Busy: s.inFlight.Load(), Streams: s.streams.Load(), Reservations: s.leases.Load(),
-		Unreachable: s.reach.Unreachable(), Leads: s.readsStore(), ToldBytes: told.Bytes, ToldDomainBytes: told.DomainBytes,
+		Unreachable: s.reach.Unreachable(), Leads: s.readsStore(), Held: s.quarantine.HeldSegments().String(), ToldBytes: told.Bytes, ToldDomainBytes: told.DomainBytes,
 	}
 	for _, p := range s.peers() {
 		st.Entries = append(st.Entries, p.Address)
@@ -205,6 +207,7 @@
 		scope.Gauge("reservations").Update(float64(s.leases.Load()))
 		scope.Gauge("entries_known").Update(float64(len(s.peers())))
 		scope.Gauge("upstreams_cut").Update(float64(len(s.reach.Unreachable())))
+		scope.Gauge("segments_held").Update(float64(len(s.quarantine.HeldSegments())))
 		told := s.exchange.Sent()
 		scope.Gauge("buffered_answer_bytes").Update(float64(s.bodies.used.Load()))
 		scope.Gauge("told_bytes").Update(float64(told.Bytes))
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
@@ -21,6 +22,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/follow"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/records"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/sends"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/reach"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
@@ -82,6 +84,9 @@
 	ready        *fasthttp.Server
 	callersLn    *callerListener
 	readyLn      net.Listener
+	quarantine   *quarantine.Tracker
+	crashChecks  chan crashCheck
+	ctx          context.Context // of the background tasks
 	cancel       context.CancelFunc
 	tasks        sync.WaitGroup
 	inFlight     atomic.Int64 // requests in the handler; streams that outlive it count in streams
@@ -111,12 +116,16 @@
 		cfg: cfg, log: logger, sched: newScheduler(cfg.FailureDomain, cfg.Retries, logger),
 		store: platform.NewStore(network, cfg.Store), upstreams: network.WithDialTimeout(dialTimeout),
 		droppedLines: dropped, started: time.Now(), metrics: metrics.New(cfg.VM), bodies: newBodyMemory(cfg.Memory), entries: map[string]platform.Entry{},
+		crashChecks: make(chan crashCheck, maxCrashChecks),
 	}
 	s.engines = platform.NewEngines(s.upstreams)
 	s.reach = reach.New(reach.Settings{
 		Network: s.upstreams, Siblings: s.sched.Siblings, Changed: s.sched.ReachabilityChanged, Log: logger.WithPrefix("reach"),
 	})
 	s.sched.unreachable, s.sched.queryPace = s.reach.IsUnreachable, s.queryPace
+	s.quarantine = quarantine.New(quarantine.Settings{
+		Now: time.Now, Rand: rand.Float64, Entries: s.entryCount, Changed: s.reportChanged, Log: logger.WithPrefix("quarantine"),
+	})
 	own := net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.PeerPort))
 	conn, err := net.ListenPacket("udp", own)
 	if err != nil {
@@ -137,16 +146,16 @@
 	s.records = records.Serve(peerLn, logger.WithPrefix("records"), s.newest)
 	s.exchange = sends.New(conn, time.Now(), sends.Seams{
 		Domain: cfg.FailureDomain, Report: s.sched.Report, OnReport: s.sched.SetReport, Peers: s.peers, Offsets: s.offsets, OnOffsets: s.applyOffsets,
-		Log: logger.WithPrefix("sends"),
+		Held: s.quarantine.Report, OnHeld: s.quarantine.Merge, Log: logger.WithPrefix("sends"),
 	})
 	s.sched.reportChanged = s.exchange.Changed
 	s.sched.entryCount, s.sched.domainOf = s.entryCount, s.domainOf
 	s.startFollowers(pause)
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.tasks.Add(2)
-	go s.register(ctx, own)
-	go s.runGauges(ctx)
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.tasks.Add(3)
+	go s.register(s.ctx, own)
+	go s.runGauges(s.ctx)
+	go s.crashLoop()
 	s.callers = &fasthttp.Server{
 		Handler: s.handle, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		ReadBufferSize: maxHeadBytes, MaxRequestBodySize: maxBodyBytes, DisablePreParseMultipartForm: true,
@@ -171,6 +180,9 @@
 	s.followers.Store(&list)
 }
 
+// reportChanged makes the exchange tell the other entries of a change.
+func (s *Server) reportChanged() { s.exchange.Changed() }
+
 // askEntry asks another entry for a topic's records.
 func (s *Server) askEntry(ctx context.Context, entry, topic string) ([]platform.Keyed, uint64, error) {
 	return records.Ask(ctx, s.upstreams, entry, topic)
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -30,6 +30,9 @@
 	// takeoverRetryDelay is the delay before another engine is sought again. It allows three
 	// attempts before the least patient callers leave.
 	takeoverRetryDelay = 250 * time.Millisecond
+	// heldRetryAfter is the Retry-After of prompts on which engines crash: they are held for longer
+	// than callers wait.
+	heldRetryAfter = time.Minute
 )
 
 // stream is an answer on its way to the caller. If the route allows it, the stream is resumed at
@@ -56,7 +59,11 @@
 func (c *call) serveStream(ctx *fasthttp.RequestCtx, finish func()) {
 	st := &stream{c: c, finish: finish}
 	if err := st.open(splitter{}, eventTiming{since: c.arrived, target: c.route.Target, callerLeavesAt: c.callerLeavesAt(c.arrived)}, nil); err != nil {
-		c.refuse(ctx, err, passes.RetryAfter(err))
+		after := passes.RetryAfter(err)
+		if fault.Is(err, KindHeld) {
+			after = heldRetryAfter
+		}
+		c.refuse(ctx, err, after)
 		finish()
 		return
 	}
@@ -106,7 +113,7 @@
 			return true
 		}
 	}
-	return fault.Is(err, KindRefused) || fault.Is(err, KindCallerGone)
+	return fault.Is(err, KindRefused) || fault.Is(err, KindCallerGone) || fault.Is(err, KindHeld)
 }
 
 // awaitFirst reads from an engine until an event or the answer is complete, and then makes it
@@ -123,8 +130,9 @@
 		complete = errors.Is(err, io.EOF)
 		if err != nil && !complete && events == 0 {
 			c.s.log.Warn("An engine sent no first event.", "id", c.req.ID, "upstream", es.engineName(), "segments", c.req.Segments.String(), "err", err)
+			es.checkCrash(err, true)
 			es.fail("")
-			return fail("read", KindUnknown, err)
+			return heldOr(es.watch, fail("read", KindUnknown, err))
 		}
 	}
 	if st.engine != nil {
@@ -133,6 +141,7 @@
 	st.engine, st.pending, st.complete = es, append(st.pending, blocks...), complete
 	if ans.Status < fasthttp.StatusMultipleChoices {
 		c.s.sched.FirstEvent(c.service, es.ticket)
+		es.watch.Event()
 	}
 	st.recordEvent(time.Now())
 	es.recordFirstEvent()
@@ -186,6 +195,7 @@
 	st.pending = append(st.pending, b...)
 	if events > 0 {
 		st.recordEvent(time.Now())
+		st.engine.watch.Event()
 	}
 	switch {
 	case err == nil:
@@ -258,6 +268,7 @@
 func (st *stream) resume(err error) error {
 	c := st.c
 	c.s.log.Warn("A stream broke off.", "id", c.req.ID, "upstream", st.engine.engineName(), "last", st.engine.splitter.lastID, "lost", c.callerGone.Load(), "err", err)
+	st.engine.checkCrash(err, false)
 	st.engine.fail("")
 	if !st.resumable() || !c.takeRetry(err) {
 		return err
--- a/internal/peer/sends/exchange.go
+++ b/internal/peer/sends/exchange.go
@@ -22,6 +22,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
 )
 
 const (
@@ -74,7 +75,11 @@
 	// the offsets out of the message. OnOffsets receives another entry's offsets.
 	Offsets   func() []uint64
 	OnOffsets func(entry string, offsets []uint64)
-	Log       *log.Logger
+	// Held returns what this entry knows of segments on which engines crash. OnHeld receives what
+	// another entry knows. nil: nothing.
+	Held   func() quarantine.Report
+	OnHeld func(r quarantine.Report)
+	Log    *log.Logger
 }
 
 // Exchange sends this entry's reports and receives those of others. It is safe for
@@ -237,9 +242,13 @@
 	report := x.seams.Report()
 	sortByEngine(report.Sends)
 	offsets := x.seams.Offsets()
+	var held quarantine.Report
+	if x.seams.Held != nil {
+		held = x.seams.Held()
+	}
 	x.mu.Lock()
 	x.seq++
-	m := message{start: x.start, seq: x.seq, leaving: x.leaving, sends: report.Sends, paces: report.Paces, waits: report.Waits, offsets: offsets}
+	m := message{start: x.start, seq: x.seq, leaving: x.leaving, sends: report.Sends, paces: report.Paces, waits: report.Waits, offsets: offsets, held: held}
 	parts := x.encode(&m, changed, now)
 	x.mu.Unlock()
 	if len(parts) > 1 {
@@ -465,6 +474,9 @@
 	if len(m.offsets) > 0 {
 		x.seams.OnOffsets(from, m.offsets)
 	}
+	if x.seams.OnHeld != nil {
+		x.seams.OnHeld(m.held)
+	}
 }
 
 // accept reports whether a message, or the part of it, is new, and updates its sender's state if
--- a/internal/peer/sends/wire.go
+++ b/internal/peer/sends/wire.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
 )
 
 // A message holds the sender's start time and sequence number, and its sends by engine.
@@ -26,6 +27,9 @@
 	fieldParts   = 9  // varint: number of parts; missing in a message of one part
 	fieldPassOn  = 10 // varint: 1 if the receiver is to pass the message on in its failure domain
 	fieldBase    = 11 // varint: number of the message that this one holds the changes since
+	fieldCrash   = 12 // bytes: an engine's name, the age of its crash, and its prompts without an event
+	fieldAnswer  = 13 // bytes: a segment, and the age of its latest answer
+	fieldVerdict = 14 // bytes: a segment, and the term of its verdict
 
 	// The envelope of messages that their senders asked to pass on has these two fields only,
 	// by turns, so that an entry that doesn't know it finds no start time in it.
@@ -38,6 +42,12 @@
 	fieldFactor = 2 // varint: pace, in hundredths
 	fieldAge    = 3 // varint: ms since the engine reported it
 
+	fieldSuspect   = 4 // bytes: the segments of a suspect of a crash, fixed64 each
+	fieldBystander = 5 // bytes: the segments of a bystander
+	fieldSegment   = 6 // fixed64
+	fieldTerm      = 7 // varint
+	fieldSentAge   = 8 // varint: ms since the latest prompt was sent
+
 	fieldDue = 2 // zigzag varint: ms until it is due, negative when overdue
 
 	paceScale = 100 // a pace is sent in hundredths
@@ -62,6 +72,7 @@
 	sends   []passes.Send
 	paces   []passes.Pace
 	waits   []passes.Wait
+	held    quarantine.Report
 }
 
 // encode returns the message in parts of at most limit bytes. Each part holds all but the sends
@@ -116,7 +127,7 @@
 		b = protowire.AppendTag(b, fieldWait, protowire.BytesType)
 		b = protowire.AppendBytes(b, encodeWait(w, now))
 	}
-	return b
+	return appendHeld(b, m.held, now)
 }
 
 // encodeBody encodes the paces, and the sends by engine, a field each.
@@ -376,6 +387,18 @@
 			p, err := decodePace(data, now)
 			m.paces = append(m.paces, p)
 			return err
+		case fieldCrash:
+			c, err := decodeCrash(data, now)
+			m.held.Crashes = append(m.held.Crashes, c)
+			return err
+		case fieldAnswer:
+			a, err := decodeAnswer(data, now)
+			m.held.Answers = append(m.held.Answers, a)
+			return err
+		case fieldVerdict:
+			w, err := decodeVerdict(data)
+			m.held.Verdicts = append(m.held.Verdicts, w)
+			return err
 		case fieldWait:
 			w, err := decodeWait(data, now)
 			m.waits = append(m.waits, w)
--- a/internal/peer/sends/wire_test.go
+++ b/internal/peer/sends/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -12,6 +13,8 @@
 
 	_ "github.com/dogwoodmill/dogwoodmill/internal/base/seed"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/segment"
 )
 
 var testNow = time.Unix(1_000_000, 0)
@@ -48,10 +51,31 @@
 			Due:     testNow.Add(time.Duration(rapid.IntRange(-20_000, 20_000).Draw(t, "due in ms")) * time.Millisecond),
 		})
 	}
+	m.held = drawHeld(t, drawMillis)
 	slices.SortStableFunc(m.sends, func(a, b passes.Send) int { return strings.Compare(a.Engine, b.Engine) })
 	return m
 }
 
+func drawHeld(t *rapid.T, drawMillis func(name string) time.Duration) quarantine.Report {
+	var r quarantine.Report
+	prompts := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) segment.List {
+		return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) segment.ID { return segment.ID(rapid.Uint64().Draw(t, "segment")) }), 1, 3).Draw(t, "prompt")
+	}), 0, 3)
+	for range rapid.IntRange(0, 2).Draw(t, "crashes") {
+		c := quarantine.Crash{Engine: rapid.SampledFrom([]string{"i-1", "i-2"}).Draw(t, "engine"), At: testNow.Add(-drawMillis("age")), SentAt: testNow.Add(-drawMillis("sent"))}
+		c.Suspects = append(c.Suspects, prompts.Draw(t, "suspects")...)
+		c.Bystanders = append(c.Bystanders, prompts.Draw(t, "bystanders")...)
+		r.Crashes = append(r.Crashes, c)
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "answers") {
+		r.Answers = append(r.Answers, quarantine.Answer{Segment: segment.ID(rapid.Uint64().Draw(t, "segment")), At: testNow.Add(-drawMillis("age"))})
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "verdicts") {
+		r.Verdicts = append(r.Verdicts, quarantine.Verdict{Segment: segment.ID(rapid.Uint64().Draw(t, "segment")), Term: rapid.Uint64().Draw(t, "term")})
+	}
+	return r
+}
+
 func indexes(n int) []int {
 	out := make([]int, n)
 	for i := range out {
@@ -90,7 +114,8 @@
 			slices.SortFunc(m.paces, comparePaces)
 		}
 		if got.start != m.start || got.seq != m.seq || got.leaving != m.leaving ||
-			!slices.Equal(got.offsets, m.offsets) || !slices.Equal(got.sends, m.sends) || !slices.Equal(got.paces, m.paces) || !slices.Equal(got.waits, m.waits) {
+			!slices.Equal(got.offsets, m.offsets) || !slices.Equal(got.sends, m.sends) || !slices.Equal(got.paces, m.paces) || !slices.Equal(got.waits, m.waits) ||
+			!reflect.DeepEqual(got.held, m.held) {
 			t.Fatalf("%+v decodes as %+v", m, got)
 		}
 	})
--- /dev/null
+++ b/internal/prompt/quarantine/report.go
@@ -0,0 +1,111 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/segment"
+)
+
+// Verdict is the state of a segment, which is held if the term is odd.
+type Verdict struct {
+	Segment segment.ID
+	Term    uint64
+}
+
+// Answer tells when a prompt with a segment was last answered.
+type Answer struct {
+	Segment segment.ID
+	At      time.Time
+}
+
+// Report is what an entry tells the others.
+type Report struct {
+	Crashes  []Crash
+	Answers  []Answer // of segments in question
+	Verdicts []Verdict
+}
+
+// Report returns what the other entries are to know. It is empty unless engines crashed lately or
+// prompts with held segments come.
+func (q *Tracker) Report() Report {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.cfg.Now()
+	q.own = slices.DeleteFunc(q.own, func(c Crash) bool { return now.Sub(c.At) > reportTTL })
+	r := Report{Crashes: slices.Clone(q.own[max(0, len(q.own)-maxReportedCrashes):])}
+	questioned := q.questioned(now.Add(-reportTTL))
+	for _, id := range slices.Sorted(maps.Keys(q.verdicts)) {
+		if v := q.verdicts[id]; now.Before(v.reportEnd) {
+			r.Verdicts = append(r.Verdicts, Verdict{Segment: id, Term: v.term})
+			questioned[id] = true
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(questioned)) {
+		if at := q.answered.at(id); !at.IsZero() && len(r.Answers) < maxReportedAnswers {
+			r.Answers = append(r.Answers, Answer{Segment: id, At: at})
+		}
+	}
+	return r
+}
+
+// Merge takes in the report of another entry.
+func (q *Tracker) Merge(r Report) {
+	if len(r.Crashes)+len(r.Answers)+len(r.Verdicts) == 0 {
+		return
+	}
+	q.mu.Lock()
+	now, changed := q.cfg.Now(), false
+	for _, c := range r.Crashes {
+		var isNew bool
+		q.crashes, isNew = addCrash(q.crashes, c)
+		changed = changed || isNew
+	}
+	q.mergeAnswers(r.Answers, now)
+	for _, v := range r.Verdicts {
+		changed = q.mergeVerdict(v, now) || changed
+	}
+	q.review(now)
+	q.mu.Unlock()
+	if changed {
+		q.cfg.Changed() // the sender may not know of answers that this entry has seen
+	}
+}
+
+// mergeAnswers takes in answers that another entry has seen. q.mu must be held.
+func (q *Tracker) mergeAnswers(list []Answer, now time.Time) {
+	maps.DeleteFunc(q.reported, func(_ segment.ID, at time.Time) bool { return now.Sub(at) > evidenceTTL })
+	for _, a := range list {
+		_, known := q.reported[a.Segment]
+		if a.At.After(q.reported[a.Segment]) && (known || len(q.reported) < maxReported) {
+			q.reported[a.Segment] = a.At
+			q.release(a.Segment, now)
+		}
+	}
+}
+
+// mergeVerdict takes in another entry's verdict and reports whether it changed this entry's. A hold
+// that answers speak against is reversed. q.mu must be held.
+func (q *Tracker) mergeVerdict(v Verdict, now time.Time) bool {
+	term := q.term(v.Segment)
+	if v.Term == term && term > 0 {
+		q.verdicts[v.Segment].forgetAt = now.Add(2 * holdTTL)
+	}
+	if v.Term <= term || v.Term > maxTerm {
+		return false
+	}
+	reversed := false
+	if v.Term%2 == 1 && !q.lastAnswered(v.Segment).IsZero() {
+		b := q.blameOf(v.Segment)
+		reversed = !b.suffices()
+	}
+	if reversed {
+		v.Term++
+	}
+	own := q.setTerm(v.Segment, v.Term, now)
+	if own != nil && reversed {
+		own.reportEnd = now.Add(holdTTL)
+	}
+	return own != nil
+}
--- /dev/null
+++ b/internal/prompt/quarantine/tracker_test.go
@@ -0,0 +1,327 @@
+package quarantine
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "github.com/dogwoodmill/dogwoodmill/internal/base/seed"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/segment"
+)
+
+const (
+	shared = segment.ID(1)
+	deadly = segment.ID(2)
+	other  = segment.ID(3)
+	// passTime separates crashes: an engine reads a prompt for a pass or longer.
+	passTime = 60 * time.Millisecond
+)
+
+// fleet is a number of trackers, each of which gets the reports of all others.
+type fleet []*Tracker
+
+func newFleet(n int) fleet {
+	out := make(fleet, n)
+	for i := range out {
+		out[i] = New(Settings{
+			Now: time.Now, Rand: func() float64 { return 0.5 }, Entries: func() int { return n }, Changed: func() {}, Log: log.New(io.Discard),
+		})
+	}
+	return out
+}
+
+// exchange passes on all reports, and again what they change.
+func (f fleet) exchange() {
+	for range 2 {
+		for i, from := range f {
+			r := from.Report()
+			if len(r.Crashes)+len(r.Answers)+len(r.Verdicts) == 0 {
+				continue
+			}
+			for j, to := range f {
+				if i != j {
+					to.Merge(r)
+				}
+			}
+		}
+	}
+}
+
+// crash lets an engine crash under prompts, as the tracker sees it.
+func (q *Tracker) crash(engine string, suspect bool, prompts ...segment.List) {
+	now := time.Now()
+	for _, list := range prompts {
+		if a, _ := q.Watch(list, func() {}); a != nil {
+			a.Crashed(engine, now, suspect)
+			a.End(false)
+		}
+	}
+}
+
+// answer answers a prompt and reports whether it was sent.
+func (q *Tracker) answer(list ...segment.ID) bool {
+	a, _ := q.Watch(list, func() {})
+	if a != nil {
+		a.End(true)
+	}
+	return a != nil
+}
+
+// settle lets the trackers hold what crashes speak against.
+func settle() {
+	time.Sleep(2 * settleDelay)
+	synctest.Wait()
+}
+
+// Two segments are in all prompts that crash engines, and neither was ever answered. Holding both
+// would take from callers what only one of them does.
+func TestFewestSegmentsAreHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := newFleet(1)[0]
+		for i := range 2 {
+			time.Sleep(passTime)
+			q.crash(fmt.Sprint(i), true, segment.List{shared, deadly})
+		}
+		settle()
+		is.Equal(q.HeldSegments(), segment.List{deadly})
+		is.True(q.answer(shared, other))
+
+		// Had it been the one that more prompts have, those without the other go on to crash engines.
+		q = newFleet(1)[0]
+		for i := range 3 {
+			time.Sleep(passTime)
+			q.crash(fmt.Sprint(i), true, segment.List{shared, deadly + segment.ID(i/2)})
+			settle()
+		}
+		is.True(!q.answer(shared))
+	})
+}
+
+// Sound prompts are lost with the engines that others crash, also the same ones several times.
+func TestBystandersAreNotHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := newFleet(1)[0]
+		for i := range 8 {
+			time.Sleep(passTime)
+			q.crash(fmt.Sprint(i), false, segment.List{other})
+			q.crash(fmt.Sprint(i), true, segment.List{segment.ID(100 + i)})
+		}
+		settle()
+		is.Equal(q.HeldSegments(), segment.List{})
+	})
+}
+
+// An engine may crash before its answer shows that it has begun.
+func TestSegmentOfUnansweredPromptsIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := newFleet(1)[0]
+		is.True(q.answer(shared))
+		for i := range 3 {
+			is.Equal(q.HeldSegments(), segment.List{})
+			time.Sleep(passTime)
+			q.crash(fmt.Sprint(i), false, segment.List{shared, deadly}, segment.List{segment.ID(100 + i)})
+		}
+		settle()
+		is.Equal(q.HeldSegments(), segment.List{deadly})
+	})
+}
+
+// A failure domain is lost with its engines, which many prompts of one session were sent to.
+func TestLostDomainHoldsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(4)
+		for i := range 40 {
+			f[i%len(f)].crash(fmt.Sprint(i), false, segment.List{shared, other})
+		}
+		f.exchange()
+		settle()
+		is.Equal(f[0].HeldSegments(), segment.List{})
+	})
+}
+
+// Crashes that two entries see are enough for all of them, at any number of entries, and one that
+// starts later learns it from any other.
+func TestAllEntriesHold(t *testing.T) {
+	for _, n := range []int{4, 1100} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(n)
+			is.True(f[3].answer(shared)) // the others have not seen it answered
+			aborted := 0
+			_, _ = f[2].Watch(segment.List{shared, deadly}, func() { aborted++ })
+			_, _ = f[2].Watch(segment.List{shared, other}, func() { aborted += n })
+			for i := range 2 {
+				time.Sleep(passTime)
+				f[i].crash(fmt.Sprint(i), true, segment.List{shared, deadly})
+				f.exchange()
+			}
+			settle()
+			f.exchange()
+			for _, q := range f {
+				is.Equal(q.HeldSegments(), segment.List{deadly})
+			}
+			is.Equal(aborted, 1)
+
+			time.Sleep(time.Minute)
+			is.True(!f[1].answer(deadly)) // prompts with it still come
+			started := newFleet(1)[0]
+			started.Merge(f[1].Report())
+			is.Equal(started.HeldSegments(), segment.List{deadly})
+		})
+	}
+}
+
+// An entry that has not seen a segment answered holds it, and one that has objects, even late.
+func TestAnswersElsewhereEndHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2)
+		is.True(f[1].answer(shared))
+		for i := range 2 {
+			time.Sleep(passTime)
+			f[0].crash(fmt.Sprint(i), true, segment.List{shared})
+		}
+		settle()
+		is.Equal(f[0].HeldSegments(), segment.List{shared})
+		f.exchange()
+		settle()
+		for _, q := range f {
+			is.Equal(q.HeldSegments(), segment.List{})
+		}
+	})
+}
+
+// A segment that was sound for long crashes engines since they changed.
+func TestOnceAnsweredSegmentIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := newFleet(1)[0]
+		is.True(q.answer(deadly))
+		for i := range answeredScore / suspectScore {
+			is.Equal(q.HeldSegments(), segment.List{})
+			time.Sleep(passTime)
+			q.crash(fmt.Sprint(i), true, segment.List{deadly})
+		}
+		settle()
+		is.Equal(q.HeldSegments(), segment.List{deadly})
+	})
+}
+
+// Held segments are tried again in a while: engines may have been mended. No more than one prompt
+// is sent, and the next one only if it was answered.
+func TestProbeEndsHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := newFleet(1)[0]
+		for i := range 2 {
+			time.Sleep(passTime)
+			q.crash(fmt.Sprint(i), true, segment.List{deadly})
+		}
+		settle()
+		for range 2 {
+			for start := time.Now(); time.Since(start) < minProbeDelay; time.Sleep(time.Second) {
+				is.True(!q.answer(deadly))
+			}
+			time.Sleep(2 * meanProbeDelay)
+			probe, _ := q.Watch(segment.List{deadly}, func() {})
+			is.True(probe != nil)
+			is.True(!q.answer(deadly))
+			probe.Crashed("probe", time.Now(), true)
+			probe.End(false)
+		}
+		time.Sleep(minProbeDelay + 2*meanProbeDelay)
+		is.True(q.answer(deadly))
+		is.Equal(q.HeldSegments(), segment.List{})
+		is.True(q.answer(deadly))
+	})
+}
+
+// Callers choose the names of segments and how many there are.
+func TestBoundsOfMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := newFleet(1)[0]
+		id := segment.ID(0)
+		for i := range 6_000 {
+			list := make(segment.List, 300)
+			for j := range list {
+				id++
+				list[j] = id
+			}
+			if i%60 > 0 {
+				q.answer(list...)
+				continue
+			}
+			q.Merge(Report{Answers: []Answer{{Segment: id, At: time.Now()}}, Verdicts: []Verdict{{Segment: id, Term: 1}}})
+			for n := range 3 {
+				time.Sleep(passTime)
+				q.crash(fmt.Sprint(i, n), true, list, list[1:])
+			}
+			settle()
+		}
+		is.True(len(q.answered.current) <= maxAnswered+300)
+		is.True(len(q.crashes) <= maxCrashes && len(q.own) <= maxCrashes)
+		is.True(len(q.verdicts) <= maxVerdicts)
+		is.True(len(q.reported) <= maxReported)
+		is.Equal(len(q.unproven), 0)
+		r := q.Report()
+		is.True(len(r.Crashes) <= maxReportedCrashes && len(r.Verdicts) <= maxVerdicts && len(r.Answers) <= maxReportedAnswers)
+		for _, c := range r.Crashes {
+			size := 0
+			for _, list := range c.Suspects {
+				size += len(list)
+			}
+			is.True(size <= maxSegmentsPerCrash)
+		}
+	})
+}
+
+// Prompts of random segments come at random entries, some with one on which engines crash. It must
+// be held before engines crash on it more often than the users accept, and no other for longer than
+// it takes to answer a prompt.
+func TestRapidHoldsTheDeadlySegmentOnly(t *testing.T) {
+	const maxCrashesOfSegment = 5
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(*testing.T) {
+			f := newFleet(rapid.IntRange(1, 6).Draw(rt, "entries"))
+			crashes := 0
+			for i := range rapid.IntRange(20, 120).Draw(rt, "prompts") {
+				time.Sleep(passTime)
+				q := f[rapid.IntRange(0, len(f)-1).Draw(rt, "entry")]
+				first := segment.ID(rapid.IntRange(10, 14).Draw(rt, "first"))
+				list := segment.List{first, segment.ID(rapid.IntRange(20, 40).Draw(rt, "second"))}
+				if rapid.IntRange(0, 3).Draw(rt, "deadly") > 0 {
+					q.answer(list...)
+				} else if a, _ := q.Watch(segment.List{first, deadly}, func() {}); a != nil {
+					crashes++
+					a.Crashed(fmt.Sprint(i), time.Now(), rapid.Bool().Draw(rt, "begun"))
+					a.End(false)
+					q.crash(fmt.Sprint(i), false, list)
+				}
+				f.exchange()
+			}
+			settle()
+			f.exchange()
+			if crashes > maxCrashesOfSegment {
+				rt.Fatalf("%d engines crashed", crashes)
+			}
+			for _, q := range f {
+				for _, id := range q.HeldSegments() {
+					if id != deadly {
+						rt.Fatalf("segment %s is held", id)
+					}
+				}
+			}
+		})
+	})
+}
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -288,6 +288,7 @@
 	}
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+header+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
 	if s.isPoison(run) {
+		time.Sleep(passTime)
 		s.crash()
 		return
 	}
@@ -301,6 +302,10 @@
 // longPause is long enough to make an entry resume the stream at another server.
 const longPause = 1500 * time.Millisecond
 
+// passTime is the time from the head of an answer to the crash of a poisoned prompt: engines read
+// prompts for a pass or longer before they write.
+const passTime = 60 * time.Millisecond
+
 // eventInterval separates the events, so that the reader gets each one on its own.
 const eventInterval = 2 * time.Millisecond
 
