Take a stream that ends within an event for broken off, whatever frames it

What callers saw: a stream whose engine stopped within an event, but ended its chunks or its length properly, passed as complete, with half an event at its end. On the users' pages such a stream has been broken off.

Cause: only streams that end with their connection were checked; for the others what was left of an event counted as the last event.

Change: what is left of an event is an unexpected end, so the stream is resumed, or cut where it can't be. Answers that are no stream (3xx and above) are passed on as before.

Before / after: TestStreamEndsWithinEvent fails for chunked and length before, passes now; so do all tests of gateway/entry. Streams without length or chunks that end after an event are complete, as before (its last row).

--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -359,8 +359,8 @@
 	case !errors.Is(r.err, io.EOF):
 		es.c.countTooLarge(r.err)
 		return out, events, fail("read", KindUnknown, r.err)
-	case len(rest) > 0 && es.exchange.Header().ContentLength() < -1:
-		return out, events, fail("read", KindUnknown, io.ErrUnexpectedEOF) // chunked answer that ends within an event
+	case len(rest) > 0 && !es.splitter.anything:
+		return out, events, fail("read", KindUnknown, io.ErrUnexpectedEOF)
 	case len(rest) > 0:
 		return append(out, rest...), events + 1, io.EOF
 	default:
--- a/internal/gateway/entry/entry_test.go
+++ b/internal/gateway/entry/entry_test.go
@@ -532,6 +532,38 @@
 	}
 }
 
+// A stream that ends within an event was broken off, whatever frames its end, and is resumed. One that
+// ends with its connection after an event is complete.
+func TestStreamEndsWithinEvent(t *testing.T) {
+	part := server.Events(2) + server.Event(3)[:len(server.Event(3))-1]
+	for name, answer := range map[string]string{
+		"chunked":    fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(part), part),
+		"length":     fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(part), part),
+		"connection": "\r\n" + part,
+		"whole":      "\r\n" + server.Events(testEvents),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			env := newTestEnv(t)
+			env.configure()
+			a, b := env.serve("engines", "i-1", server.Raw), env.serve("engines", "i-2")
+			a.SetRaw(func(w io.Writer, header string) { _, _ = io.WriteString(w, okLine+header+answer) })
+			for len(a.Runs()) == 0 { // until the failing one was picked
+				b.SetScripts()
+				r := env.do(env.request(http.MethodPost, "/ask/"))
+				is.NoErr(r.err)
+				is.Equal(r.status, http.StatusOK)
+				is.Equal(r.body, server.Events(testEvents))
+			}
+			if name == "whole" {
+				is.Equal(len(b.Runs()), 0)
+				return
+			}
+			is.Equal(b.Runs()[0].LastEvent, "2")
+		})
+	}
+}
+
 // A 5xx answer of the engine that should resume a stream must not become part of the answer.
 func TestFailureWhileResumingIsNotRelayed(t *testing.T) {
 	is := is.New(t)
