--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -63,7 +63,8 @@
 	pace    float64
 	poison  string // segment of prompts on which the server crashes
 	crashed bool
-	reports int // load reports served
+	limit   string // named in answers; "": none
+	reports int    // load reports served
 	scripts []Script
 	runs    []*Run
 	conns   map[net.Conn]bool
@@ -127,6 +128,23 @@
 	s.poison = segment
 }
 
+// SetLimit sets the limit of requests a second that the server names in its answers; "" names none.
+func (s *Server) SetLimit(limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+}
+
+// limitHeader returns the header line that names the limit, or "".
+func (s *Server) limitHeader() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit == "" {
+		return ""
+	}
+	return "Server-Limit: " + s.limit + "\r\n"
+}
+
 // Crashed reports whether the server has crashed.
 func (s *Server) Crashed() bool {
 	s.mu.Lock()
@@ -252,7 +270,7 @@
 	if script == WrongAttempt {
 		id = "another"
 	}
-	header := "X-Attempt-Id: " + id + "\r\n"
+	header := "X-Attempt-Id: " + id + "\r\n" + s.limitHeader()
 	if script != Unsealed {
 		header += "X-Response-Seal: seal-" + s.instance + "\r\n"
 	}
