Keep requests to upstreams within the limits that they name

What callers saw: nothing yet.

Cause: nothing reads Server-Limit. The class: feedback of an upstream that one entry gets and all have to act on.

Evidence: rates at the two engines by second are the same before and after they named their limits; no line of code named the header; TestNamedLimitIsKept.

Ruled out: entries that keep within the limit each by itself, or that don't hear of it: no entry did.

Change: internal/upstream/throttle. An entry that reads a limit in an answer reports it to the others, so that it holds everywhere a message's way later; the latest answer holds, and one without a limit lifts it if its request was sent after the limit was named. For each upstream the entries choose the same senders by a hash, so many that each has two requests a second or more; the others send it nothing. So a limit below the number of entries can be kept, and it is used. Entries that are silent for less than a minute may be cut off and send, so their part is left to them. Engines without a request left may still read for others. Bounds: 4,096 upstreams; each limit is reported by the entry that heard it last, 25 bytes.

--- a/internal/gateway/directory/directory.go
+++ b/internal/gateway/directory/directory.go
@@ -136,5 +136,11 @@
 	return out
 }
 
+// Has reports whether the upstream with the id is known.
+func (d *Directory) Has(id string) bool {
+	_, ok := d.servers[id]
+	return ok
+}
+
 // Len returns the number of upstreams.
 func (d *Directory) Len() int { return len(d.servers) }
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -64,6 +64,7 @@
 	req := fasthttp.AcquireRequest()
 	platform.EncodeAttempt(&req.Header, &c.callerReq.Header, a)
 	req.SetBodyRaw(c.callerReq.Body())
+	sentAt := time.Now()
 	x, err := httpconn.Do(ctx, c.s.upstreams, address, req, httpconn.Limits{Header: limit, Read: limit, Buffer: maxAnswerHeadBytes, Bytes: bytes})
 	if fault.Is(err, httpconn.KindUnsent) {
 		if c.ctx.Err() == nil {
@@ -78,6 +79,9 @@
 		return nil, platform.Answer{}, fail("send", KindUnknown, err)
 	}
 	ans := platform.DecodeAnswer(x.Header())
+	if ans.Limit > 0 || !ans.NotRun {
+		c.s.sched.throttle.Heard(a.Instance, sentAt, ans.Limit)
+	}
 	if ans.NotRun {
 		x.Close()
 		return nil, ans, fail("send", KindNotRun, fmt.Errorf("status %d", ans.Status))
--- a/internal/gateway/entry/observe.go
+++ b/internal/gateway/entry/observe.go
@@ -102,6 +102,7 @@
 	// ToldDomainBytes are those of ToldBytes that went to other failure domains.
 	ToldDomainBytes uint64                  `json:"toldDomainBytes"`
 	Topics          []TopicState            `json:"topics"`
+	Limits          map[string]float64      `json:"limits"` // requests a second that upstreams take from all entries
 	Services        map[string]ServiceState `json:"services"`
 	RetriesLeft     map[string]float64      `json:"retriesLeft"` // by service
 }
@@ -122,6 +123,7 @@
 			st.Topics = append(st.Topics, TopicState{Topic: f.Topic(), Offset: offset, Healthy: healthy})
 		}
 	}
+	st.Limits = s.sched.throttle.Limits()
 	s.sched.fill(&st)
 	return st
 }
@@ -208,6 +210,7 @@
 		scope.Gauge("entries_known").Update(float64(len(s.peers())))
 		scope.Gauge("upstreams_cut").Update(float64(len(s.reach.Unreachable())))
 		scope.Gauge("segments_held").Update(float64(len(s.quarantine.HeldSegments())))
+		scope.Gauge("upstreams_limited").Update(float64(len(s.sched.throttle.Limits())))
 		told := s.exchange.Sent()
 		scope.Gauge("buffered_answer_bytes").Update(float64(s.bodies.used.Load()))
 		scope.Gauge("told_bytes").Update(float64(told.Bytes))
--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -13,6 +13,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/retry"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/plain"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/throttle"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
@@ -42,6 +43,7 @@
 	now           func() time.Time
 	unreachable   func(address string) bool             // whether connections to the address fail
 	queryPace     func(service string, e passes.Engine) // queries the engine's speed; the result goes to SetPace
+	throttle      *throttle.Throttle
 	// domainOf returns the failure domain of the entry at an address, or "" if it is unknown.
 	domainOf func(address string) string
 
@@ -65,9 +67,15 @@
 		dir: directory.New(), planners: map[string]*passes.Planner{}, pools: map[string]*plain.Pool{},
 		budget:  retry.NewWithin(budgetShare*bound.Ratio, budgetShare*bound.Slack/minEntries, startShare),
 		reports: map[string]passes.Report{}, ready: make(chan struct{}),
+		throttle: throttle.New(throttle.Settings{
+			Now: time.Now, Members: func() throttle.Members { return throttle.Members{Live: []string{""}} }, Changed: func() {}, Log: logger,
+		}),
 	}
 }
 
+// throttled reports whether an upstream takes no further request from this entry now.
+func (s *scheduler) throttled(name string) bool { return !s.throttle.Allows(name) }
+
 // Table returns the configuration, or nil if there is none yet.
 func (s *scheduler) Table() *route.Table {
 	s.mu.Lock()
@@ -192,6 +200,7 @@
 
 // configure passes the upstreams to the planners and pools of their services. s.mu must be held.
 func (s *scheduler) configure() {
+	s.throttle.Forget(s.dir.Has)
 	if s.table == nil {
 		return
 	}
@@ -203,7 +212,7 @@
 		}
 		p := s.planners[name]
 		if p == nil {
-			p = passes.New(passes.Settings{Service: name, Domain: s.domain, Now: s.now, Rand: rand.Float64, Entries: s.entryCount, Cut: s.unreachable, OnStaleChange: s.logStaleChange}, svc.Engine)
+			p = passes.New(passes.Settings{Service: name, Domain: s.domain, Now: s.now, Rand: rand.Float64, Entries: s.entryCount, Cut: s.unreachable, OnStaleChange: s.logStaleChange, Throttled: s.throttled, Sent: s.throttle.Take}, svc.Engine)
 			s.planners[name] = p
 		}
 		p.Configure(svc.Engine, s.table.LongestGap(name))
@@ -275,7 +284,7 @@
 func (s *scheduler) pool(name string) *plain.Pool {
 	p := s.pools[name]
 	if p == nil {
-		p = plain.New(plain.Settings{Domain: s.domain, Now: s.now, Rand: rand.Float64, Unreachable: s.unreachable})
+		p = plain.New(plain.Settings{Domain: s.domain, Now: s.now, Rand: rand.Float64, Unreachable: s.unreachable, Throttled: s.throttled, Sent: s.throttle.Take})
 		s.pools[name] = p
 	}
 	return p
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -24,6 +24,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/sends"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/reach"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/throttle"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
@@ -126,6 +127,9 @@
 	s.quarantine = quarantine.New(quarantine.Settings{
 		Now: time.Now, Rand: rand.Float64, Entries: s.entryCount, Changed: s.reportChanged, Log: logger.WithPrefix("quarantine"),
 	})
+	s.sched.throttle = throttle.New(throttle.Settings{
+		Now: time.Now, Members: s.members, Changed: s.reportChanged, Log: logger.WithPrefix("throttle"),
+	})
 	own := net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.PeerPort))
 	conn, err := net.ListenPacket("udp", own)
 	if err != nil {
@@ -146,7 +150,7 @@
 	s.records = records.Serve(peerLn, logger.WithPrefix("records"), s.newest)
 	s.exchange = sends.New(conn, time.Now(), sends.Seams{
 		Domain: cfg.FailureDomain, Report: s.sched.Report, OnReport: s.sched.SetReport, Peers: s.peers, Offsets: s.offsets, OnOffsets: s.applyOffsets,
-		Held: s.quarantine.Report, OnHeld: s.quarantine.Merge, Log: logger.WithPrefix("sends"),
+		Held: s.quarantine.Report, OnHeld: s.quarantine.Merge, Rates: s.sched.throttle.Report, OnRates: s.sched.throttle.Merge, Log: logger.WithPrefix("sends"),
 	})
 	s.sched.reportChanged = s.exchange.Changed
 	s.sched.entryCount, s.sched.domainOf = s.entryCount, s.domainOf
@@ -183,6 +187,9 @@
 // reportChanged makes the exchange tell the other entries of a change.
 func (s *Server) reportChanged() { s.exchange.Changed() }
 
+// members returns the entries that share the rates of upstreams.
+func (s *Server) members() throttle.Members { return s.exchange.Members() }
+
 // askEntry asks another entry for a topic's records.
 func (s *Server) askEntry(ctx context.Context, entry, topic string) ([]platform.Keyed, uint64, error) {
 	return records.Ask(ctx, s.upstreams, entry, topic)
--- a/internal/peer/sends/exchange.go
+++ b/internal/peer/sends/exchange.go
@@ -23,6 +23,7 @@
 
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/throttle"
 )
 
 const (
@@ -37,6 +38,8 @@
 	// accepted, as the entry's clock may have been set back before a restart. If the process
 	// with the later start time still ran, it would have sent three messages by then.
 	restartTimeout = 3 * repeatInterval
+	// cutOffTimeout is how long an entry that is down may still serve in another part of a partition.
+	cutOffTimeout = time.Minute
 	// probeInterval is how often a message is sent to an entry that is down.
 	probeInterval = time.Second
 	// passOnInterval is the shortest time between datagrams with which a relay passes messages
@@ -79,7 +82,11 @@
 	// another entry knows. nil: nothing.
 	Held   func() quarantine.Report
 	OnHeld func(r quarantine.Report)
-	Log    *log.Logger
+	// Rates returns the rates that upstreams named to this entry. OnRates receives what another
+	// entry heard. nil: none.
+	Rates   func() []throttle.Rate
+	OnRates func(list []throttle.Rate)
+	Log     *log.Logger
 }
 
 // Exchange sends this entry's reports and receives those of others. It is safe for
@@ -193,6 +200,27 @@
 	return rank
 }
 
+// Members returns the entries that serve, as far as is known: the live ones that are not leaving,
+// and the number of those that were live lately and did not leave.
+func (x *Exchange) Members() throttle.Members {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	m, now := throttle.Members{Self: x.self}, time.Now()
+	if !x.leaving {
+		m.Live = append(m.Live, x.self)
+	}
+	for addr, p := range x.peers {
+		switch {
+		case p.leaving:
+		case p.live:
+			m.Live = append(m.Live, addr)
+		case !p.lastReceived.IsZero() && now.Sub(p.lastReceived) < cutOffTimeout:
+			m.Silent++
+		}
+	}
+	return m
+}
+
 // Staying reports whether another live entry is not leaving. If there is none, leavingSince
 // is when the first of the live entries announced that it leaves, or zero without any.
 func (x *Exchange) Staying() (staying bool, leavingSince time.Time) {
@@ -246,9 +274,13 @@
 	if x.seams.Held != nil {
 		held = x.seams.Held()
 	}
+	var rates []throttle.Rate
+	if x.seams.Rates != nil {
+		rates = x.seams.Rates()
+	}
 	x.mu.Lock()
 	x.seq++
-	m := message{start: x.start, seq: x.seq, leaving: x.leaving, sends: report.Sends, paces: report.Paces, waits: report.Waits, offsets: offsets, held: held}
+	m := message{start: x.start, seq: x.seq, leaving: x.leaving, sends: report.Sends, paces: report.Paces, waits: report.Waits, offsets: offsets, held: held, rates: rates}
 	parts := x.encode(&m, changed, now)
 	x.mu.Unlock()
 	if len(parts) > 1 {
@@ -477,6 +509,9 @@
 	if x.seams.OnHeld != nil {
 		x.seams.OnHeld(m.held)
 	}
+	if x.seams.OnRates != nil {
+		x.seams.OnRates(m.rates)
+	}
 }
 
 // accept reports whether a message, or the part of it, is new, and updates its sender's state if
--- a/internal/peer/sends/wire.go
+++ b/internal/peer/sends/wire.go
@@ -11,6 +11,7 @@
 
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/throttle"
 )
 
 // A message holds the sender's start time and sequence number, and its sends by engine.
@@ -30,6 +31,7 @@
 	fieldCrash   = 12 // bytes: an engine's name, the age of its crash, and its prompts without an event
 	fieldAnswer  = 13 // bytes: a segment, and the age of its latest answer
 	fieldVerdict = 14 // bytes: a segment, and the term of its verdict
+	fieldRate    = 15 // bytes: an upstream's name, the rate that it named, and the age of that
 
 	// The envelope of messages that their senders asked to pass on has these two fields only,
 	// by turns, so that an entry that doesn't know it finds no start time in it.
@@ -47,6 +49,7 @@
 	fieldSegment   = 6 // fixed64
 	fieldTerm      = 7 // varint
 	fieldSentAge   = 8 // varint: ms since the latest prompt was sent
+	fieldPerSecond = 9 // fixed64: a float64; 0: the upstream names no rate any more
 
 	fieldDue = 2 // zigzag varint: ms until it is due, negative when overdue
 
@@ -73,6 +76,7 @@
 	paces   []passes.Pace
 	waits   []passes.Wait
 	held    quarantine.Report
+	rates   []throttle.Rate
 }
 
 // encode returns the message in parts of at most limit bytes. Each part holds all but the sends
@@ -127,6 +131,10 @@
 		b = protowire.AppendTag(b, fieldWait, protowire.BytesType)
 		b = protowire.AppendBytes(b, encodeWait(w, now))
 	}
+	for _, r := range m.rates {
+		b = protowire.AppendTag(b, fieldRate, protowire.BytesType)
+		b = protowire.AppendBytes(b, encodeRate(r, now))
+	}
 	return appendHeld(b, m.held, now)
 }
 
@@ -336,6 +344,33 @@
 	return w, err
 }
 
+func encodeRate(r throttle.Rate, now time.Time) []byte {
+	b := protowire.AppendTag(nil, fieldName, protowire.BytesType)
+	b = protowire.AppendString(b, r.Upstream)
+	b = protowire.AppendTag(b, fieldPerSecond, protowire.Fixed64Type)
+	b = protowire.AppendFixed64(b, math.Float64bits(r.PerSecond))
+	return appendAge(b, fieldAge, r.At, now)
+}
+
+func decodeRate(b []byte, now time.Time) (throttle.Rate, error) {
+	var r throttle.Rate
+	err := eachField(b, func(num protowire.Number, v uint64, data []byte) error {
+		switch num {
+		case fieldName:
+			r.Upstream = string(data)
+		case fieldPerSecond:
+			r.PerSecond = math.Float64frombits(v)
+			if math.IsNaN(r.PerSecond) || r.PerSecond < 0 {
+				return errMalformed
+			}
+		case fieldAge:
+			r.At = now.Add(-millis(v))
+		}
+		return nil
+	})
+	return r, err
+}
+
 func encodeEngine(name string, list []passes.Send, now time.Time) []byte {
 	b := protowire.AppendTag(nil, fieldName, protowire.BytesType)
 	b = protowire.AppendString(b, name)
@@ -387,6 +422,10 @@
 			p, err := decodePace(data, now)
 			m.paces = append(m.paces, p)
 			return err
+		case fieldRate:
+			r, err := decodeRate(data, now)
+			m.rates = append(m.rates, r)
+			return err
 		case fieldCrash:
 			c, err := decodeCrash(data, now)
 			m.held.Crashes = append(m.held.Crashes, c)
--- a/internal/prompt/passes/choose.go
+++ b/internal/prompt/passes/choose.go
@@ -112,6 +112,7 @@
 	pass           time.Duration // pass time with the request
 	firstEvent     time.Duration // time to the request's first event
 	extraOccupancy time.Duration // how much later it is free of streams with the request
+	throttled      bool          // it takes no further request now, only reads
 }
 
 // place assigns engines to a request and updates their candidates. It reports false where
@@ -194,7 +195,7 @@
 
 func (p *Planner) newCandidate(e *engine, now time.Time) candidate {
 	l, margin := e.load(now), p.pauseMargin()
-	c := candidate{engine: e, load: l, readStart: l.pass/2 + l.readBacklog, readBudget: p.maxIdleRead() - l.passReads}
+	c := candidate{engine: e, load: l, throttled: p.cfg.Throttled != nil && p.cfg.Throttled(e.name), readStart: l.pass/2 + l.readBacklog, readBudget: p.maxIdleRead() - l.passReads}
 	if l.pauseLimit != noLimit {
 		c.readBudget = time.Duration(float64(l.pauseLimit-margin-l.pass)/readOverrunFactor) - l.passReads
 	}
@@ -236,7 +237,9 @@
 	return t.job.Deadline.Sub(now) / 2
 }
 
-func (p *Planner) hasSlot(c candidate) bool { return c.load.usedSlots < p.figures.Slots }
+func (p *Planner) hasSlot(c candidate) bool {
+	return c.load.usedSlots < p.figures.Slots && !c.throttled
+}
 
 // lastResort returns 1 for an engine with no more than lastResortSlots free, else 0.
 func (p *Planner) lastResort(c candidate) int {
--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -174,6 +174,10 @@
 	Entries func() int
 	// Cut reports whether an engine can't be connected to. nil: all can.
 	Cut func(address string) bool
+	// Throttled reports whether an engine takes no further request now. nil: all do. Sent is called
+	// for the engine that a request is sent to. It may be nil.
+	Throttled func(name string) bool
+	Sent      func(name string)
 	// OnStaleChange is called when the report of an entry becomes stale, for a reason, or current
 	// again, with "". It may be nil.
 	OnStaleChange func(entry string, why StaleReason)
@@ -395,6 +399,9 @@
 		e.circuit.Sent(now)
 		t.sends = append(t.sends, s)
 	}
+	if p.cfg.Sent != nil {
+		p.cfg.Sent(c.writer.name)
+	}
 	p.awaitingFirstEvent = append(p.awaitingFirstEvent, t)
 	p.changed = true
 	p.counts.Placed++
--- a/internal/upstream/plain/pool.go
+++ b/internal/upstream/plain/pool.go
@@ -49,6 +49,10 @@
 	Rand   func() float64 // in [0, 1)
 	// Unreachable reports whether a server is known to be unreachable. It may be nil.
 	Unreachable func(address string) bool
+	// Throttled reports whether a server takes no further request now. nil: all do. Sent is called
+	// for the server that is picked. It may be nil.
+	Throttled func(name string) bool
+	Sent      func(name string)
 }
 
 // Pool is the set of servers of a service. It is not safe for concurrent use.
@@ -86,8 +90,7 @@
 // Address returns the server's host:port.
 func (p *Pick) Address() string { return p.server.Address }
 
-// Choose picks the server of the lowest cost that is neither leaving nor in tried, or
-// returns nil. Servers with an open circuit or that are unreachable are a last resort.
+// Choose picks the server of the lowest cost that may get the request, or returns nil. Servers with an open circuit or that are unreachable are a last resort.
 func (p *Pool) Choose(tried map[string]bool) *Pick {
 	now := p.cfg.Now()
 	var (
@@ -95,7 +98,7 @@
 		lowest float64
 	)
 	for _, s := range p.servers {
-		if s.Leaving || tried[s.Name] {
+		if !p.mayGet(s, tried) {
 			continue
 		}
 		s.failures.Fade(now, failureDecayTime, 0)
@@ -116,13 +119,21 @@
 	}
 	best.busy++
 	best.circuit.Sent(now)
+	if p.cfg.Sent != nil {
+		p.cfg.Sent(best.Name)
+	}
 	return &Pick{server: best}
 }
 
-// HasUntried reports whether there is a server that is neither leaving nor in tried.
+// mayGet reports whether a server is neither leaving nor in tried, and takes a request now.
+func (p *Pool) mayGet(s *server, tried map[string]bool) bool {
+	return !s.Leaving && !tried[s.Name] && (p.cfg.Throttled == nil || !p.cfg.Throttled(s.Name))
+}
+
+// HasUntried reports whether there is a server that may get a request that was tried at the others.
 func (p *Pool) HasUntried(tried map[string]bool) bool {
 	for _, s := range p.servers {
-		if !s.Leaving && !tried[s.Name] {
+		if p.mayGet(s, tried) {
 			return true
 		}
 	}
