Take in repeated reports of crashes without weighing all crashes anew

What callers saw: nothing. Read once more: while prompts with a held segment come, each message of another entry weighed all crashes anew and looked through all reported answers, though it repeated what was known. At 1,100 entries that are 3,600 messages a second.

Change: only what is new is weighed; answers count as new from the transit of a message on. ID 0 is no segment. One place says when answers refute a hold.

--- a/internal/prompt/quarantine/report.go
+++ b/internal/prompt/quarantine/report.go
@@ -66,7 +66,9 @@
 	for _, v := range r.Verdicts {
 		changed = q.mergeVerdict(v, now) || changed
 	}
-	q.review(now)
+	if changed { // most reports repeat what is known
+		q.review(now)
+	}
 	q.mu.Unlock()
 	if changed {
 		q.cfg.Changed() // the sender may not know of answers that this entry has seen
@@ -75,13 +77,19 @@
 
 // mergeAnswers takes in answers that another entry has seen. q.mu must be held.
 func (q *Tracker) mergeAnswers(list []Answer, now time.Time) {
-	maps.DeleteFunc(q.reported, func(_ segment.ID, at time.Time) bool { return now.Sub(at) > evidenceTTL })
 	for _, a := range list {
-		_, known := q.reported[a.Segment]
-		if a.At.After(q.reported[a.Segment]) && (known || len(q.reported) < maxReported) {
-			q.reported[a.Segment] = a.At
-			q.release(a.Segment, now)
+		known, ok := q.reported[a.Segment]
+		if a.At.Sub(known) < reportSkew {
+			continue
+		}
+		if !ok && len(q.reported) >= maxReported {
+			maps.DeleteFunc(q.reported, func(_ segment.ID, at time.Time) bool { return now.Sub(at) > evidenceTTL })
+			if len(q.reported) >= maxReported {
+				return
+			}
 		}
+		q.reported[a.Segment] = a.At
+		q.release(a.Segment, now)
 	}
 }
 
@@ -95,11 +103,7 @@
 	if v.Term <= term || v.Term > maxTerm {
 		return false
 	}
-	reversed := false
-	if v.Term%2 == 1 && !q.lastAnswered(v.Segment).IsZero() {
-		b := q.blameOf(v.Segment)
-		reversed = !b.suffices()
-	}
+	reversed := v.Term%2 == 1 && q.refutes(v.Segment)
 	if reversed {
 		v.Term++
 	}
--- a/internal/prompt/quarantine/tracker.go
+++ b/internal/prompt/quarantine/tracker.go
@@ -4,8 +4,8 @@
 //
 // An engine that crashes had prompts without an event: suspects, whose answers had begun, and
 // bystanders, which were still read. Held are the fewest segments that all crashes have in common
-// and that no prompt was answered with since. Entries report to each other the crashes that they saw, which of the
-// segments in question they have seen answered, and which they hold.
+// and that no prompt was answered with since. Entries report to each other the crashes that they
+// saw, which of the segments in question they have seen answered, and which they hold.
 package quarantine
 
 import (
@@ -30,7 +30,7 @@
 	// crashSpacing is the time within which crashes count as one, unless the prompt was sent after
 	// the first.
 	crashSpacing = 25 * time.Millisecond
-	// sameCrash is the time within which entries report the crash of one engine.
+	// sameCrash is the time within which entries see one crash of an engine.
 	sameCrash = time.Second
 	// settleDelay lets other entries report that they have seen a segment answered.
 	settleDelay = 40 * time.Millisecond
@@ -41,8 +41,10 @@
 	evidenceTTL = 10 * time.Minute
 	// reportTTL is how long a crash is reported: six repeats of a report.
 	reportTTL = 2 * time.Second
-	// holdTTL is how long a segment is held that is asked for at no entry, and how long its state
-	// is remembered after that.
+	// reportSkew is the error of a time in a report: the transit of a message.
+	reportSkew = 50 * time.Millisecond
+	// holdTTL is how long an entry reports a held segment after the last prompt with it, and how
+	// long the segment stays held at entries after that.
 	holdTTL = 10 * time.Minute
 	// The first probe of a held segment comes no sooner than minProbeDelay, and all entries
 	// together send about one in meanProbeDelay: each may cost an engine.
@@ -55,9 +57,9 @@
 	maxSegmentsPerCrash = 64
 	maxVerdicts         = 32
 	maxReportedAnswers  = 64
-	maxReported         = 4096 // segments whose answers other entries reported
-	maxTerm             = 1 << 40
-	maxAnswered         = 8192 // of each of two generations
+	maxReported         = 4096    // segments whose answers other entries reported
+	maxTerm             = 1 << 40 // of a verdict that another entry reports
+	maxAnswered         = 8192    // of each of two generations
 	answeredTTL         = evidenceTTL
 )
 
@@ -145,7 +147,7 @@
 	}
 	a = &Attempt{tracker: q, segments: list, abort: abort}
 	q.unproven[a] = struct{}{}
-	return a, 0
+	return a, segment.None
 }
 
 // passes reports whether prompts with the segment are not held, or one is due as a probe. q.mu
@@ -345,7 +347,7 @@
 	all := map[segment.ID]*blame{}
 	for i := range q.crashes {
 		c := &q.crashes[i]
-		explained := q.isExplained(c, 0)
+		explained := q.isExplained(c, segment.None)
 		for _, list := range c.blamed() {
 			for at, id := range list {
 				if all[id] == nil {
@@ -432,7 +434,7 @@
 		}
 	}
 	q.cfg.Log.Warn("Engines crash on a segment; prompts with it are held back.", "segment", id, "term", term,
-		"score", q.blameOf(id).score, "answered", q.lastAnswered(id), "aborted", aborted)
+		"score", q.blameOf(id).score, "answered_before", !q.lastAnswered(id).IsZero(), "aborted", aborted)
 	return v
 }
 
@@ -455,11 +457,13 @@
 // release ends the hold of a segment if answers speak for it. q.mu must be held.
 func (q *Tracker) release(id segment.ID, now time.Time) {
 	v := q.verdicts[id]
-	if v == nil || !v.held() || q.lastAnswered(id).IsZero() {
-		return
-	}
-	if b := q.blameOf(id); !b.suffices() {
+	if v != nil && v.held() && q.refutes(id) {
 		q.setTerm(id, v.term+1, now)
 		v.reportEnd = now.Add(holdTTL)
 	}
 }
+
+// refutes reports whether answers speak against holding a segment. q.mu must be held.
+func (q *Tracker) refutes(id segment.ID) bool {
+	return !q.lastAnswered(id).IsZero() && !q.blameOf(id).suffices()
+}
--- a/internal/prompt/quarantine/tracker_test.go
+++ b/internal/prompt/quarantine/tracker_test.go
@@ -325,3 +325,22 @@
 		})
 	})
 }
+
+// BenchmarkMerge measures a report that repeats what is known, as each entry gets one of every other
+// 3 times a second while crashes or held segments are reported.
+func BenchmarkMerge(b *testing.B) {
+	f := newFleet(2)
+	for i := range maxCrashes {
+		list := make(segment.List, maxSegmentsPerCrash)
+		for j := range list {
+			list[j] = segment.ID(i*maxSegmentsPerCrash + j + 1)
+		}
+		f[0].crash(fmt.Sprint(i), true, list)
+		f[1].Merge(f[0].Report())
+	}
+	r := f[0].Report()
+	b.ResetTimer()
+	for range b.N {
+		f[1].Merge(r)
+	}
+}
--- a/internal/prompt/segment/segment.go
+++ b/internal/prompt/segment/segment.go
@@ -12,11 +12,14 @@
 // ID identifies a segment.
 type ID uint64
 
-// Parse returns the ID of a segment from its name. Names are hexadecimal numbers; others are
-// hashed.
+// None is the ID of no segment.
+const None ID = 0
+
+// Parse returns the ID of a segment from its name. Names are hexadecimal numbers above 0; others
+// are hashed.
 func Parse(name string) ID {
 	n, err := strconv.ParseUint(name, 16, 64)
-	if err != nil {
+	if err != nil || n == 0 {
 		n = xxh3.HashString(name)
 	}
 	return ID(n)
