Let only streams clear segments, and say once in tests how engines crash twice

Read once more: a server's complete 4xx or 5xx answer to a prompt counted as an answer that clears its segments, though no stream began. Now only answers that are streams do. Three tests wrote out the same two crashes.

--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -379,7 +379,7 @@
 		es.exchange.Close()
 	}
 	es.cancel()
-	es.watch.End(out.Answered)
+	es.watch.End(out.Answered && !es.splitter.anything)
 	es.c.s.sched.Done(es.c.service, es.ticket, out)
 	if es.lease != nil {
 		es.lease.release()
--- a/internal/prompt/quarantine/tracker_test.go
+++ b/internal/prompt/quarantine/tracker_test.go
@@ -64,6 +64,15 @@
 	}
 }
 
+// crashTwice lets two engines crash under a prompt as a suspect, and waits until that is weighed.
+func (q *Tracker) crashTwice(list segment.List) {
+	for i := range 2 {
+		time.Sleep(passTime)
+		q.crash(fmt.Sprint(i), true, list)
+	}
+	settle()
+}
+
 // answer answers a prompt and reports whether it was sent.
 func (q *Tracker) answer(list ...segment.ID) bool {
 	a, _ := q.Watch(list, func() {})
@@ -85,11 +94,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		q := newFleet(1)[0]
-		for i := range 2 {
-			time.Sleep(passTime)
-			q.crash(fmt.Sprint(i), true, segment.List{shared, deadly})
-		}
-		settle()
+		q.crashTwice(segment.List{shared, deadly})
 		is.Equal(q.HeldSegments(), segment.List{deadly})
 		is.True(q.answer(shared, other))
 
@@ -187,11 +192,7 @@
 		is := is.New(t)
 		f := newFleet(2)
 		is.True(f[1].answer(shared))
-		for i := range 2 {
-			time.Sleep(passTime)
-			f[0].crash(fmt.Sprint(i), true, segment.List{shared})
-		}
-		settle()
+		f[0].crashTwice(segment.List{shared})
 		is.Equal(f[0].HeldSegments(), segment.List{shared})
 		f.exchange()
 		settle()
@@ -223,11 +224,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		q := newFleet(1)[0]
-		for i := range 2 {
-			time.Sleep(passTime)
-			q.crash(fmt.Sprint(i), true, segment.List{deadly})
-		}
-		settle()
+		q.crashTwice(segment.List{deadly})
 		for range 2 {
 			for start := time.Now(); time.Since(start) < minProbeDelay; time.Sleep(time.Second) {
 				is.True(!q.answer(deadly))
