Let picks of plain servers keep their name and address

What callers saw: nothing. The fault is older than the test, which is the first to change a record under load.

Cause: a pick read name and address from the pool's server, which SetServers overwrites under the scheduler's lock; picks are read without it.

Change: a pick has copies. The other kind of tickets (passes) never write what they read.

--- a/internal/upstream/plain/pool.go
+++ b/internal/upstream/plain/pool.go
@@ -79,18 +79,22 @@
 	p.servers = names
 }
 
-// Pick is a server chosen for a request. Done must be called with it.
+// Pick is a server chosen for a request. Done must be called with it. Its name and address may be
+// read from any goroutine.
 type Pick struct {
-	server *server
+	server  *server
+	name    string
+	address string
 }
 
 // Name returns the server's name.
-func (p *Pick) Name() string { return p.server.Name }
+func (p *Pick) Name() string { return p.name }
 
 // Address returns the server's host:port.
-func (p *Pick) Address() string { return p.server.Address }
+func (p *Pick) Address() string { return p.address }
 
-// Choose picks the server of the lowest cost that may get the request, or returns nil. Servers with an open circuit or that are unreachable are a last resort.
+// Choose picks the server of the lowest cost that may get the request, or returns nil. Servers with
+// an open circuit or that are unreachable are a last resort.
 func (p *Pool) Choose(tried map[string]bool) *Pick {
 	now := p.cfg.Now()
 	var (
@@ -122,7 +126,7 @@
 	if p.cfg.Sent != nil {
 		p.cfg.Sent(best.Name)
 	}
-	return &Pick{server: best}
+	return &Pick{server: best, name: best.Name, address: best.Address}
 }
 
 // mayGet reports whether a server is neither leaving nor in tried, and takes a request now.
--- a/internal/upstream/plain/pool_test.go
+++ b/internal/upstream/plain/pool_test.go
@@ -26,6 +26,17 @@
 	is.True(p.Choose(map[string]bool{"i-1": true, "i-2": true}) == nil)
 }
 
+// The record of a server changes while a request is sent to it. The race detector finds a pick that
+// reads what the change writes.
+func TestPickIsReadDuringChange(t *testing.T) {
+	is := is.New(t)
+	p, _ := newPool(nil)
+	k, read := p.Choose(nil), make(chan string)
+	go func() { read <- k.Name() + " " + k.Address() }()
+	p.SetServers([]Server{{Name: "i-1", Domain: "a", Address: "one", Slots: 2, Leaving: true}})
+	is.Equal(<-read, "i-1 one")
+}
+
 // A server that fails requests while it still looks healthy must get few of them.
 func TestFailingServerGetsFewRequests(t *testing.T) {
 	is := is.New(t)
