Share the second entry of two tests, and the age of a paced engine's report

Read once more: two tests wrote out how a second entry is started, awaited and asked; encodePace had its own copy of appendAge; a comment gave an earlier time for which answers are kept.

Change: startOther, awaitOther and requestAt; encodePace calls appendAge. Each test awaits at least what it did before, and its assertions are as they were. Behaviour is the same.

--- a/internal/gateway/entry/entry_test.go
+++ b/internal/gateway/entry/entry_test.go
@@ -256,6 +256,32 @@
 	return req
 }
 
+// requestAt is request to another entry.
+func (env *testEnv) requestAt(entry *Server, method, path string) *http.Request {
+	env.t.Helper()
+	req := env.request(method, path)
+	req.URL.Host = entry.callersLn.Addr().String()
+	return req
+}
+
+// startOther starts a second entry.
+func (env *testEnv) startOther() *Server {
+	env.t.Helper()
+	return startEntry(env.t, "vm-2", "b", env.store.Addr())
+}
+
+// awaitOther waits until both entries hear each other and the second one knows n upstreams.
+func (env *testEnv) awaitOther(other *Server, n int) {
+	env.t.Helper()
+	env.await(func() bool {
+		staying, _ := env.entry.exchange.Staying()
+		otherStaying, _ := other.exchange.Staying()
+		other.sched.mu.Lock()
+		defer other.sched.mu.Unlock()
+		return staying && otherStaying && other.entryCount() == 2 && other.sched.dir.Len() == n
+	})
+}
+
 func (env *testEnv) do(req *http.Request) reply {
 	env.t.Helper()
 	res, err := http.DefaultClient.Do(req)
--- a/internal/gateway/entry/poison_test.go
+++ b/internal/gateway/entry/poison_test.go
@@ -21,8 +21,7 @@
 // askWith sends a prompt with the segments, and one of its own, to an entry.
 func (env *testEnv) askWith(entry *Server, id, segments string) reply {
 	env.t.Helper()
-	req := env.request(http.MethodPost, "/ask/")
-	req.URL.Host = entry.callersLn.Addr().String()
+	req := env.requestAt(entry, http.MethodPost, "/ask/")
 	req.Header.Set("X-Attempt-Id", id)
 	req.Header.Set("X-Prompt-Prefix", segments+","+id+":500")
 	return env.do(req)
@@ -44,20 +43,14 @@
 	t.Helper()
 	env := newTestEnv(t)
 	env.configure()
-	other := startEntry(t, "vm-2", "b", env.store.Addr())
+	other := env.startOther()
 	var engines []*server.Server
 	for i := range n {
 		s := env.serve("engines", fmt.Sprintf("i-%d", i))
 		s.SetPoison(poison)
 		engines = append(engines, s)
 	}
-	env.await(func() bool {
-		staying, _ := env.entry.exchange.Staying()
-		otherStaying, _ := other.exchange.Staying()
-		other.sched.mu.Lock()
-		defer other.sched.mu.Unlock()
-		return staying && otherStaying && other.sched.dir.Len() == n
-	})
+	env.awaitOther(other, n)
 	return env, other, engines
 }
 
--- a/internal/gateway/entry/throttle_test.go
+++ b/internal/gateway/entry/throttle_test.go
@@ -24,14 +24,9 @@
 			is := is.New(t)
 			env := newTestEnv(t)
 			env.configure()
-			other := startEntry(t, "vm-2", "b", env.store.Addr())
+			other := env.startOther()
 			limited, free := env.serve(service, "i-1"), env.serve(service, "i-2")
-			env.await(func() bool {
-				staying, _ := env.entry.exchange.Staying()
-				other.sched.mu.Lock()
-				defer other.sched.mu.Unlock()
-				return staying && other.sched.dir.Len() == 2 && other.entryCount() == 2
-			})
+			env.awaitOther(other, 2)
 			limited.SetLimit(fmt.Sprint(limit))
 			entries := []*Server{env.entry, other}
 			for i := 0; len(limited.Runs()) == 0; i++ { // until it has named the limit
@@ -57,9 +52,7 @@
 // ask sends a request with the path to an entry.
 func (env *testEnv) ask(entry *Server, path string) reply {
 	env.t.Helper()
-	req := env.request(http.MethodGet, path)
-	req.URL.Host = entry.callersLn.Addr().String()
-	return env.do(req)
+	return env.do(env.requestAt(entry, http.MethodGet, path))
 }
 
 // flood sends n requests by the entries at the same time, as fast as they are answered, and returns
--- a/internal/peer/sends/wire.go
+++ b/internal/peer/sends/wire.go
@@ -303,8 +303,7 @@
 	b = protowire.AppendString(b, p.Engine)
 	b = protowire.AppendTag(b, fieldFactor, protowire.VarintType)
 	b = protowire.AppendVarint(b, uint64(math.Round(max(0, p.Factor)*paceScale)))
-	b = protowire.AppendTag(b, fieldAge, protowire.VarintType)
-	return protowire.AppendVarint(b, uint64(max(0, now.Sub(p.At).Milliseconds())))
+	return appendAge(b, fieldAge, p.At, now)
 }
 
 func decodePace(b []byte, now time.Time) (passes.Pace, error) {
--- a/internal/prompt/quarantine/crash.go
+++ b/internal/prompt/quarantine/crash.go
@@ -78,7 +78,8 @@
 	return out
 }
 
-// answers are the times at which segments were last answered, of the last minute or two.
+// answers are the times at which segments were last answered, for answeredTTL at least where no more
+// than maxAnswered are.
 type answers struct {
 	current, old map[segment.ID]time.Time
 	since        time.Time // start of current
--- a/internal/upstream/throttle/throttle.go
+++ b/internal/upstream/throttle/throttle.go
@@ -155,8 +155,7 @@
 
 // shareOf returns the part of an upstream's rate that this entry may send.
 func shareOf(r Rate, m Members) float64 {
-	own := slices.Contains(m.Live, m.Self)
-	if !own {
+	if !slices.Contains(m.Live, m.Self) {
 		return 0
 	}
 	// Entries that are silent may be cut off and send as well.
