Show that memory is never renewed again after one failed connection

One way there: an engine that reads a long prompt sends nothing, and if it takes no connection at one renewal, the memory lease of the prompt ends for good. The engine cuts the answer off when the memory expires, up to 3.5 s later, though it went on long before.

Evidence: TestMemoryLeaseSurvivesSilentWriter fails in each run ("the lease is not renewed"); the writer refuses one connection and then listens.

--- a/internal/gateway/entry/lease_test.go
+++ b/internal/gateway/entry/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"strings"
 	"testing"
@@ -51,6 +52,38 @@
 	}
 }
 
+// The engine that generates an answer reads a long prompt, so that it sends nothing, and takes no
+// connection for a moment. The memory reserved for it was never renewed after that, and the engine
+// cut the answer off when it expired.
+func TestMemoryLeaseSurvivesSilentWriter(t *testing.T) {
+	env := newTestEnv(t)
+	env.configure()
+	helper := env.serve("engines", "i-helper")
+	writer := closedAddress(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	lease := &memoryLease{
+		s: env.entry, id: "silent", writer: writer, stop: cancel, done: make(chan struct{}),
+		reservations: []platform.Reservation{{ID: "silent", Instance: "i-helper", Address: helper.Addr(), Tokens: 1000}},
+	}
+	go lease.renew(ctx)
+	env.await(func() bool { return env.entry.reach.IsUnreachable(writer) })
+	ln, err := net.Listen("tcp", writer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	env.await(func() bool {
+		select {
+		case <-lease.done:
+			t.Fatal("the lease is not renewed")
+		default:
+		}
+		return renewed(helper, "silent")
+	})
+	cancel()
+	<-lease.done
+}
+
 // renewed reports whether an engine got a reservation with an id.
 func renewed(s *server.Server, id string) bool {
 	return slices.ContainsFunc(s.Runs(), func(r *server.Run) bool { return strings.Contains(r.Body, id) })
