Renew the memory of a prompt again after a silence of its engine

Cause: the renewal ended for good when the engine that writes had sent nothing since the last one and took no connection within 150 ms. A sound engine may do so for a second; the memory then expired 3.5 s after its last renewal and the engine cut the answer off.

Change: an engine that takes no connection is asked again each 300 ms until the memory has expired, and renewals go on once it takes one. Nothing is renewed after it has expired, since that would reserve memory that no request uses. Reservations are renewed each on its own, and again after 300 ms if one failed. The memory of a lost engine expires as before (TestMemoryLeaseOfLostWriterExpires).

Before / after: TestMemoryLeaseSurvivesSilentWriter fails; it passes three times under the race detector. That renewals don't wait for each other has no test of its own.

--- a/internal/gateway/entry/lease.go
+++ b/internal/gateway/entry/lease.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,8 +15,10 @@
 	// leaseTTL is how long memory is reserved at a time. Memory that a crashed entry reserved is
 	// blocked at most for this time, and engines limit how long that may be.
 	leaseTTL = 3500 * time.Millisecond
-	// leaseRenewInterval allows two attempts before a lease expires.
+	// leaseRenewInterval leaves time for further attempts, leaseRetryDelay apart, before a lease
+	// expires: a sound engine may be silent for a second or so.
 	leaseRenewInterval = 1200 * time.Millisecond
+	leaseRetryDelay    = 300 * time.Millisecond
 	// orderTimeout limits a call to reserve or release memory, which takes a few milliseconds.
 	orderTimeout = 500 * time.Millisecond
 	// reserveRetryDelay is about an engine pass, since no memory is freed any sooner.
@@ -58,29 +61,74 @@
 }
 
 // renew extends the reservations until release. It lets them expire if the writer sends nothing
-// and refuses connections, since it may have disappeared without notice.
+// and refuses connections, since it may have disappeared without notice. It may also be silent for
+// a moment only, so that it is asked again until then.
 func (l *memoryLease) renew(ctx context.Context) {
 	defer close(l.done)
-	t := time.NewTicker(leaseRenewInterval)
+	renewedAt := make([]time.Time, len(l.reservations)) // before the call, as the engine counts from its arrival
+	for i := range renewedAt {
+		renewedAt[i] = time.Now()
+	}
+	t := time.NewTimer(leaseRenewInterval)
 	defer t.Stop()
+	unreachable := false
 	for {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
 			return
 		}
-		if !l.writerActive.Swap(false) && !l.s.reach.Try(ctx, l.writer) {
-			l.s.log.Warn("The memory lease is not renewed: the engine that generates the answer is unreachable.", "id", l.id, "address", l.writer)
+		if l.expired(renewedAt) {
+			l.s.log.Warn("A memory lease expired.", "id", l.id, "address", l.writer, "unreachable", unreachable)
 			return
 		}
-		for _, r := range l.reservations {
-			if err := l.s.engines.Reserve(ctx, r, leaseTTL, orderTimeout); err != nil && ctx.Err() == nil {
-				l.s.log.Warn("Could not renew a memory reservation.", "id", l.id, "engine", r.Instance, "err", err)
+		if !l.writerActive.Swap(false) && !l.s.reach.Try(ctx, l.writer) {
+			if !unreachable && ctx.Err() == nil { // repeated attempts are logged once
+				l.s.log.Warn("The memory lease is not renewed: the engine that generates the answer is unreachable.", "id", l.id, "address", l.writer)
 			}
+			unreachable = true
+			t.Reset(leaseRetryDelay)
+			continue
+		}
+		unreachable = false
+		if l.renewAll(ctx, renewedAt) {
+			t.Reset(leaseRenewInterval)
+		} else {
+			t.Reset(leaseRetryDelay)
 		}
 	}
 }
 
+// expired reports whether a reservation has expired. To renew it would reserve other memory, which
+// the request doesn't use.
+func (l *memoryLease) expired(renewedAt []time.Time) bool {
+	return slices.ContainsFunc(renewedAt, func(at time.Time) bool { return time.Since(at) >= leaseTTL })
+}
+
+// renewAll extends the reservations, each on its own, so that a silent engine delays no other one. It
+// reports whether all were extended.
+func (l *memoryLease) renewAll(ctx context.Context, renewedAt []time.Time) bool {
+	var (
+		wg     sync.WaitGroup
+		failed atomic.Bool
+	)
+	for i, r := range l.reservations {
+		wg.Go(func() {
+			sentAt := time.Now()
+			if err := l.s.engines.Reserve(ctx, r, leaseTTL, orderTimeout); err != nil {
+				failed.Store(true)
+				if ctx.Err() == nil {
+					l.s.log.Warn("Could not renew a memory reservation.", "id", l.id, "engine", r.Instance, "err", err)
+				}
+				return
+			}
+			renewedAt[i] = sentAt
+		})
+	}
+	wg.Wait()
+	return !failed.Load()
+}
+
 // release releases the memory in the background.
 func (l *memoryLease) release() {
 	l.stop()
