Show that a silent upstream is given up though no other may be asked

A prompt's attempt was given up after its predicted time, or at once if the engine took no connection, and one of a plain request after 0.4 of the time left. Only then was another upstream sought, and where there was none, the route allowed no further attempt or the retry budget was spent, the caller got 502 with time left. An order or a stream that may not be resumed is not repeated after a 502.

--- /dev/null
+++ b/internal/gateway/entry/silence_test.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/retry"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/server"
+)
+
+// soundSilence is how long a sound upstream is silent: longer than an attempt takes by prediction.
+const soundSilence = 1500 * time.Millisecond
+
+// A sound upstream is silent for a moment, and takes no connections meanwhile or does, while no other
+// one may be asked: there is none, the route allows one attempt only, or no retries are left. The
+// attempt was given up all the same, and the request failed with time left.
+func TestSilentUpstreamIsWaitedForWithoutAnother(t *testing.T) {
+	for _, path := range []string{"/look/", "/ask/"} {
+		for _, place := range []string{"before the head", "after the head"} {
+			for _, why := range []string{"alone", "unreachable", "one attempt", "no retries"} {
+				t.Run(fmt.Sprint(path, place, " ", why), func(t *testing.T) {
+					t.Parallel()
+					checkSilentUpstream(t, path, place == "before the head", why)
+				})
+			}
+		}
+	}
+}
+
+func checkSilentUpstream(t *testing.T, path string, beforeHead bool, why string) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	service, want := "desk", "plain answer"
+	if path == "/ask/" {
+		service, want = "engines", server.Events(testEvents)
+	}
+	var silent atomic.Pointer[string] // address of the silent upstream if it is unreachable
+	env.check(func(sched *scheduler) bool {
+		sched.unreachable = func(address string) bool { at := silent.Load(); return at != nil && *at == address }
+		if why == "no retries" {
+			sched.budget = retry.NewWithin(0, 0, 0)
+		}
+		return true
+	})
+	if why == "one attempt" {
+		for _, r := range env.config["routes"].([]any) {
+			r.(map[string]any)["max_attempts"] = 1
+		}
+	}
+	env.configure()
+	a := env.serve(service, "i-1", server.Raw)
+	if why == "one attempt" || why == "no retries" {
+		env.serve(service, "i-2")
+	}
+	a.SetRaw(func(w io.Writer, header string) {
+		if why == "unreachable" || why == "one attempt" {
+			at := a.Addr()
+			silent.Store(&at)
+		}
+		head, body := okLine+header+fmt.Sprintf("Content-Length: %d\r\n\r\n", len(want)), want
+		if beforeHead {
+			head, body = "", head+body
+		}
+		_, _ = io.WriteString(w, head) // a failure shows in the answer
+		time.Sleep(soundSilence)
+		_, _ = io.WriteString(w, body)
+	})
+	for len(a.Runs()) == 0 { // until the silent one was picked
+		req := env.request(http.MethodGet, path)
+		req.Header.Set("X-Deadline-Milliseconds", "3000")
+		r := env.do(req)
+		is.NoErr(r.err)
+		is.Equal(r.status, http.StatusOK)
+		is.Equal(r.body, want)
+	}
+}
