Give up a silent upstream only if another one takes the request

Cause: whether an attempt is given up was decided by its time and by whether its engine takes connections; whether another upstream could be asked was only found out after that. With none usable, no attempt left by the route, or a spent retry budget, giving up gains nothing and ends a request that a sound upstream would have answered. The last attempt of a prompt was to be waited for as long as the caller waits, but was given up as soon as a connection to its engine failed.

Change: a silent attempt is given up only if the route allows a further one, the retry budget has a retry, and upstreams that were not tried take the request (for prompts: usable engines that hold it). The time limits of attempts are as they were. This holds for plain requests, too.

Ruled out: an engine that is silent within a stream was kept before, too (TestSilenceDoesNotEndAnswer).

--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -115,6 +115,21 @@
 	return c.route.Repeat == route.Idempotent && ran < c.route.Attempts
 }
 
+// mayAskAnother reports whether a further upstream may be asked after the given number of sends and
+// of attempts that may have run.
+func (c *call) mayAskAnother(sends, ran int) bool { return sends < maxSends && c.mayRunAgain(ran) }
+
+// othersTake reports whether a retry is left and an upstream that was not tried takes the request.
+func (c *call) othersTake() bool {
+	if c.remaining() < minRetryTime || !c.s.sched.HasRetry(c.service) {
+		return false
+	}
+	if c.engine == nil {
+		return c.s.sched.HasUntried(c.service, c.tried)
+	}
+	return c.s.sched.HasUntriedEngines(c.service, c.req.Prompt+c.req.MaxOutput, c.tried)
+}
+
 // forgetUnsent makes the upstreams that got nothing of the request eligible again.
 func (c *call) forgetUnsent() {
 	for _, name := range c.unsent {
--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -114,7 +114,7 @@
 	watch.Sent()
 	x, ans, err := es.attempt(ctx, address, platform.Attempt{
 		Instance: name, Helpers: helpers, Urgency: c.route.Priority, LastEvent: after.lastID,
-	}, es.firstEventTimeout(c.mayRunAgain(c.maybeRan+1)))
+	}, c.mayAskAnother(c.sends+1, c.maybeRan+1))
 	if fault.Is(err, KindUnsent) {
 		c.unsent = append(c.unsent, name)
 	}
@@ -134,24 +134,26 @@
 	return es, ans, nil
 }
 
-// attempt sends the request to the engine that generates the answer. It stops waiting for the
-// head if an engine that the answer needs is unreachable.
-func (es *engineStream) attempt(ctx context.Context, address string, a platform.Attempt, limit time.Duration) (*httpconn.Exchange, platform.Answer, error) {
+// attempt sends the request to the engine that generates the answer. If another one may be asked
+// after it, it stops waiting for the head as awaitHead does.
+func (es *engineStream) attempt(ctx context.Context, address string, a platform.Attempt, another bool) (*httpconn.Exchange, platform.Answer, error) {
 	headRead, watcherDone := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(watcherDone)
-		es.awaitHead(headRead, es.cancel)
+		es.awaitHead(headRead, es.cancel, another)
 	}()
 	defer func() {
 		close(headRead)
 		<-watcherDone
 	}()
-	return es.c.attempt(ctx, address, a, limit, maxQuietBytes)
+	return es.c.attempt(ctx, address, a, es.c.remaining(), maxQuietBytes)
 }
 
-// awaitHead calls abort if a needed engine is unreachable before the head arrives, or if the
-// silent engine goes on.
-func (es *engineStream) awaitHead(headRead <-chan struct{}, abort func()) {
+// awaitHead calls abort before the head arrives if the silent engine goes on. If another engine
+// may be asked and takes the prompt, it also does so once a needed engine is unreachable or the head
+// took too long: a sound engine may be silent for a moment.
+func (es *engineStream) awaitHead(headRead <-chan struct{}, abort func(), another bool) {
+	until := time.Now().Add(es.firstEventTimeout(another))
 	delay := es.unreachableCheckDelay()
 	if es.silent != nil {
 		delay = unreachablePollInterval
@@ -164,7 +166,8 @@
 			return
 		case <-t.C:
 		}
-		if es.unreachableEngine() != "" || es.silentGoesOn() {
+		overdue := another && (time.Now().After(until) || es.unreachableEngine() != "")
+		if es.silentGoesOn() || overdue && es.c.othersTake() {
 			abort()
 			return
 		}
--- a/internal/gateway/entry/plain.go
+++ b/internal/gateway/entry/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -105,12 +106,14 @@
 
 // fetch sends the request to a server and reads the complete answer.
 func (c *call) fetch(k *plain.Pick) (*plainAnswer, error) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel() // by then the body is complete, or of no use
 	limit := c.remaining()
-	if c.mayRunAgain(c.maybeRan + 1) {
-		limit = min(limit, max(minAttemptTime, time.Duration(attemptShare*float64(limit))))
+	if c.mayAskAnother(c.sends+1, c.maybeRan+1) {
+		defer c.giveUpAfter(min(limit, max(minAttemptTime, time.Duration(attemptShare*float64(limit)))), cancel)()
 	}
 	until := time.Now().Add(limit)
-	x, _, err := c.attempt(c.ctx, k.Address(), platform.Attempt{Instance: k.Name(), Urgency: c.route.Priority}, limit, maxAnswerWireBytes)
+	x, _, err := c.attempt(ctx, k.Address(), platform.Attempt{Instance: k.Name(), Urgency: c.route.Priority}, limit, maxAnswerWireBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -130,6 +133,33 @@
 	return a, nil
 }
 
+// giveUpAfter calls abort after the given time, once another server takes the request: a sound one may
+// be silent for a moment. The returned function ends that.
+func (c *call) giveUpAfter(limit time.Duration, abort func()) (stop func()) {
+	answered, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		t := time.NewTimer(limit)
+		defer t.Stop()
+		for {
+			select {
+			case <-answered:
+				return
+			case <-t.C:
+			}
+			if c.othersTake() {
+				abort()
+				return
+			}
+			t.Reset(unreachablePollInterval)
+		}
+	}()
+	return func() {
+		close(answered)
+		<-done
+	}
+}
+
 func (c *call) outcome(a *plainAnswer, err error) plain.Outcome {
 	switch {
 	case err == nil && a.failed():
--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -467,6 +467,15 @@
 	return p != nil && p.HasUntried(tried)
 }
 
+// HasUntriedEngines reports whether a service's usable engines that are not in tried hold a prompt of
+// the given tokens, with its output.
+func (s *scheduler) HasUntriedEngines(service string, tokens int, tried map[string]bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.planners[service]
+	return p != nil && p.HasUntried(tokens, tried)
+}
+
 // DonePick records the outcome of a pick.
 func (s *scheduler) DonePick(service string, k *plain.Pick, out plain.Outcome) {
 	s.mu.Lock()
@@ -482,6 +491,13 @@
 	s.budget.Request(service)
 }
 
+// HasRetry reports whether the budget of a service has a retry left.
+func (s *scheduler) HasRetry(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Left(service) >= 1
+}
+
 // TakeRetry takes one retry from the budget of a service and reports whether there was one.
 func (s *scheduler) TakeRetry(service string) bool {
 	s.mu.Lock()
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -117,14 +117,19 @@
 }
 
 // awaitFirst reads from an engine until an event or the answer is complete, and then makes it
-// the stream's engine.
+// the stream's engine. A silent engine is given up only if another one takes the prompt.
 func (st *stream) awaitFirst(es *engineStream, ans platform.Answer) error {
 	c := st.c
-	until := time.Now().Add(es.firstEventTimeout(c.mayRunAgain(c.maybeRan)))
+	another := c.mayAskAnother(c.sends, c.maybeRan)
+	until := time.Now().Add(es.firstEventTimeout(another))
 	var blocks []byte
 	events, complete := 0, false
 	for events == 0 && !complete {
 		b, n, err := es.next(until)
+		if errors.Is(err, errSilent) && !es.silentGoesOn() && !(another && c.othersTake()) {
+			until = time.Now().Add(takeoverRetryDelay) // nothing is gained by giving it up
+			continue
+		}
 		blocks = append(blocks, b...)
 		events += n
 		complete = errors.Is(err, io.EOF)
--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -291,14 +291,9 @@
 // checkFeasible refuses a request that doesn't fit into the memory of all usable engines
 // together, or can't be answered before its deadline.
 func (p *Planner) checkFeasible(t *Ticket, now time.Time) error {
-	usable, memoryPerEngine := 0, int((1-reservedMemoryShare)*float64(p.figures.Memory))
-	for _, e := range p.engines {
-		if t.job.Tried[e.name] || !p.usable(e, now) {
-			continue
-		}
-		if usable++; t.job.memoryTokens() <= usable*memoryPerEngine {
-			return p.checkDeadline(t, now)
-		}
+	usable, enough := p.holders(t.job.memoryTokens(), t.job.Tried, now)
+	if enough {
+		return p.checkDeadline(t, now)
 	}
 	if usable > 0 {
 		return refuse("admit", KindTooLarge, maxRetryAfter, "%d tokens are more than %d engines hold", t.job.memoryTokens(), usable)
@@ -306,6 +301,27 @@
 	return refuse("admit", KindNoEngine, time.Second, "none of %d engines can be used", len(p.engines))
 }
 
+// holders counts the usable engines that are not in tried until they hold the given tokens, and
+// reports whether they do.
+func (p *Planner) holders(tokens int, tried map[string]bool, now time.Time) (n int, enough bool) {
+	memoryPerEngine := int((1 - reservedMemoryShare) * float64(p.figures.Memory))
+	for _, e := range p.engines {
+		if tried[e.name] || !p.usable(e, now) {
+			continue
+		}
+		if n++; tokens <= n*memoryPerEngine {
+			return n, true
+		}
+	}
+	return n, false
+}
+
+// HasUntried reports whether the usable engines that are not in tried hold the given tokens.
+func (p *Planner) HasUntried(tokens int, tried map[string]bool) bool {
+	_, enough := p.holders(tokens, tried, p.cfg.Now())
+	return enough
+}
+
 func (p *Planner) usable(e *engine, now time.Time) bool {
 	e.observedSlowdown.Fade(now, slowdownTTL, 1)
 	return !e.leaving && e.circuit.Allows(now) && (p.cfg.Cut == nil || !p.cfg.Cut(e.address))
