Let a broken stream wait for engines that are silent

Cause: a stream that breaks off is placed at once or queued, but where none of the other engines can be used at that moment it was refused, and the answer was cut. The same held for a prompt that an engine may have run before its first event: it failed with 502. Both had seconds left. A silent stream without another engine was tried again each 250 ms already.

Change: open tries again each 250 ms, until the caller leaves, as long as an engine that was not tried stays registered. Where there is none, the answer ends at once, as before (TestTruncatedStreamLooksIncomplete), so that the caller can come back. No further engine runs the request: what was tried stays excluded, and connections that failed count as nothing sent.

--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -476,6 +477,15 @@
 	return p != nil && p.HasUntried(tokens, tried)
 }
 
+// ExpectsEngines reports whether a service has an engine that stays, whether it can be used now or
+// not, and is not in tried, or is in unsent.
+func (s *scheduler) ExpectsEngines(service string, tried map[string]bool, unsent []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.planners[service]
+	return p != nil && p.Stays(func(name string) bool { return !tried[name] || slices.Contains(unsent, name) })
+}
+
 // DonePick records the outcome of a pick.
 func (s *scheduler) DonePick(service string, k *plain.Pick, out plain.Outcome) {
 	s.mu.Lock()
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -86,9 +86,10 @@
 
 // open sends the request to engines until one has generated an event after the last one of the
 // splitter or has answered completely. The stream continues with that engine, unless the silent
-// one, if any, has gone on by then.
+// one, if any, has gone on by then. A request that may have run fails if it is refused, so it waits
+// for engines that can't be used at the moment until the caller leaves.
 func (st *stream) open(after splitter, timing eventTiming, silent *engineStream) error {
-	for {
+	for waited := false; ; {
 		es, ans, err := st.c.startOnEngine(after, timing, silent)
 		if err == nil {
 			if err = st.awaitFirst(es, ans); err == nil {
@@ -100,12 +101,27 @@
 			return err
 		case fault.Is(err, KindLease):
 			pause.For(st.c.ctx, reserveRetryDelay)
+		case silent == nil && st.c.expectsEngines(err, timing):
+			if !waited { // repeated attempts are logged once
+				st.c.s.log.Info("No other engine can resume the stream yet.", "id", st.c.req.ID, "err", err)
+			}
+			waited = true
+			pause.For(st.c.ctx, takeoverRetryDelay)
+			st.c.forgetUnsent()
 		case isRefusal(err) || !st.c.takeRetry(err):
 			return err
 		}
 	}
 }
 
+// expectsEngines reports whether a request that may have run is refused for want of engines, and one
+// that was not tried may take it again before the caller leaves.
+func (c *call) expectsEngines(err error, timing eventTiming) bool {
+	lacking := fault.Is(err, passes.KindNoEngine) || fault.Is(err, passes.KindTooLarge)
+	return lacking && c.maybeRan > 0 && c.ctx.Err() == nil && time.Now().Add(takeoverRetryDelay).Before(timing.callerLeavesAt) &&
+		c.s.sched.ExpectsEngines(c.service, c.tried, c.unsent)
+}
+
 // isRefusal reports whether err is a refusal, so that another attempt finds no engine either.
 func isRefusal(err error) bool {
 	for _, k := range []passes.Kind{passes.KindNoEngine, passes.KindBusy, passes.KindTooLate, passes.KindTooLarge, passes.KindCallerGone} {
--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -322,6 +322,12 @@
 	return enough
 }
 
+// Stays reports whether an engine for which match returns true is not leaving. It may be unusable at
+// the moment.
+func (p *Planner) Stays(match func(name string) bool) bool {
+	return slices.ContainsFunc(p.engines, func(e *engine) bool { return !e.leaving && match(e.name) })
+}
+
 func (p *Planner) usable(e *engine, now time.Time) bool {
 	e.observedSlowdown.Fade(now, slowdownTTL, 1)
 	return !e.leaving && e.circuit.Allows(now) && (p.cfg.Cut == nil || !p.cfg.Cut(e.address))
