Show that a plain request fails while the only other server is silent

A server broke it off, or was given up as silent, and the other one took no connection at that moment. Nothing was sent there, but each server is asked once only.

--- a/internal/gateway/entry/silence_test.go
+++ b/internal/gateway/entry/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -80,3 +81,26 @@
 		is.Equal(r.body, want)
 	}
 }
+
+// A server breaks off a plain request that may be repeated while the other one takes no connections for
+// a moment. The request failed at once, with time left.
+func TestPlainRetryWaitsForSilentServer(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.configure()
+	a := env.serve("desk", "i-1", server.Reset)
+	silent := closedAddress(t)
+	env.register("desk", "i-2", silent)
+	got := make(chan reply, 1)
+	go func() { got <- env.do(env.request(http.MethodGet, "/look/")) }()
+	env.await(func() bool { return len(a.Runs()) == 1 && env.entry.reach.IsUnreachable(silent) })
+	ln, err := net.Listen("tcp", silent)
+	is.NoErr(err)
+	b := server.New(ln, "i-2", 0)
+	t.Cleanup(b.Close)
+	r := <-got
+	is.NoErr(r.err)
+	is.Equal(r.status, http.StatusOK)
+	is.Equal(r.body, "plain answer")
+	is.Equal(len(b.Runs()), 1)
+}
