Ask servers that took no connection again before a plain request fails

Cause: a plain request that may be repeated asked each server once. Where one had broken it off or was given up, and the others took no connection for a moment, it failed with 502 at once. Servers that are known to be unreachable also counted as a reason to give up a silent one.

Change: such a request asks the servers to which nothing was sent again, each 250 ms, while the route allows a further attempt and time is left. One that has not run is refused with 503 as before, and a failure that a server answered is passed on as before. A silent server is given up only if another one that is not known to be unreachable takes the request.

--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -125,7 +125,7 @@
 		return false
 	}
 	if c.engine == nil {
-		return c.s.sched.HasUntried(c.service, c.tried)
+		return c.s.sched.HasReachable(c.service, c.tried)
 	}
 	return c.s.sched.HasUntriedEngines(c.service, c.req.Prompt+c.req.MaxOutput, c.tried)
 }
--- a/internal/gateway/entry/plain.go
+++ b/internal/gateway/entry/plain.go
@@ -7,6 +7,8 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/route"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/plain"
@@ -81,13 +83,28 @@
 			return
 		}
 		c.s.log.Warn("A server did not answer.", "id", c.req.ID, "upstream", k.Name(), "took_ms", time.Since(sent).Milliseconds(), "err", err)
-		if !c.takePlainRetry(err) {
+		if fault.Is(err, KindUnsent) {
+			c.unsent = append(c.unsent, k.Name())
+		}
+		switch {
+		case c.takePlainRetry(err):
+		case fallback == nil && c.expectsServers():
+			pause.For(c.ctx, takeoverRetryDelay)
+			c.forgetUnsent()
+		default:
 			c.endPlain(ctx, fallback, err)
 			return
 		}
 	}
 }
 
+// expectsServers reports whether a request that may have run, and so can't be refused, has time left to
+// ask the servers again that took no connection: a sound one may be silent for a moment.
+func (c *call) expectsServers() bool {
+	return c.ctx.Err() == nil && c.maybeRan > 0 && len(c.unsent) > 0 && c.mayAskAnother(c.sends, c.maybeRan) &&
+		c.remaining() > takeoverRetryDelay+minAttemptTime
+}
+
 // takePlainRetry reports whether the request may be sent to another server. It takes nothing
 // from the retry budget if there is no other server.
 func (c *call) takePlainRetry(err error) bool {
--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -468,6 +468,14 @@
 	return p != nil && p.HasUntried(tried)
 }
 
+// HasReachable is HasUntried without the servers that are known to be unreachable.
+func (s *scheduler) HasReachable(service string, tried map[string]bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pools[service]
+	return p != nil && p.HasReachable(tried)
+}
+
 // HasUntriedEngines reports whether a service's usable engines that are not in tried hold a prompt of
 // the given tokens, with its output.
 func (s *scheduler) HasUntriedEngines(service string, tokens int, tried map[string]bool) bool {
--- a/internal/upstream/plain/pool.go
+++ b/internal/upstream/plain/pool.go
@@ -144,6 +144,16 @@
 	return false
 }
 
+// HasReachable is HasUntried without the servers that are known to be unreachable.
+func (p *Pool) HasReachable(tried map[string]bool) bool {
+	for _, s := range p.servers {
+		if p.mayGet(s, tried) && (p.cfg.Unreachable == nil || !p.cfg.Unreachable(s.Address)) {
+			return true
+		}
+	}
+	return false
+}
+
 // Outcome is the result of a request at a server.
 type Outcome int
 
