Show that a silent engine is given up where the others refuse the prompt

Long prompts are worth most.

Evidence: both cases of TestSilentEngineIsWaitedForWhereOthersRefuse fail with 502 after 1.5 s.

--- a/internal/gateway/entry/silence_test.go
+++ b/internal/gateway/entry/silence_test.go
@@ -15,6 +15,10 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/server"
 )
 
+// longAnswer are token counts of a prompt that is written in less than 3 s, and in more than what is left
+// of that when the attempt takes too long.
+const longAnswer = "1460,5500"
+
 // soundSilence is how long a sound upstream is silent: longer than an attempt takes by prediction.
 const soundSilence = 1500 * time.Millisecond
 
@@ -34,6 +38,17 @@
 	}
 }
 
+// An engine is silent for a moment, and the other ones would refuse the prompt: too little time is left.
+// The attempt was given up all the same, and the request failed.
+func TestSilentEngineIsWaitedForWhereOthersRefuse(t *testing.T) {
+	for name, beforeHead := range map[string]bool{"before the head": true, "after the head": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkSilentUpstream(t, "/ask/", beforeHead, "no time")
+		})
+	}
+}
+
 func checkSilentUpstream(t *testing.T, path string, beforeHead bool, why string) {
 	is := is.New(t)
 	env := newTestEnv(t)
@@ -56,7 +71,7 @@
 	}
 	env.configure()
 	a := env.serve(service, "i-1", server.Raw)
-	if why == "one attempt" || why == "no retries" {
+	if why == "one attempt" || why == "no retries" || why == "no time" {
 		env.serve(service, "i-2")
 	}
 	a.SetRaw(func(w io.Writer, header string) {
@@ -75,6 +90,9 @@
 	for len(a.Runs()) == 0 { // until the silent one was picked
 		req := env.request(http.MethodGet, path)
 		req.Header.Set("X-Deadline-Milliseconds", "3000")
+		if why == "no time" { // the time to write the answer is left now, and not after the silence
+			req.Header.Set("X-Token-Counts", longAnswer)
+		}
 		r := env.do(req)
 		is.NoErr(r.err)
 		is.Equal(r.status, http.StatusOK)
