Ask whether the planner takes a prompt before its silent engine is given up

Cause: a silent engine was given up where usable engines hold the prompt. They refuse it all the same if their reads don't fit or too little time is left, and the prompt then failed with 502.

Change: Planner.Admits tells whether Submit would place or queue a job, by the same checks and the same choice of engines. It takes the place of the check of memory. Decisions of Submit are as they were.

Remains: a prompt that is queued after its engine was given up is refused 200 ms before its caller leaves, if no engine has room until then, though the engine may have gone on. To mend that, the first attempt has to be kept until another one has begun, as in a stream.

--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -119,16 +119,8 @@
 // of attempts that may have run.
 func (c *call) mayAskAnother(sends, ran int) bool { return sends < maxSends && c.mayRunAgain(ran) }
 
-// othersTake reports whether a retry is left and an upstream that was not tried takes the request.
-func (c *call) othersTake() bool {
-	if c.remaining() < minRetryTime || !c.s.sched.HasRetry(c.service) {
-		return false
-	}
-	if c.engine == nil {
-		return c.s.sched.HasReachable(c.service, c.tried)
-	}
-	return c.s.sched.HasUntriedEngines(c.service, c.req.Prompt+c.req.MaxOutput, c.tried)
-}
+// hasRetry reports whether there is time and budget for a retry.
+func (c *call) hasRetry() bool { return c.remaining() >= minRetryTime && c.s.sched.HasRetry(c.service) }
 
 // forgetUnsent makes the upstreams that got nothing of the request eligible again.
 func (c *call) forgetUnsent() {
--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -39,6 +39,7 @@
 type engineStream struct {
 	c        *call
 	ticket   *passes.Ticket
+	timing   eventTiming // of the first event
 	watch    *quarantine.Attempt
 	lease    *memoryLease // reserved at helpers; nil if none is needed
 	exchange *httpconn.Exchange
@@ -87,17 +88,13 @@
 		cancel()
 		return nil, platform.Answer{}, fail("admit", KindHeld, fmt.Errorf("engines crash on segment %s", held))
 	}
-	written := min(timing.delivered*c.engine.Stride, c.req.MaxOutput)
-	t, err := c.s.sched.Place(ctx, c.service, passes.Job{
-		ID: c.req.ID, Tokens: c.req.Prompt + written, MaxTokens: c.req.MaxOutput - written, ExpectedTokens: max(0, c.req.LikelyOutput-written), Bytes: len(c.callerReq.Body()),
-		Target: timing.target, Gap: c.route.Gap, Arrived: timing.since, Deadline: c.deadline, CallerLeavesAt: timing.callerLeavesAt, Begun: timing.delivered > 0, MayHaveRun: c.maybeRan > 0, Tried: c.tried,
-	})
+	t, err := c.s.sched.Place(ctx, c.service, c.job(timing, c.maybeRan > 0))
 	if err != nil {
 		cancel()
 		watch.End(false)
 		return nil, platform.Answer{}, heldOr(watch, err)
 	}
-	es := &engineStream{c: c, ticket: t, watch: watch, cancel: cancel, silent: silent, splitter: after.resume(), reads: make(chan readResult, readQueueLen), stop: make(chan struct{})}
+	es := &engineStream{c: c, ticket: t, timing: timing, watch: watch, cancel: cancel, silent: silent, splitter: after.resume(), reads: make(chan readResult, readQueueLen), stop: make(chan struct{})}
 	name, address := t.Engine()
 	c.tried[name] = true
 	load := t.Decision()
@@ -134,6 +131,20 @@
 	return es, ans, nil
 }
 
+// job returns the request as the planner takes it.
+func (c *call) job(timing eventTiming, mayHaveRun bool) passes.Job {
+	written := min(timing.delivered*c.engine.Stride, c.req.MaxOutput)
+	return passes.Job{
+		ID: c.req.ID, Tokens: c.req.Prompt + written, MaxTokens: c.req.MaxOutput - written, ExpectedTokens: max(0, c.req.LikelyOutput-written), Bytes: len(c.callerReq.Body()),
+		Target: timing.target, Gap: c.route.Gap, Arrived: timing.since, Deadline: c.deadline, CallerLeavesAt: timing.callerLeavesAt, Begun: timing.delivered > 0, MayHaveRun: mayHaveRun, Tried: c.tried,
+	}
+}
+
+// othersTake reports whether a retry is left and engines that were not tried take the prompt.
+func (es *engineStream) othersTake() bool {
+	return es.c.hasRetry() && es.c.s.sched.Admits(es.c.service, es.c.job(es.timing, true))
+}
+
 // attempt sends the request to the engine that generates the answer. If another one may be asked
 // after it, it stops waiting for the head as awaitHead does.
 func (es *engineStream) attempt(ctx context.Context, address string, a platform.Attempt, another bool) (*httpconn.Exchange, platform.Answer, error) {
@@ -167,7 +178,7 @@
 		case <-t.C:
 		}
 		overdue := another && (time.Now().After(until) || es.unreachableEngine() != "")
-		if es.silentGoesOn() || overdue && es.c.othersTake() {
+		if es.silentGoesOn() || overdue && es.othersTake() {
 			abort()
 			return
 		}
--- a/internal/gateway/entry/plain.go
+++ b/internal/gateway/entry/plain.go
@@ -164,7 +164,7 @@
 				return
 			case <-t.C:
 			}
-			if c.othersTake() {
+			if c.hasRetry() && c.s.sched.HasReachable(c.service, c.tried) {
 				abort()
 				return
 			}
--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -476,13 +476,12 @@
 	return p != nil && p.HasReachable(tried)
 }
 
-// HasUntriedEngines reports whether a service's usable engines that are not in tried hold a prompt of
-// the given tokens, with its output.
-func (s *scheduler) HasUntriedEngines(service string, tokens int, tried map[string]bool) bool {
+// Admits reports whether Place would place or queue a job now.
+func (s *scheduler) Admits(service string, j passes.Job) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.planners[service]
-	return p != nil && p.HasUntried(tokens, tried)
+	return p != nil && p.Admits(j)
 }
 
 // ExpectsEngines reports whether a service has an engine that stays, whether it can be used now or
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -142,7 +142,7 @@
 	events, complete := 0, false
 	for events == 0 && !complete {
 		b, n, err := es.next(until)
-		if errors.Is(err, errSilent) && !es.silentGoesOn() && !(another && c.othersTake()) {
+		if errors.Is(err, errSilent) && !es.silentGoesOn() && !(another && es.othersTake()) {
 			until = time.Now().Add(takeoverRetryDelay) // nothing is gained by giving it up
 			continue
 		}
--- a/internal/prompt/passes/choose.go
+++ b/internal/prompt/passes/choose.go
@@ -118,16 +118,7 @@
 // place assigns engines to a request and updates their candidates. It reports false where
 // no engines fit, or where requests of other entries go first.
 func (p *Planner) place(t *Ticket, candidates []candidate, now time.Time) bool {
-	untried := make([]candidate, 0, len(candidates))
-	for _, c := range candidates {
-		if !t.job.Tried[c.engine.name] && c.load.helping < p.figures.Slots {
-			untried = append(untried, c)
-		}
-	}
-	c, ok := p.chooseHarmless(t, untried, now)
-	if !ok {
-		c, ok = p.chooseByGain(t, untried, now)
-	}
+	c, untried, ok := p.choose(t, candidates, now)
 	if !ok {
 		t.turn = turn{}
 		return false
@@ -146,6 +137,20 @@
 	return true
 }
 
+// choose chooses engines for a request among the candidates that were not tried, which it returns.
+func (p *Planner) choose(t *Ticket, candidates []candidate, now time.Time) (c choice, untried []candidate, ok bool) {
+	untried = make([]candidate, 0, len(candidates))
+	for _, c := range candidates {
+		if !t.job.Tried[c.engine.name] && c.load.helping < p.figures.Slots {
+			untried = append(untried, c)
+		}
+	}
+	if c, ok = p.chooseHarmless(t, untried, now); !ok {
+		c, ok = p.chooseByGain(t, untried, now)
+	}
+	return c, untried, ok
+}
+
 // others returns the engines with the largest read budgets that were not chosen.
 func others(list []candidate, chosen choice) []Other {
 	var out []Other
--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -291,9 +291,14 @@
 // checkFeasible refuses a request that doesn't fit into the memory of all usable engines
 // together, or can't be answered before its deadline.
 func (p *Planner) checkFeasible(t *Ticket, now time.Time) error {
-	usable, enough := p.holders(t.job.memoryTokens(), t.job.Tried, now)
-	if enough {
-		return p.checkDeadline(t, now)
+	usable, memoryPerEngine := 0, int((1-reservedMemoryShare)*float64(p.figures.Memory))
+	for _, e := range p.engines {
+		if t.job.Tried[e.name] || !p.usable(e, now) {
+			continue
+		}
+		if usable++; t.job.memoryTokens() <= usable*memoryPerEngine {
+			return p.checkDeadline(t, now)
+		}
 	}
 	if usable > 0 {
 		return refuse("admit", KindTooLarge, maxRetryAfter, "%d tokens are more than %d engines hold", t.job.memoryTokens(), usable)
@@ -301,25 +306,18 @@
 	return refuse("admit", KindNoEngine, time.Second, "none of %d engines can be used", len(p.engines))
 }
 
-// holders counts the usable engines that are not in tried until they hold the given tokens, and
-// reports whether they do.
-func (p *Planner) holders(tokens int, tried map[string]bool, now time.Time) (n int, enough bool) {
-	memoryPerEngine := int((1 - reservedMemoryShare) * float64(p.figures.Memory))
-	for _, e := range p.engines {
-		if tried[e.name] || !p.usable(e, now) {
-			continue
-		}
-		if n++; tokens <= n*memoryPerEngine {
-			return n, true
-		}
+// Admits reports whether Submit would place or queue a job. It changes nothing about the job.
+func (p *Planner) Admits(j Job) bool {
+	now := p.cfg.Now()
+	t := &Ticket{job: j, readAlone: p.figures.Read(j.Tokens)}
+	if p.checkFeasible(t, now) != nil {
+		return false
 	}
-	return n, false
-}
-
-// HasUntried reports whether the usable engines that are not in tried hold the given tokens.
-func (p *Planner) HasUntried(tokens int, tried map[string]bool) bool {
-	_, enough := p.holders(tokens, tried, p.cfg.Now())
-	return enough
+	if !p.unplaceable(t, now) && !now.Add(p.backlog(t)).After(t.waitUntil()) {
+		return true
+	}
+	_, _, ok := p.choose(t, p.candidates(now), now)
+	return ok
 }
 
 // Stays reports whether an engine for which match returns true is not leaving. It may be unusable at
