Follow the linter in the lease and in plain requests

Change: hasExpired is a function; the call that ends giveUpAfter is deferred on its own. Behaviour is the same.

--- a/internal/gateway/entry/lease.go
+++ b/internal/gateway/entry/lease.go
@@ -78,7 +78,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if l.expired(renewedAt) {
+		if hasExpired(renewedAt) {
 			l.s.log.Warn("A memory lease expired.", "id", l.id, "address", l.writer, "unreachable", unreachable)
 			return
 		}
@@ -99,9 +99,9 @@
 	}
 }
 
-// expired reports whether a reservation has expired. To renew it would reserve other memory, which
+// hasExpired reports whether a reservation has expired. To renew it would reserve other memory, which
 // the request doesn't use.
-func (l *memoryLease) expired(renewedAt []time.Time) bool {
+func hasExpired(renewedAt []time.Time) bool {
 	return slices.ContainsFunc(renewedAt, func(at time.Time) bool { return time.Since(at) >= leaseTTL })
 }
 
--- a/internal/gateway/entry/plain.go
+++ b/internal/gateway/entry/plain.go
@@ -127,7 +127,8 @@
 	defer cancel() // by then the body is complete, or of no use
 	limit := c.remaining()
 	if c.mayAskAnother(c.sends+1, c.maybeRan+1) {
-		defer c.giveUpAfter(min(limit, max(minAttemptTime, time.Duration(attemptShare*float64(limit)))), cancel)()
+		stop := c.giveUpAfter(min(limit, max(minAttemptTime, time.Duration(attemptShare*float64(limit)))), cancel)
+		defer stop()
 	}
 	until := time.Now().Add(limit)
 	x, _, err := c.attempt(ctx, k.Address(), platform.Attempt{Instance: k.Name(), Urgency: c.route.Priority}, limit, maxAnswerWireBytes)
