Show the store's epoch and each topic's position

When the store comes back from an older copy, offsets go back and are given out again, and its answers name an era that rises by one.

platform.Store now returns positions, (epoch, offset), with what it reads, also with a 410; an epoch that can't be counts as none. The followers log one line for each topic and epoch, the state dump names position and highest hint of each topic, and store_epoch is a gauge. What entries do is unchanged. Pages of a newest read in two epochs are no longer mixed: the read starts again.

The stand-in store gets Copy and Restore. It answers 410 to reads from an offset that it lost; reads far past the end, with which the log's readers ask for the end, are answered as before.

--- a/internal/entry/server/configlog.go
+++ b/internal/entry/server/configlog.go
@@ -38,7 +38,7 @@
 // registers the relay server for other entries.
 func (s *Server) startConfig(logger *log.Logger) {
 	c := &s.configLog
-	c.client = logservice.NewClient(platform.NewStore(s.cfg.Network, strings.TrimPrefix(s.cfg.LogURL, "http://")))
+	c.client = logservice.NewClient(platform.NewStore(s.cfg.Network, strings.TrimPrefix(s.cfg.LogURL, "http://"), logger))
 	c.limiter = logservice.NewLimiter(logservice.DefaultEntryAppends)
 	c.changes = logservice.NewAppender(logservice.AppenderConfig{Append: c.client.Appends(resource.Stream), Limiter: c.limiter, RetryFor: configrelay.DirectAppendRetry})
 	c.snapshots = logservice.NewAppender(logservice.AppenderConfig{Append: c.client.Appends(config.SnapshotStream), Limiter: c.limiter})
--- a/internal/gateway/entry/observe.go
+++ b/internal/gateway/entry/observe.go
@@ -78,9 +78,12 @@
 
 // TopicState is how far an entry has read a topic.
 type TopicState struct {
-	Topic   string `json:"topic"`
-	Offset  uint64 `json:"offset"`
-	Healthy bool   `json:"healthy"` // the last call was answered
+	platform.Position
+
+	Topic     string            `json:"topic"`
+	Healthy   bool              `json:"healthy"` // the last call was answered
+	Hint      platform.Position `json:"hint"`    // the highest one that another entry has read up to
+	HintEntry string            `json:"hintEntry,omitempty"`
 }
 
 // State is the state dump. It contains no keys, prompts or answers.
@@ -119,8 +122,9 @@
 	}
 	if list := s.followers.Load(); list != nil {
 		for _, f := range *list {
-			offset, healthy := f.Offset()
-			st.Topics = append(st.Topics, TopicState{Topic: f.Topic(), Offset: offset, Healthy: healthy})
+			next, healthy := f.Position()
+			hint, entry := f.Hinted()
+			st.Topics = append(st.Topics, TopicState{Topic: f.Topic(), Position: next, Healthy: healthy, Hint: hint, HintEntry: entry})
 		}
 	}
 	st.Limits = s.sched.throttle.Limits()
@@ -186,12 +190,12 @@
 		s.metrics.Scope().Tagged(map[string]string{"topic": topic, "outcome": outcome}).Counter("store_calls").Inc(1)
 	}
 	newest, read := seams.Newest, seams.Read
-	seams.Newest = func(ctx context.Context, topic string) ([]platform.Keyed, uint64, error) {
+	seams.Newest = func(ctx context.Context, topic string) ([]platform.Keyed, platform.Position, error) {
 		records, next, err := newest(ctx, topic)
 		count(topic, err)
 		return records, next, err
 	}
-	seams.Read = func(ctx context.Context, topic string, from uint64, wait time.Duration) ([]platform.Keyed, uint64, error) {
+	seams.Read = func(ctx context.Context, topic string, from uint64, wait time.Duration) ([]platform.Keyed, platform.Position, error) {
 		records, next, err := read(ctx, topic, from, wait)
 		count(topic, err)
 		return records, next, err
@@ -217,9 +221,10 @@
 		scope.Gauge("told_domain_bytes").Update(float64(told.DomainBytes))
 		scope.Gauge("log_lines_dropped").Update(float64(s.droppedLines()))
 		for _, f := range *s.followers.Load() {
-			offset, healthy := f.Offset()
+			next, healthy := f.Position()
 			topic := scope.Tagged(map[string]string{"topic": f.Topic()})
-			topic.Gauge("store_offset").Update(float64(offset))
+			topic.Gauge("store_offset").Update(float64(next.Offset))
+			topic.Gauge("store_epoch").Update(float64(next.Epoch))
 			topic.Gauge("store_answers").Update(boolGauge(healthy))
 		}
 		s.sched.updateGauges(scope)
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -115,7 +115,7 @@
 func newServer(cfg platform.Settings, network *netio.Network, pause time.Duration, logger *log.Logger, dropped func() int64) (*Server, error) {
 	s := &Server{
 		cfg: cfg, log: logger, sched: newScheduler(cfg.FailureDomain, cfg.Retries, logger),
-		store: platform.NewStore(network, cfg.Store), upstreams: network.WithDialTimeout(dialTimeout),
+		store: platform.NewStore(network, cfg.Store, logger.WithPrefix("store")), upstreams: network.WithDialTimeout(dialTimeout),
 		droppedLines: dropped, started: time.Now(), metrics: metrics.New(cfg.VM), bodies: newBodyMemory(cfg.Memory), entries: map[string]platform.Entry{},
 		crashChecks: make(chan crashCheck, maxCrashChecks),
 	}
@@ -191,8 +191,9 @@
 func (s *Server) members() throttle.Members { return s.exchange.Members() }
 
 // askEntry asks another entry for a topic's records.
-func (s *Server) askEntry(ctx context.Context, entry, topic string) ([]platform.Keyed, uint64, error) {
-	return records.Ask(ctx, s.upstreams, entry, topic)
+func (s *Server) askEntry(ctx context.Context, entry, topic string) ([]platform.Keyed, platform.Position, error) {
+	list, offset, err := records.Ask(ctx, s.upstreams, entry, topic)
+	return list, platform.Position{Epoch: platform.NoEpoch, Offset: offset}, err
 }
 
 // newest returns a topic's records and offset for other entries, and whether the topic is known.
@@ -203,8 +204,8 @@
 	}
 	for _, f := range *list {
 		if f.Topic() == topic {
-			all, offset := f.Newest()
-			return all, offset, true
+			all, next := f.Newest()
+			return all, next.Offset, true
 		}
 	}
 	return nil, 0, false
@@ -227,11 +228,11 @@
 		answered time.Time
 	)
 	for _, f := range *list {
-		offset, healthy := f.Offset()
+		next, healthy := f.Position()
 		if !healthy {
 			return nil
 		}
-		out = append(out, offset)
+		out = append(out, next.Offset)
 		if at := f.Answered(); at.After(answered) {
 			answered = at
 		}
@@ -249,7 +250,7 @@
 		return
 	}
 	for i, f := range *list {
-		f.Hint(entry, offsets[i])
+		f.Hint(entry, platform.Position{Epoch: platform.NoEpoch, Offset: offsets[i]})
 	}
 }
 
--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -46,11 +46,11 @@
 // Seams are the functions through which a follower reads the store, gets records from
 // other entries and delivers them.
 type Seams struct {
-	// Newest returns the newest record of each key and the offset to read on from.
-	Newest func(ctx context.Context, topic string) ([]platform.Keyed, uint64, error)
-	// Read returns the records from an offset on and the next offset. It waits up to
-	// wait for a record.
-	Read func(ctx context.Context, topic string, from uint64, wait time.Duration) ([]platform.Keyed, uint64, error)
+	// Newest returns the newest record of each key and the position to read on from.
+	Newest func(ctx context.Context, topic string) ([]platform.Keyed, platform.Position, error)
+	// Read returns the records from an offset on and the position to read on from, with the
+	// epoch of the answer. It waits up to wait for a record.
+	Read func(ctx context.Context, topic string, from uint64, wait time.Duration) ([]platform.Keyed, platform.Position, error)
 	// Apply receives records in order. If snapshot is set, they are the newest of all keys,
 	// and keys that are not among them no longer exist.
 	Apply func(records []platform.Keyed, snapshot bool)
@@ -58,11 +58,11 @@
 	// A store that rejects this entry but serves others throughout counts as
 	// answering.
 	Reached func(ok bool)
-	// Ask returns the newest records of all keys that another entry has, and the offset up
+	// Ask returns the newest records of all keys that another entry has, and the position up
 	// to which it has read. It may be nil. It is called for the entry with the highest hint,
 	// if that is ahead: by an entry that does not lead, since each call to the store has a
 	// price, and by one whose calls to the store fail.
-	Ask func(ctx context.Context, entry, topic string) ([]platform.Keyed, uint64, error)
+	Ask func(ctx context.Context, entry, topic string) ([]platform.Keyed, platform.Position, error)
 	// Leads reports whether this entry reads the store with long polls and sends hints to
 	// the others. If it is nil, the entry leads.
 	Leads func() bool
@@ -87,9 +87,9 @@
 	wake  chan struct{}
 
 	mu         sync.Mutex
-	offset     uint64                    // next offset to read
+	position   platform.Position         // next to read
 	healthy    bool                      // the last call succeeded
-	hintOffset uint64                    // highest offset of a hint
+	hint       platform.Position         // highest one of a hint
 	hintEntry  string                    // address of the entry that sent it
 	records    map[string]platform.Keyed // newest by key
 	lastHint   time.Time
@@ -114,19 +114,26 @@
 // Topic returns the topic.
 func (f *Follower) Topic() string { return f.cfg.Topic }
 
-// Offset returns the next offset to read, and whether the last call to the store
+// Position returns the position to read on from, and whether the last call to the store
 // succeeded.
-func (f *Follower) Offset() (offset uint64, healthy bool) {
+func (f *Follower) Position() (p platform.Position, healthy bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.offset, f.healthy
+	return f.position, f.healthy
 }
 
-// Newest returns the newest record of each key, and the next offset to read.
-func (f *Follower) Newest() ([]platform.Keyed, uint64) {
+// Hinted returns the highest position that another entry has read up to, and that entry's address.
+func (f *Follower) Hinted() (p platform.Position, entry string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.Collect(maps.Values(f.records)), f.offset
+	return f.hint, f.hintEntry
+}
+
+// Newest returns the newest record of each key, and the position to read on from.
+func (f *Follower) Newest() ([]platform.Keyed, platform.Position) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Values(f.records)), f.position
 }
 
 // apply delivers records and keeps them for other entries.
@@ -146,17 +153,17 @@
 	f.seams.Apply(records, snapshot)
 }
 
-// Hint records that the entry at an address has read up to an offset.
-func (f *Follower) Hint(entry string, offset uint64) {
+// Hint records that the entry at an address has read up to a position.
+func (f *Follower) Hint(entry string, p platform.Position) {
 	f.mu.Lock()
 	now := time.Now()
 	if now.Sub(f.lastHint) > maxHintGap {
 		f.hintsSince = now
 	}
 	f.lastHint = now
-	newer := offset > f.hintOffset
+	newer := p.Offset > f.hint.Offset
 	if newer {
-		f.hintOffset, f.hintEntry = offset, entry
+		f.hint, f.hintEntry = p, entry
 	}
 	f.mu.Unlock()
 	if newer {
@@ -200,11 +207,11 @@
 	f.lastAnswer = time.Now()
 }
 
-// setOffset sets the offset, and whether the last call succeeded.
-func (f *Follower) setOffset(offset uint64, healthy bool) {
+// setPosition sets the position, and whether the last call succeeded.
+func (f *Follower) setPosition(p platform.Position, healthy bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.offset, f.healthy = offset, healthy
+	f.position, f.healthy = p, healthy
 }
 
 // pollInterval and safetyPollInterval return how often an entry that does not lead reads the
@@ -225,11 +232,11 @@
 }
 
 // awaitRead blocks an entry that does not lead until a hint or a timeout calls for a read.
-func (f *Follower) awaitRead(ctx context.Context, next uint64, last time.Time) {
+func (f *Follower) awaitRead(ctx context.Context, next platform.Position, last time.Time) {
 	for ctx.Err() == nil && !f.seams.Leads() {
 		f.mu.Lock()
 		poll := f.pollInterval()
-		due := f.hintOffset > next || time.Since(f.lastHint) >= poll && time.Since(last) >= poll || time.Since(last) > f.safetyPollInterval()
+		due := f.hint.Offset > next.Offset || time.Since(f.lastHint) >= poll && time.Since(last) >= poll || time.Since(last) > f.safetyPollInterval()
 		f.mu.Unlock()
 		if due {
 			return
@@ -246,8 +253,8 @@
 
 // progress is the state of a follower's loop.
 type progress struct {
-	next       uint64
-	known      bool // next is a valid offset to read from
+	next       platform.Position
+	known      bool // next is a valid position to read from
 	failing    bool // the last call failed
 	retryDelay time.Duration
 	lastCall   time.Time
@@ -266,7 +273,7 @@
 			return
 		}
 		trimmed := fault.Is(err, platform.KindTrimmed)
-		f.setOffset(p.next, err == nil)
+		f.setPosition(p.next, err == nil)
 		f.reportReached(err == nil || trimmed, &p)
 		if err == nil {
 			f.succeeded(&p)
@@ -287,12 +294,17 @@
 		wait = 0 // after a failure, an immediate answer shows that the store is back
 	}
 	p.lastCall = time.Now()
-	if p.known {
+	had, known := p.next, p.known
+	if known {
 		p.next, delay, err = f.read(ctx, p.next, wait)
-		return delay, err
+	} else {
+		delay = f.cfg.Pause
+		p.next, err = f.newest(ctx, p.next)
+	}
+	if p.next.Epoch != had.Epoch && !f.Answered().IsZero() {
+		f.log.Warn("The store is in another epoch.", "topic", f.cfg.Topic, "epoch", p.next.Epoch, "was", had.Epoch, "offset", p.next.Offset, "had", had.Offset, "read_on", known, "err", err)
 	}
-	p.next, err = f.newest(ctx)
-	return f.cfg.Pause, err
+	return delay, err
 }
 
 // reliesOnHints reports whether the entry relies on the hints of those that lead.
@@ -310,10 +322,10 @@
 	if p.failing || time.Since(p.lastCall) > f.safetyPollInterval() {
 		return false
 	}
-	offset, ok := f.fetch(ctx, p.next)
+	next, ok := f.fetch(ctx, p.next)
 	if ok {
-		p.next = offset
-		f.setOffset(offset, true)
+		p.next = next
+		f.setPosition(next, true)
 	}
 	return ok
 }
@@ -321,7 +333,7 @@
 // succeeded records a successful call to the store.
 func (f *Follower) succeeded(p *progress) {
 	if p.failing {
-		f.log.Info("The store answers again.", "topic", f.cfg.Topic, "offset", p.next)
+		f.log.Info("The store answers again.", "topic", f.cfg.Topic, "epoch", p.next.Epoch, "offset", p.next.Offset)
 	}
 	p.known, p.failing, p.retryDelay = true, false, minRetryDelay
 }
@@ -333,39 +345,40 @@
 	p.retryDelay = min(2*p.retryDelay, maxRetryDelay)
 	if !p.failing {
 		p.failing = true
-		f.log.Warn("The store does not answer.", "topic", f.cfg.Topic, "offset", p.next, "err", err)
+		f.log.Warn("The store does not answer.", "topic", f.cfg.Topic, "epoch", p.next.Epoch, "offset", p.next.Offset, "err", err)
 	}
-	if offset, ok := f.fetch(ctx, p.next); ok {
-		p.next, p.known = offset, true
-		f.setOffset(p.next, false)
+	if next, ok := f.fetch(ctx, p.next); ok {
+		p.next, p.known = next, true
+		f.setPosition(p.next, false)
 	}
 	return delay
 }
 
 // fetch fetches the records of another entry if one has read further than this one.
-func (f *Follower) fetch(ctx context.Context, next uint64) (offset uint64, ok bool) {
+func (f *Follower) fetch(ctx context.Context, had platform.Position) (next platform.Position, ok bool) {
 	f.mu.Lock()
-	entry, ahead := f.hintEntry, f.hintOffset > next
+	entry, ahead := f.hintEntry, f.hint.Offset > had.Offset
 	f.mu.Unlock()
 	if f.seams.Ask == nil || !ahead {
-		return 0, false
+		return had, false
 	}
-	records, offset, err := f.seams.Ask(ctx, entry, f.cfg.Topic)
-	if err != nil || offset <= next {
-		f.log.Warn("Could not fetch newer records from another entry.", "topic", f.cfg.Topic, "entry", entry, "offset", offset, "err", err)
-		return 0, false
+	records, next, err := f.seams.Ask(ctx, entry, f.cfg.Topic)
+	next = next.In(had.Epoch)
+	if err != nil || next.Offset <= had.Offset {
+		f.log.Warn("Could not fetch newer records from another entry.", "topic", f.cfg.Topic, "entry", entry, "epoch", next.Epoch, "offset", next.Offset, "had", had.Offset, "err", err)
+		return had, false
 	}
-	f.log.Info("Fetched newer records from another entry.", "topic", f.cfg.Topic, "entry", entry, "offset", offset, "had", next, "records", len(records))
+	f.log.Info("Fetched newer records from another entry.", "topic", f.cfg.Topic, "entry", entry, "epoch", next.Epoch, "offset", next.Offset, "had", had.Offset, "records", len(records))
 	f.apply(records, true)
-	return offset, true
+	return next, true
 }
 
 // cancelStuckRead cancels a read that is still unanswered stuckReadTimeout after another
 // entry has read further.
-func (f *Follower) cancelStuckRead(ctx context.Context, from uint64, cancel context.CancelFunc) {
+func (f *Follower) cancelStuckRead(ctx context.Context, from platform.Position, cancel context.CancelFunc) {
 	for ctx.Err() == nil {
 		f.mu.Lock()
-		ahead := f.hintOffset > from
+		ahead := f.hint.Offset > from.Offset
 		f.mu.Unlock()
 		if ahead {
 			if pause.For(ctx, stuckReadTimeout) {
@@ -380,16 +393,16 @@
 	}
 }
 
-func (f *Follower) newest(ctx context.Context) (uint64, error) {
+func (f *Follower) newest(ctx context.Context, had platform.Position) (platform.Position, error) {
 	records, next, err := f.seams.Newest(ctx, f.cfg.Topic)
 	if err != nil {
-		return 0, err
+		return platform.Position{Epoch: had.Epoch}, err
 	}
 	f.apply(records, true)
-	return next, nil
+	return next.In(had.Epoch), nil
 }
 
-func (f *Follower) read(ctx context.Context, from uint64, wait time.Duration) (next uint64, delay time.Duration, err error) {
+func (f *Follower) read(ctx context.Context, from platform.Position, wait time.Duration) (next platform.Position, delay time.Duration, err error) {
 	if f.seams.Ask != nil {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithCancel(ctx)
@@ -403,10 +416,11 @@
 			<-done
 		}()
 	}
-	records, next, err := f.seams.Read(ctx, f.cfg.Topic, from, wait)
+	records, next, err := f.seams.Read(ctx, f.cfg.Topic, from.Offset, wait)
 	if err != nil {
 		return from, 0, err
 	}
+	next = next.In(from.Epoch)
 	if len(records) == 0 {
 		return next, 0, nil
 	}
--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -26,6 +26,7 @@
 type fakeStore struct {
 	mu        sync.Mutex
 	records   []platform.Keyed
+	epoch     uint64
 	first     uint64
 	down      bool
 	calls     int
@@ -39,6 +40,13 @@
 	s.records = append(s.records, platform.Keyed{Key: key, Value: []byte("v"), Offset: uint64(len(s.records))})
 }
 
+// end returns the position behind the last record. s.mu must be held.
+func (s *fakeStore) end() platform.Position { return at(s.epoch, len(s.records)) }
+
+func at(epoch uint64, offset int) platform.Position {
+	return platform.Position{Epoch: epoch, Offset: uint64(offset)}
+}
+
 func (s *fakeStore) set(change func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -47,31 +55,31 @@
 
 var errDown = errors.New("down")
 
-func (s *fakeStore) newest(context.Context, string) ([]platform.Keyed, uint64, error) {
+func (s *fakeStore) newest(context.Context, string) ([]platform.Keyed, platform.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
-		return nil, 0, errDown
+		return nil, platform.Position{}, errDown
 	}
-	return s.records, uint64(len(s.records)), nil
+	return s.records, s.end(), nil
 }
 
-func (s *fakeStore) read(ctx context.Context, _ string, from uint64, wait time.Duration) ([]platform.Keyed, uint64, error) {
+func (s *fakeStore) read(ctx context.Context, _ string, from uint64, wait time.Duration) ([]platform.Keyed, platform.Position, error) {
 	s.set(func() { s.calls++ })
-	for end := time.Now().Add(wait); ; {
+	for until := time.Now().Add(wait); ; {
 		s.mu.Lock()
-		down, first, list := s.down, s.first, s.records
+		down, first, list, end := s.down, s.first, s.records, s.end()
 		s.mu.Unlock()
 		switch {
 		case down:
-			return nil, 0, errDown
-		case from < first:
-			return nil, 0, fault.New(&testClass, "read", platform.KindTrimmed, nil)
+			return nil, platform.Position{}, errDown
+		case from < first, from > end.Offset:
+			return nil, platform.Position{Epoch: end.Epoch}, fault.New(&testClass, "read", platform.KindTrimmed, nil)
 		case from < uint64(len(list)):
-			return list[from:], uint64(len(list)), nil
-		case !time.Now().Before(end) || !pause.For(ctx, 10*time.Millisecond):
-			return nil, from, nil
+			return list[from:], end, nil
+		case !time.Now().Before(until) || !pause.For(ctx, 10*time.Millisecond):
+			return nil, end, nil
 		}
 	}
 }
@@ -122,8 +130,8 @@
 		s.put("b")
 		time.Sleep(50 * time.Millisecond)
 		is.Equal(s.lastKey(), "b")
-		offset, healthy := f.Offset()
-		is.Equal(offset, uint64(2))
+		offset, healthy := f.Position()
+		is.Equal(offset, at(0, 2))
 		is.True(healthy)
 	})
 }
@@ -136,9 +144,9 @@
 		s := &fakeStore{}
 		s.put("a")
 		f := newFollower(t, s, false)
-		hint := func(offset uint64, d time.Duration) {
+		hint := func(offset int, d time.Duration) {
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
-				f.Hint("other", offset)
+				f.Hint("other", at(0, offset))
 			}
 		}
 		hint(1, 2*time.Second)
@@ -146,7 +154,7 @@
 		hint(1, 20*time.Second)
 		is.True(s.callCount()-before <= int(20*time.Second/minSafetyPollInterval))
 		s.put("b")
-		f.Hint("other", 2)
+		f.Hint("other", at(0, 2))
 		time.Sleep(50 * time.Millisecond)
 		is.Equal(s.lastKey(), "b")
 	})
@@ -163,13 +171,13 @@
 		time.Sleep(50 * time.Millisecond)
 		before := s.callCount()
 		s.put("b")
-		f.Hint("other", 2)
+		f.Hint("other", at(0, 2))
 		time.Sleep(50 * time.Millisecond)
 		is.Equal(s.lastKey(), "b")
 		is.Equal(fetches(), 1)
 		is.Equal(s.callCount(), before)
 		s.put("c")
-		f.Hint("stranger", 3) // fetching from it fails
+		f.Hint("stranger", at(0, 3)) // fetching from it fails
 		time.Sleep(50 * time.Millisecond)
 		is.Equal(s.lastKey(), "c")
 		is.Equal(s.callCount(), before+1)
@@ -206,7 +214,7 @@
 			defer f.Close()
 			hint := func(d time.Duration) {
 				for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
-					f.Hint("other", 1)
+					f.Hint("other", at(0, 1))
 				}
 			}
 			hint(3 * time.Second)
@@ -284,11 +292,11 @@
 		time.Sleep(time.Second)
 		s.set(func() { s.down = true })
 		time.Sleep(time.Second)
-		_, healthy := f.Offset()
+		_, healthy := f.Position()
 		is.True(!healthy)
 		s.set(func() { s.down = false })
 		time.Sleep(time.Second)
-		_, healthy = f.Offset()
+		_, healthy = f.Position()
 		is.True(healthy)
 		calls := s.callCount()
 		time.Sleep(9 * time.Second)
@@ -298,7 +306,7 @@
 
 // newFetching returns a follower that can fetch from the entry "other", which has read the
 // whole topic, and the number of its fetches.
-func newFetching(t *testing.T, s *fakeStore, read func(ctx context.Context, topic string, from uint64, wait time.Duration) ([]platform.Keyed, uint64, error), leads bool) (f *Follower, fetches func() int) {
+func newFetching(t *testing.T, s *fakeStore, read func(ctx context.Context, topic string, from uint64, wait time.Duration) ([]platform.Keyed, platform.Position, error), leads bool) (f *Follower, fetches func() int) {
 	t.Helper()
 	n := 0
 	fetches = func() int {
@@ -308,14 +316,14 @@
 	}
 	f = New(Settings{Topic: "t", Wait: 10 * time.Second}, Seams{
 		Newest: s.newest, Read: read, Apply: s.apply, Leads: func() bool { return leads },
-		Ask: func(_ context.Context, entry, topic string) ([]platform.Keyed, uint64, error) {
+		Ask: func(_ context.Context, entry, topic string) ([]platform.Keyed, platform.Position, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			n++
 			if entry != "other" || topic != "t" {
-				return nil, 0, errDown
+				return nil, platform.Position{}, errDown
 			}
-			return s.records, uint64(len(s.records)), nil
+			return s.records, s.end(), nil
 		},
 	}, log.New(io.Discard))
 	t.Cleanup(f.Close)
@@ -335,12 +343,12 @@
 		time.Sleep(2 * time.Second)
 		is.Equal(fetches(), 0) // no hint of newer records
 		s.put("b")
-		f.Hint("other", 2)
+		f.Hint("other", at(0, 2))
 		time.Sleep(time.Second)
 		is.Equal(s.lastKey(), "b")
 		is.Equal(fetches(), 1)
-		offset, healthy := f.Offset()
-		is.Equal(offset, uint64(2))
+		offset, healthy := f.Position()
+		is.Equal(offset, at(0, 2))
 		is.True(!healthy) // so that it sends no hints for what it did not read itself
 		s.put("c")
 		s.set(func() { s.down = false })
@@ -358,14 +366,14 @@
 		is := is.New(t)
 		s := &fakeStore{}
 		s.put("a")
-		blockedRead := func(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]platform.Keyed, uint64, error) {
+		blockedRead := func(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]platform.Keyed, platform.Position, error) {
 			<-ctx.Done()
-			return nil, 0, ctx.Err()
+			return nil, platform.Position{}, ctx.Err()
 		}
 		f, fetches := newFetching(t, s, blockedRead, true)
 		time.Sleep(time.Second)
 		s.put("b")
-		f.Hint("other", 2)
+		f.Hint("other", at(0, 2))
 		time.Sleep(stuckReadTimeout - 10*time.Millisecond)
 		is.Equal(fetches(), 0) // the store may still answer
 		time.Sleep(20 * time.Millisecond)
@@ -387,7 +395,7 @@
 		for range entries {
 			f := New(Settings{Topic: "t", Wait: 2 * time.Second}, Seams{
 				Newest: s.newest, Read: s.read, Apply: s.apply, Leads: func() bool { return false }, Entries: func() int { return entries },
-				Ask: func(context.Context, string, string) ([]platform.Keyed, uint64, error) {
+				Ask: func(context.Context, string, string) ([]platform.Keyed, platform.Position, error) {
 					return s.newest(t.Context(), "t")
 				},
 			}, log.New(io.Discard))
@@ -403,12 +411,12 @@
 		s.set(func() { s.down = false })
 		s.put("b")
 		for _, f := range list[1:] {
-			f.Hint("other", 2) // as the first one announces
+			f.Hint("other", at(0, 2)) // as the first one announces
 		}
 		time.Sleep(maxRetryDelay)
 		for _, f := range list[1:] {
-			offset, _ := f.Offset()
-			is.Equal(offset, uint64(2))
+			offset, _ := f.Position()
+			is.Equal(offset, at(0, 2))
 		}
 	})
 }
--- a/internal/standin/store/http.go
+++ b/internal/standin/store/http.go
@@ -17,6 +17,7 @@
 	lengthBytes = 4 // length prefix of each record
 	// defaultReadBytes is the size limit of a read without max_kilobytes.
 	defaultReadBytes  = 1 << 20
+	headerEpoch       = "Store-Era"
 	maxRecordBytes    = 262_144 // as in the platform's settings
 	readHeaderTimeout = time.Minute
 )
@@ -31,6 +32,7 @@
 		s.mu.Lock()
 		s.calls++
 		down := s.outage
+		w.Header().Set(headerEpoch, s.epoch)
 		s.mu.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -56,6 +58,7 @@
 		writeError(w, b, err)
 		return
 	}
+	w.Header().Set(headerEpoch, b.Epoch)
 	writeJSON(w, http.StatusOK, map[string]uint64{"offset": first, "end_offset": b.Next})
 }
 
@@ -97,7 +100,8 @@
 	for _, rec := range recs {
 		out = append(binary.BigEndian.AppendUint32(out, uint32(len(rec.Data))), rec.Data...)
 	}
-	_, _ = w.Write(out) // fails only if the client is gone
+	w.Header().Set(headerEpoch, b.Epoch) // the store may have been restored during the wait
+	_, _ = w.Write(out)                  // fails only if the client is gone
 }
 
 // intParam returns a query parameter as an integer, or 0 if it is missing or invalid.
@@ -115,12 +119,13 @@
 		Value  []byte `json:"value"`
 		Offset uint64 `json:"offset"`
 	}
-	page, more, end := s.page(r.URL.Query().Get("topic"), r.URL.Query().Get("after"))
+	page, more, b := s.page(r.URL.Query().Get("topic"), r.URL.Query().Get("after"))
 	items := []item{}
 	for _, k := range page {
 		items = append(items, item{k.key, k.value, k.offset})
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": more, "end_offset": end})
+	w.Header().Set(headerEpoch, b.Epoch)
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": more, "end_offset": b.Next})
 }
 
 func writeError(w http.ResponseWriter, b Bounds, err error) {
@@ -130,6 +135,7 @@
 	case fault.Is(err, KindRateLimited):
 		w.WriteHeader(http.StatusTooManyRequests)
 	case fault.Is(err, KindGone):
+		w.Header().Set(headerEpoch, b.Epoch)
 		writeJSON(w, http.StatusGone, map[string]uint64{"first_offset": b.First})
 	default:
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/standin/store/http_test.go
+++ b/internal/standin/store/http_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
@@ -24,7 +26,7 @@
 	}
 	s := store.Serve(ln)
 	t.Cleanup(s.Close)
-	return s, platform.NewStore(netio.TCP(), s.Addr())
+	return s, platform.NewStore(netio.TCP(), s.Addr(), log.New(io.Discard))
 }
 
 func TestLogOverHTTP(t *testing.T) {
@@ -112,12 +114,41 @@
 	is.NoErr(err)
 	is.Equal(len(newest), keys-1)
 	is.Equal(string(newest[3].Value), "new")
-	is.Equal(next, uint64(keys+2))
+	is.Equal(next, platform.Position{Epoch: 1, Offset: keys + 2})
 	_, _, err = calls.Read(ctx, "keyed.status", 0, 0)
 	is.True(fault.Is(err, platform.KindTrimmed))
 	s.Put("keyed.status", "vm-0003", nil)
-	records, next, err := calls.Read(ctx, "keyed.status", next, time.Second)
+	records, next, err := calls.Read(ctx, "keyed.status", next.Offset, time.Second)
 	is.NoErr(err)
-	is.Equal(next, uint64(keys+3))
+	is.Equal(next, platform.Position{Epoch: 1, Offset: keys + 3})
 	is.Equal(records[0], platform.Keyed{Key: "vm-0003", Offset: keys + 2})
 }
+
+// A restored store must show its epoch in all answers, also in those to reads that waited or name
+// an offset it no longer has, or its readers can't tell offsets that it gives out again.
+func TestRestoredStoreNamesItsEpoch(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s, calls := serve(t)
+	s.Put("keyed.op", "config", []byte("1"))
+	saved := s.Copy()
+	s.Put("keyed.op", "config", []byte("2"))
+	s.Restore(saved)
+	_, next, err := calls.Read(ctx, "keyed.op", 2, 0)
+	is.True(fault.Is(err, platform.KindTrimmed))
+	is.Equal(next.Epoch, uint64(2))
+	list, next, err := calls.Newest(ctx, "keyed.op")
+	is.NoErr(err)
+	is.Equal(string(list[0].Value), "1")
+	is.Equal(next, platform.Position{Epoch: 2, Offset: 1})
+	go func() {
+		for s.Calls() < 3 { // until the read waits
+			time.Sleep(time.Millisecond)
+		}
+		s.Restore(saved)
+		s.Put("keyed.op", "config", []byte("3"))
+	}()
+	_, next, err = calls.Read(ctx, "keyed.op", 1, 10*time.Second)
+	is.NoErr(err)
+	is.Equal(next, platform.Position{Epoch: 3, Offset: 2})
+}
--- a/internal/standin/store/keyed.go
+++ b/internal/standin/store/keyed.go
@@ -52,8 +52,8 @@
 }
 
 // page returns the newest records of the keys after the given one, sorted by key, whether
-// more follow, and the end offset of the topic.
-func (s *Store) page(name, after string) (items []keyed, more bool, end uint64) {
+// more follow, and the bounds of the topic.
+func (s *Store) page(name, after string) (items []keyed, more bool, b Bounds) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
@@ -63,9 +63,9 @@
 			continue
 		}
 		if len(items) == pageItems {
-			return items, true, t.next
+			return items, true, s.bounds(t)
 		}
 		items = append(items, t.newest[key])
 	}
-	return items, false, t.next
+	return items, false, s.bounds(t)
 }
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -1,11 +1,14 @@
 // Package store is an in-memory fake of the platform's store for tests. It has topics of
 // records with offsets, keyed topics, long polling, retention and trimming, and injects
-// faults: outages, latency, rate limits, lost responses, a new epoch. Handler serves its
+// faults: outages, latency, rate limits, lost responses, a new epoch, a restore from a copy. Handler serves its
 // HTTP API.
 package store
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -32,7 +35,7 @@
 // Bounds is the offset range of a topic. First is the earliest retained offset and Next the
 // offset of the next record. Offsets start at 0.
 type Bounds struct {
-	Epoch string // changes with Reset; not part of the HTTP API
+	Epoch string // changes with Reset and Restore
 	First uint64
 	Next  uint64
 }
@@ -58,6 +61,7 @@
 	newest  map[string]keyed // nil unless the topic is keyed
 	first   uint64
 	next    uint64
+	lost    uint64        // end of the topic before it was restored
 	changed chan struct{} // closed and replaced on each notify
 }
 
@@ -136,6 +140,42 @@
 	}
 }
 
+// Copy is the state of a store at some moment.
+type Copy struct{ topics map[string]*topic }
+
+// Copy returns a copy of the store for Restore.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{cloneTopics(s.topics)}
+}
+
+// Restore makes the store what it was when it was copied, in the next epoch. What was written
+// since is lost, and its offsets are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, err := strconv.Atoi(s.epoch)
+	if err != nil {
+		panic(err) // a test has set an epoch that is no number
+	}
+	old := s.topics
+	s.topics, s.epoch = cloneTopics(c.topics), strconv.Itoa(n+1)
+	for name, t := range old {
+		r := s.topic(name)
+		r.lost = max(t.next, t.lost)
+		t.notify()
+	}
+}
+
+func cloneTopics(list map[string]*topic) map[string]*topic {
+	out := make(map[string]*topic, len(list))
+	for name, t := range list {
+		out[name] = &topic{records: slices.Clone(t.records), newest: maps.Clone(t.newest), first: t.first, next: t.next, changed: make(chan struct{})}
+	}
+	return out
+}
+
 // Appends returns the number of append calls that took effect.
 func (s *Store) Appends() uint64 {
 	s.mu.Lock()
@@ -226,7 +266,7 @@
 		t.expireOlderThan(time.Now().Add(-s.retention))
 	}
 	b := s.bounds(t)
-	if from < t.first {
+	if from < t.first || from > t.next && from <= t.lost {
 		return nil, b, nil, fail("read", KindGone, nil)
 	}
 	if from >= t.next {
