Add failing tests of entries that follow a restored store

The users saw, after the store had come back from a copy, a confirmed configuration that was not in force in time and added routes that were not served: 62 requests handled by version 17 more than 3 s after version 19 was acknowledged, and 44 refused with 404, on a deployment of 34 entries.

Two causes show apart. Entries that don't lead keep the highest offset that they ever heard, so hints of the lower offsets after the restore don't wake them. And an entry whose offset was given out again while it was away reads on behind it.

--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -31,6 +31,7 @@
 	down      bool
 	calls     int
 	applied   []string // keys in order
+	values    []string // of the key "config" in order
 	snapshots int      // calls of apply with all keys
 }
 
@@ -92,6 +93,9 @@
 	}
 	for _, r := range records {
 		s.applied = append(s.applied, r.Key)
+		if r.Key == "config" {
+			s.values = append(s.values, string(r.Value))
+		}
 	}
 }
 
@@ -420,3 +424,124 @@
 		}
 	})
 }
+
+// restore makes the store what it was when it had n records, in the next epoch.
+func (s *fakeStore) restore(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records, s.epoch = slices.Clone(s.records[:n]), s.epoch+1
+}
+
+// member is a follower of a fleet.
+type member struct {
+	*Follower
+	applied *fakeStore // records what is delivered
+}
+
+// newFleet returns followers that share a store. The first ones lead, and send the others a hint
+// each 300 ms while they are healthy.
+func newFleet(t *testing.T, s *fakeStore, leaders, entries int) []member {
+	t.Helper()
+	var fleet []member
+	for i := range entries {
+		applied := &fakeStore{}
+		f := New(Settings{Topic: "t", Wait: 2 * time.Second}, Seams{
+			Newest: s.newest, Read: s.read, Apply: applied.apply, Leads: func() bool { return i < leaders }, Entries: func() int { return entries },
+			Ask: func(_ context.Context, entry, _ string) ([]platform.Keyed, platform.Position, error) {
+				list, next := fleet[entry[0]-'a'].Newest()
+				return list, next, nil
+			},
+		}, log.New(io.Discard))
+		t.Cleanup(f.Close)
+		fleet = append(fleet, member{f, applied})
+	}
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(300 * time.Millisecond):
+			}
+			for i := range fleet[:leaders] {
+				p, healthy := fleet[i].Position()
+				for j := range fleet {
+					if healthy && j != i {
+						fleet[j].Hint(string(rune('a'+i)), p)
+					}
+				}
+			}
+		}
+	}()
+	return fleet
+}
+
+// config returns the value of "config" that was delivered last.
+func (m member) config() string {
+	m.applied.mu.Lock()
+	defer m.applied.mu.Unlock()
+	if len(m.applied.values) == 0 {
+		return ""
+	}
+	return m.applied.values[len(m.applied.values)-1]
+}
+
+func (s *fakeStore) putConfig(value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = append(s.records, platform.Keyed{Key: "config", Value: []byte(value), Offset: uint64(len(s.records))})
+}
+
+// The store came back from a copy 6 s old, and a configuration acknowledged then was not in force
+// at entries that don't lead for 10 s and more: hints of the lost offsets hid all that came after.
+func TestEntriesFollowARestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{epoch: 1}
+		for _, v := range []string{"1", "2", "3", "4", "5"} {
+			s.putConfig(v)
+		}
+		fleet := newFleet(t, s, 4, 12)
+		time.Sleep(5 * time.Second)
+		s.set(func() { s.down = true })
+		time.Sleep(time.Second)
+		s.restore(2)
+		s.set(func() { s.down = false })
+		time.Sleep(time.Second)
+		s.putConfig("6") // its offset is that of "3"
+		time.Sleep(propagation)
+		for i, m := range fleet {
+			if got := m.config(); got != "6" {
+				t.Errorf("entry %d has %q", i, got)
+			}
+		}
+	})
+}
+
+// A restored store had given out an entry's offsets again, and more, before the entry read on: it
+// never got the records that took the place of the lost ones.
+func TestReusedOffsetsAreNotSkipped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{epoch: 1}
+		for _, v := range []string{"1", "2", "3"} {
+			s.putConfig(v)
+		}
+		fleet := newFleet(t, s, 1, 3)
+		time.Sleep(time.Second)
+		s.set(func() { s.down = true })
+		time.Sleep(time.Second)
+		s.restore(1)
+		s.putConfig("4")
+		s.put("other")
+		s.set(func() { s.down = false })
+		time.Sleep(propagation)
+		for i, m := range fleet {
+			if got := m.config(); got != "4" {
+				t.Errorf("entry %d has %q", i, got)
+			}
+		}
+	})
+}
+
+// propagation is the time within which a configuration has to be in force.
+const propagation = 2 * time.Second
