Follow a restored store by epoch and offset

Callers saw a confirmed configuration that was not in force, and 404 for routes that had been added, up to 10 s and more after the store had come back from a copy.

Cause: entries compared offsets, which mean nothing from one epoch of the store to the next. Hints of lost offsets hid the lower ones of the restored log from entries that don't lead, until their safety read (10 s, and longer in large deployments); they could fetch the records of before from an entry that had not noticed; and an entry whose offset was given out again read on behind it, past the records that took the place of the lost ones.

A position is now an epoch and an offset, compared in this order, in the follower, in what entries tell each other (one varint more in a message, one for each topic only while they differ) and in records that they fetch from each other. An answer of a later epoch makes the follower read the newest records anew; one of an earlier epoch is a failed call. Entries of earlier versions name no epoch: what they say counts as before, until a restore is seen. A read after a second without an answer doesn't wait for records, since one whose offset is just the restored log's end would wait for as long as nothing is written.

Ruled out: the versions. An entry never takes a lower one, so a copy's configuration doesn't replace a newer one within a process.

--- a/internal/gateway/entry/recovery_test.go
+++ b/internal/gateway/entry/recovery_test.go
@@ -139,7 +139,7 @@
 	}
 	stale, staleStore := startOther("vm-2")
 	staleStore.SetOutage(true)
-	env.await(func() bool { return stale.offsets() == nil })
+	env.await(func() bool { return stale.positions() == nil })
 
 	_ = env.entry.Shutdown(cancelledContext()) // as after a power loss
 	address, calls := turnAway(t)
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -80,7 +80,7 @@
 	bodies       *bodyMemory
 	records      *records.Server
 	exchange     *sends.Exchange
-	followers    atomic.Pointer[[]*follow.Follower] // in the order of the offsets in entries' messages
+	followers    atomic.Pointer[[]*follow.Follower] // in the order of the positions in entries' messages
 	callers      *fasthttp.Server
 	ready        *fasthttp.Server
 	callersLn    *callerListener
@@ -149,7 +149,7 @@
 	}
 	s.records = records.Serve(peerLn, logger.WithPrefix("records"), s.newest)
 	s.exchange = sends.New(conn, time.Now(), sends.Seams{
-		Domain: cfg.FailureDomain, Report: s.sched.Report, OnReport: s.sched.SetReport, Peers: s.peers, Offsets: s.offsets, OnOffsets: s.applyOffsets,
+		Domain: cfg.FailureDomain, Report: s.sched.Report, OnReport: s.sched.SetReport, Peers: s.peers, Positions: s.positions, OnPositions: s.applyPositions,
 		Held: s.quarantine.Report, OnHeld: s.quarantine.Merge, Rates: s.sched.throttle.Report, OnRates: s.sched.throttle.Merge, Log: logger.WithPrefix("sends"),
 	})
 	s.sched.reportChanged = s.exchange.Changed
@@ -192,39 +192,38 @@
 
 // askEntry asks another entry for a topic's records.
 func (s *Server) askEntry(ctx context.Context, entry, topic string) ([]platform.Keyed, platform.Position, error) {
-	list, offset, err := records.Ask(ctx, s.upstreams, entry, topic)
-	return list, platform.Position{Epoch: platform.NoEpoch, Offset: offset}, err
+	return records.Ask(ctx, s.upstreams, entry, topic)
 }
 
-// newest returns a topic's records and offset for other entries, and whether the topic is known.
-func (s *Server) newest(topic string) ([]platform.Keyed, uint64, bool) {
+// newest returns a topic's records and position for other entries, and whether the topic is known.
+func (s *Server) newest(topic string) ([]platform.Keyed, platform.Position, bool) {
 	list := s.followers.Load()
 	if list == nil {
-		return nil, 0, false
+		return nil, platform.Position{}, false
 	}
 	for _, f := range *list {
 		if f.Topic() == topic {
 			all, next := f.Newest()
-			return all, next.Offset, true
+			return all, next, true
 		}
 	}
-	return nil, 0, false
+	return nil, platform.Position{}, false
 }
 
 // readsStore reports whether this entry is one of the few that read the store with long waits
 // and announce their offsets to the others.
 func (s *Server) readsStore() bool { return s.exchange.Rank() < storeReaders }
 
-// offsets returns this entry's offset in each topic, or nil if the store has not answered it
+// positions returns this entry's position in each topic, or nil if the store has not answered it
 // lately. Where it answers none of the entries that read for others, the first other one whose
 // own read is answered announces it.
-func (s *Server) offsets() []uint64 {
+func (s *Server) positions() []platform.Position {
 	list := s.followers.Load()
 	if list == nil {
 		return nil
 	}
 	var (
-		out      []uint64
+		out      []platform.Position
 		answered time.Time
 	)
 	for _, f := range *list {
@@ -232,7 +231,7 @@
 		if !healthy {
 			return nil
 		}
-		out = append(out, next.Offset)
+		out = append(out, next)
 		if at := f.Answered(); at.After(answered) {
 			answered = at
 		}
@@ -243,14 +242,14 @@
 	return out
 }
 
-// applyOffsets applies the offsets that another entry announced.
-func (s *Server) applyOffsets(entry string, offsets []uint64) {
+// applyPositions applies the positions that another entry announced.
+func (s *Server) applyPositions(entry string, read []platform.Position) {
 	list := s.followers.Load()
-	if list == nil || len(offsets) != len(*list) {
+	if list == nil || len(read) != len(*list) {
 		return
 	}
 	for i, f := range *list {
-		f.Hint(entry, platform.Position{Epoch: platform.NoEpoch, Offset: offsets[i]})
+		f.Hint(entry, read[i])
 	}
 }
 
--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -87,7 +88,9 @@
 	wake  chan struct{}
 
 	mu         sync.Mutex
-	position   platform.Position         // next to read
+	position   platform.Position         // behind what was delivered
+	epoch      uint64                    // of the store, as far as is known
+	restored   bool                      // it has risen since the first read
 	healthy    bool                      // the last call succeeded
 	hint       platform.Position         // highest one of a hint
 	hintEntry  string                    // address of the entry that sent it
@@ -136,9 +139,10 @@
 	return slices.Collect(maps.Values(f.records)), f.position
 }
 
-// apply delivers records and keeps them for other entries.
-func (f *Follower) apply(records []platform.Keyed, snapshot bool) {
+// apply delivers the records before a position and keeps them for other entries.
+func (f *Follower) apply(records []platform.Keyed, next platform.Position, snapshot bool) {
 	f.mu.Lock()
+	f.position = next
 	if snapshot {
 		clear(f.records)
 	}
@@ -153,15 +157,22 @@
 	f.seams.Apply(records, snapshot)
 }
 
-// Hint records that the entry at an address has read up to a position.
+// Hint records that the entry at an address has read up to a position. A position of an earlier
+// epoch than this entry's is ignored, and one without an epoch, as earlier versions send them, is
+// taken for the same one until the store is seen to be restored.
 func (f *Follower) Hint(entry string, p platform.Position) {
 	f.mu.Lock()
+	p, ok := f.comparable(p)
+	if !ok {
+		f.mu.Unlock()
+		return
+	}
 	now := time.Now()
 	if now.Sub(f.lastHint) > maxHintGap {
 		f.hintsSince = now
 	}
 	f.lastHint = now
-	newer := p.Offset > f.hint.Offset
+	newer := p.After(f.hint)
 	if newer {
 		f.hint, f.hintEntry = p, entry
 	}
@@ -174,6 +185,16 @@
 	}
 }
 
+// comparable returns another entry's position with its epoch, and whether it may be of use. f.mu
+// must be held.
+func (f *Follower) comparable(p platform.Position) (platform.Position, bool) {
+	if p.Epoch == platform.NoEpoch && f.restored {
+		return p, false
+	}
+	p = p.In(f.epoch)
+	return p, p.Epoch >= f.epoch
+}
+
 // othersServed reports whether other entries have sent hints without a long gap since a
 // time, and so still reach the store.
 func (f *Follower) othersServed(since time.Time) bool {
@@ -207,11 +228,26 @@
 	f.lastAnswer = time.Now()
 }
 
-// setPosition sets the position, and whether the last call succeeded.
-func (f *Follower) setPosition(p platform.Position, healthy bool) {
+// setHealthy records whether the last call to the store succeeded.
+func (f *Follower) setHealthy(healthy bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.position, f.healthy = p, healthy
+	f.healthy = healthy
+}
+
+// advance moves on to a position of the same or a later epoch.
+func (f *Follower) advance(p *progress, next platform.Position) {
+	had := p.next
+	p.next = next
+	if next.Epoch == had.Epoch {
+		return
+	}
+	f.mu.Lock()
+	f.epoch, f.restored = next.Epoch, p.began
+	f.mu.Unlock()
+	if p.began {
+		f.log.Warn("The store was restored; the topic is read anew.", "topic", f.cfg.Topic, "epoch", next.Epoch, "was", had.Epoch, "offset", next.Offset, "had", had.Offset)
+	}
 }
 
 // pollInterval and safetyPollInterval return how often an entry that does not lead reads the
@@ -236,7 +272,7 @@
 	for ctx.Err() == nil && !f.seams.Leads() {
 		f.mu.Lock()
 		poll := f.pollInterval()
-		due := f.hint.Offset > next.Offset || time.Since(f.lastHint) >= poll && time.Since(last) >= poll || time.Since(last) > f.safetyPollInterval()
+		due := f.hint.After(next) || time.Since(f.lastHint) >= poll && time.Since(last) >= poll || time.Since(last) > f.safetyPollInterval()
 		f.mu.Unlock()
 		if due {
 			return
@@ -255,6 +291,7 @@
 type progress struct {
 	next       platform.Position
 	known      bool // next is a valid position to read from
+	began      bool // the topic was read once
 	failing    bool // the last call failed
 	retryDelay time.Duration
 	lastCall   time.Time
@@ -272,13 +309,14 @@
 		if ctx.Err() != nil {
 			return
 		}
-		trimmed := fault.Is(err, platform.KindTrimmed)
-		f.setPosition(p.next, err == nil)
-		f.reportReached(err == nil || trimmed, &p)
-		if err == nil {
+		restored, trimmed := errors.Is(err, errRestored), fault.Is(err, platform.KindTrimmed)
+		f.setHealthy(err == nil)
+		f.reportReached(err == nil || restored || trimmed, &p)
+		p.known = p.known && !restored && !trimmed
+		switch {
+		case err == nil:
 			f.succeeded(&p)
-		} else {
-			p.known = p.known && !trimmed
+		case !restored:
 			delay = f.failed(ctx, &p, err)
 		}
 		if delay > 0 {
@@ -290,21 +328,14 @@
 // step makes one call to the store, and returns the delay before the next one.
 func (f *Follower) step(ctx context.Context, p *progress) (delay time.Duration, err error) {
 	wait := f.cfg.Wait
-	if f.reliesOnHints(p) || p.failing {
-		wait = 0 // after a failure, an immediate answer shows that the store is back
+	if f.reliesOnHints(p) || p.failing || time.Since(f.Answered()) > minPollInterval {
+		wait = 0 // an immediate answer shows that the store is back, or was restored in the meantime
 	}
 	p.lastCall = time.Now()
-	had, known := p.next, p.known
-	if known {
-		p.next, delay, err = f.read(ctx, p.next, wait)
-	} else {
-		delay = f.cfg.Pause
-		p.next, err = f.newest(ctx, p.next)
-	}
-	if p.next.Epoch != had.Epoch && !f.Answered().IsZero() {
-		f.log.Warn("The store is in another epoch.", "topic", f.cfg.Topic, "epoch", p.next.Epoch, "was", had.Epoch, "offset", p.next.Offset, "had", had.Offset, "read_on", known, "err", err)
+	if p.known {
+		return f.read(ctx, p, wait)
 	}
-	return delay, err
+	return f.cfg.Pause, f.newest(ctx, p)
 }
 
 // reliesOnHints reports whether the entry relies on the hints of those that lead.
@@ -322,10 +353,9 @@
 	if p.failing || time.Since(p.lastCall) > f.safetyPollInterval() {
 		return false
 	}
-	next, ok := f.fetch(ctx, p.next)
+	ok := f.fetch(ctx, p)
 	if ok {
-		p.next = next
-		f.setPosition(next, true)
+		f.setHealthy(true)
 	}
 	return ok
 }
@@ -335,7 +365,7 @@
 	if p.failing {
 		f.log.Info("The store answers again.", "topic", f.cfg.Topic, "epoch", p.next.Epoch, "offset", p.next.Offset)
 	}
-	p.known, p.failing, p.retryDelay = true, false, minRetryDelay
+	p.known, p.began, p.failing, p.retryDelay = true, true, false, minRetryDelay
 }
 
 // failed records a failed call to the store, fetches what another entry has read, and
@@ -347,30 +377,31 @@
 		p.failing = true
 		f.log.Warn("The store does not answer.", "topic", f.cfg.Topic, "epoch", p.next.Epoch, "offset", p.next.Offset, "err", err)
 	}
-	if next, ok := f.fetch(ctx, p.next); ok {
-		p.next, p.known = next, true
-		f.setPosition(p.next, false)
-	}
+	f.fetch(ctx, p)
 	return delay
 }
 
 // fetch fetches the records of another entry if one has read further than this one.
-func (f *Follower) fetch(ctx context.Context, had platform.Position) (next platform.Position, ok bool) {
+func (f *Follower) fetch(ctx context.Context, p *progress) bool {
 	f.mu.Lock()
-	entry, ahead := f.hintEntry, f.hint.Offset > had.Offset
+	entry, ahead := f.hintEntry, f.hint.After(p.next)
 	f.mu.Unlock()
 	if f.seams.Ask == nil || !ahead {
-		return had, false
+		return false
 	}
 	records, next, err := f.seams.Ask(ctx, entry, f.cfg.Topic)
-	next = next.In(had.Epoch)
-	if err != nil || next.Offset <= had.Offset {
-		f.log.Warn("Could not fetch newer records from another entry.", "topic", f.cfg.Topic, "entry", entry, "epoch", next.Epoch, "offset", next.Offset, "had", had.Offset, "err", err)
-		return had, false
+	f.mu.Lock()
+	next, usable := f.comparable(next)
+	f.mu.Unlock()
+	if err != nil || !usable || !next.After(p.next) {
+		f.log.Warn("Could not fetch newer records from another entry.", "topic", f.cfg.Topic, "entry", entry, "epoch", next.Epoch, "offset", next.Offset, "had", p.next.Offset, "err", err)
+		return false
 	}
-	f.log.Info("Fetched newer records from another entry.", "topic", f.cfg.Topic, "entry", entry, "epoch", next.Epoch, "offset", next.Offset, "had", had.Offset, "records", len(records))
-	f.apply(records, true)
-	return next, true
+	f.log.Info("Fetched newer records from another entry.", "topic", f.cfg.Topic, "entry", entry, "epoch", next.Epoch, "offset", next.Offset, "had", p.next.Offset, "records", len(records))
+	f.advance(p, next)
+	p.known, p.began = true, true
+	f.apply(records, next, true)
+	return true
 }
 
 // cancelStuckRead cancels a read that is still unanswered stuckReadTimeout after another
@@ -378,7 +409,7 @@
 func (f *Follower) cancelStuckRead(ctx context.Context, from platform.Position, cancel context.CancelFunc) {
 	for ctx.Err() == nil {
 		f.mu.Lock()
-		ahead := f.hint.Offset > from.Offset
+		ahead := f.hint.After(from)
 		f.mu.Unlock()
 		if ahead {
 			if pause.For(ctx, stuckReadTimeout) {
@@ -393,16 +424,29 @@
 	}
 }
 
-func (f *Follower) newest(ctx context.Context, had platform.Position) (platform.Position, error) {
+var (
+	errRestored = errors.New("the store was restored since the last read")
+	errOlder    = errors.New("the store answers from an earlier epoch")
+)
+
+func (f *Follower) newest(ctx context.Context, p *progress) error {
 	records, next, err := f.seams.Newest(ctx, f.cfg.Topic)
 	if err != nil {
-		return platform.Position{Epoch: had.Epoch}, err
+		p.next.Offset = 0
+		return err
+	}
+	if next = next.In(p.next.Epoch); next.Epoch < p.next.Epoch {
+		return errOlder
 	}
-	f.apply(records, true)
-	return next.In(had.Epoch), nil
+	f.advance(p, next)
+	f.apply(records, next, true)
+	return nil
 }
 
-func (f *Follower) read(ctx context.Context, from platform.Position, wait time.Duration) (next platform.Position, delay time.Duration, err error) {
+// read reads on from the position. If the store was restored since, it drops the records, which
+// follow others than those before the position, and fails with errRestored.
+func (f *Follower) read(ctx context.Context, p *progress, wait time.Duration) (delay time.Duration, err error) {
+	from := p.next
 	if f.seams.Ask != nil {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithCancel(ctx)
@@ -417,13 +461,20 @@
 		}()
 	}
 	records, next, err := f.seams.Read(ctx, f.cfg.Topic, from.Offset, wait)
-	if err != nil {
-		return from, 0, err
+	if err != nil && !fault.Is(err, platform.KindTrimmed) {
+		return 0, err
 	}
 	next = next.In(from.Epoch)
-	if len(records) == 0 {
-		return next, 0, nil
+	switch {
+	case next.Epoch < from.Epoch:
+		return 0, errOlder
+	case next.Epoch > from.Epoch:
+		f.advance(p, platform.Position{Epoch: next.Epoch})
+		return 0, errRestored
+	case err != nil, len(records) == 0:
+		return 0, err
 	}
-	f.apply(records, false)
-	return next, f.cfg.Pause, nil
+	p.next = next
+	f.apply(records, next, false)
+	return f.cfg.Pause, nil
 }
--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,9 +17,11 @@
 	"github.com/matryer/is"
 
 	"github.com/zeebo/errs"
+	"pgregory.net/rapid"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
+	_ "github.com/dogwoodmill/dogwoodmill/internal/base/seed"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
@@ -67,13 +72,14 @@
 }
 
 func (s *fakeStore) read(ctx context.Context, _ string, from uint64, wait time.Duration) ([]platform.Keyed, platform.Position, error) {
-	s.set(func() { s.calls++ })
+	var epoch uint64
+	s.set(func() { s.calls++; epoch = s.epoch })
 	for until := time.Now().Add(wait); ; {
 		s.mu.Lock()
 		down, first, list, end := s.down, s.first, s.records, s.end()
 		s.mu.Unlock()
 		switch {
-		case down:
+		case down, end.Epoch != epoch: // a restore breaks the calls in progress off
 			return nil, platform.Position{}, errDown
 		case from < first, from > end.Offset:
 			return nil, platform.Position{Epoch: end.Epoch}, fault.New(&testClass, "read", platform.KindTrimmed, nil)
@@ -438,15 +444,15 @@
 	applied *fakeStore // records what is delivered
 }
 
-// newFleet returns followers that share a store. The first ones lead, and send the others a hint
-// each 300 ms while they are healthy.
-func newFleet(t *testing.T, s *fakeStore, leaders, entries int) []member {
+// newFleet returns followers that share a store. Those that the store has answered lately send the
+// others a hint each 300 ms.
+func newFleet(t *testing.T, s *fakeStore, entries int, leads func(i int) bool) []member {
 	t.Helper()
 	var fleet []member
 	for i := range entries {
 		applied := &fakeStore{}
 		f := New(Settings{Topic: "t", Wait: 2 * time.Second}, Seams{
-			Newest: s.newest, Read: s.read, Apply: applied.apply, Leads: func() bool { return i < leaders }, Entries: func() int { return entries },
+			Newest: s.newest, Read: s.read, Apply: applied.apply, Leads: func() bool { return leads(i) }, Entries: func() int { return entries },
 			Ask: func(_ context.Context, entry, _ string) ([]platform.Keyed, platform.Position, error) {
 				list, next := fleet[entry[0]-'a'].Newest()
 				return list, next, nil
@@ -464,10 +470,10 @@
 				return
 			case <-time.After(300 * time.Millisecond):
 			}
-			for i := range fleet[:leaders] {
+			for i := range fleet {
 				p, healthy := fleet[i].Position()
 				for j := range fleet {
-					if healthy && j != i {
+					if healthy && time.Since(fleet[i].Answered()) < answerTimeout && j != i {
 						fleet[j].Hint(string(rune('a'+i)), p)
 					}
 				}
@@ -501,7 +507,7 @@
 		for _, v := range []string{"1", "2", "3", "4", "5"} {
 			s.putConfig(v)
 		}
-		fleet := newFleet(t, s, 4, 12)
+		fleet := newFleet(t, s, 12, func(i int) bool { return i < 4 })
 		time.Sleep(5 * time.Second)
 		s.set(func() { s.down = true })
 		time.Sleep(time.Second)
@@ -526,7 +532,7 @@
 		for _, v := range []string{"1", "2", "3"} {
 			s.putConfig(v)
 		}
-		fleet := newFleet(t, s, 1, 3)
+		fleet := newFleet(t, s, 3, func(i int) bool { return i < 1 })
 		time.Sleep(time.Second)
 		s.set(func() { s.down = true })
 		time.Sleep(time.Second)
@@ -543,5 +549,90 @@
 	})
 }
 
-// propagation is the time within which a configuration has to be in force.
-const propagation = 2 * time.Second
+const (
+	// propagation is the time within which a configuration has to be in force.
+	propagation = 2 * time.Second
+	// answerTimeout is how long after the store's last answer a follower sends hints.
+	answerTimeout = 2600 * time.Millisecond
+)
+
+// Whatever order restores, outages, writes and changes of the leading entries come in, no entry
+// moves back, and all have the newest configuration soon after the store is back.
+func TestRapidRestores(t *testing.T) {
+	type step struct {
+		kind  string
+		n     int
+		sleep time.Duration
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+			return step{
+				rapid.SampledFrom([]string{"put", "put", "restore", "away", "back", "lead"}).Draw(t, "kind"), rapid.IntRange(0, 5).Draw(t, "n"),
+				time.Duration(rapid.SampledFrom([]int{0, 10, 400, 3000}).Draw(t, "ms")) * time.Millisecond,
+			}
+		}), 1, 20).Draw(rt, "steps")
+		failure := ""
+		synctest.Test(t, func(t *testing.T) {
+			s := &fakeStore{}
+			var first atomic.Int64 // entry that leads, with the next one
+			fleet := newFleet(t, s, 6, func(i int) bool { return (i+6-int(first.Load()))%6 < 2 })
+			reached := make([]platform.Position, len(fleet))
+			for i, step := range append(steps, step{"back", 0, 0}, step{"put", 0, propagation}) {
+				switch step.kind {
+				case "put":
+					s.putConfig(strconv.Itoa(i))
+				case "restore":
+					s.restore(max(0, len(s.records)-step.n))
+				case "lead":
+					first.Store(int64(step.n))
+				default:
+					s.set(func() { s.down = step.kind == "away" })
+				}
+				time.Sleep(step.sleep)
+				for j, m := range fleet {
+					p, _ := m.Position()
+					if reached[j].After(p) {
+						failure = fmt.Sprintf("entry %d went from %v back to %v", j, reached[j], p)
+					}
+					reached[j] = p
+				}
+			}
+			for j, m := range fleet {
+				if want := strconv.Itoa(len(steps) + 1); m.config() != want {
+					failure = fmt.Sprintf("entry %d has %q, not %q, at %v", j, m.config(), want, reached[j])
+				}
+			}
+		})
+		if failure != "" {
+			rt.Fatal(failure)
+		}
+	})
+}
+
+// While entries are replaced one by one, hints of earlier versions name no epoch. They must count
+// as before, but not once the store was restored: they may be of lost offsets then.
+func TestHintsOfEarlierVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &fakeStore{epoch: 3}
+		s.put("a")
+		f, fetches := newFetching(t, s, s.read, false)
+		time.Sleep(50 * time.Millisecond)
+		s.put("b")
+		f.Hint("other", at(platform.NoEpoch, 2))
+		time.Sleep(50 * time.Millisecond)
+		is.Equal(fetches(), 1)
+		s.restore(1)
+		f.Hint("other", at(4, 1))
+		time.Sleep(50 * time.Millisecond)
+		is.Equal(fetches(), 2)
+		f.Hint("other", at(platform.NoEpoch, 2))
+		f.Hint("other", at(3, 2))
+		time.Sleep(50 * time.Millisecond)
+		is.Equal(fetches(), 2)
+		s.put("c")
+		f.Hint("other", at(4, 2))
+		time.Sleep(50 * time.Millisecond)
+		is.Equal(s.lastKey(), "c")
+	})
+}
--- a/internal/peer/records/records.go
+++ b/internal/peer/records/records.go
@@ -51,6 +51,7 @@
 
 // answer is the JSON body of an answer.
 type answer struct {
+	Epoch   *uint64          `json:"epoch"`  // of the offset; earlier versions send none
 	Offset  uint64           `json:"offset"` // up to which the entry has read the topic
 	Records []platform.Keyed `json:"records"`
 }
@@ -63,8 +64,8 @@
 }
 
 // Serve starts a server on the listener. newest returns all latest records of a topic and the
-// offset up to which it was read, or false for an unknown topic.
-func Serve(ln net.Listener, logger *log.Logger, newest func(topic string) ([]platform.Keyed, uint64, bool)) *Server {
+// position up to which it was read, or false for an unknown topic.
+func Serve(ln net.Listener, logger *log.Logger, newest func(topic string) ([]platform.Keyed, platform.Position, bool)) *Server {
 	s := &Server{ln: ln, done: make(chan struct{})}
 	s.http = &fasthttp.Server{
 		NoDefaultServerHeader: true, DisableKeepalive: true, ReadTimeout: callTimeout,
@@ -83,26 +84,26 @@
 	<-s.done
 }
 
-func serve(ctx *fasthttp.RequestCtx, logger *log.Logger, newest func(topic string) ([]platform.Keyed, uint64, bool)) {
+func serve(ctx *fasthttp.RequestCtx, logger *log.Logger, newest func(topic string) ([]platform.Keyed, platform.Position, bool)) {
 	topic, _ := strings.CutPrefix(string(ctx.Path()), path) // a path without the prefix matches no topic
-	list, offset, ok := newest(topic)
+	list, next, ok := newest(topic)
 	if !ok {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	b, err := json.Marshal(answer{Offset: offset, Records: list})
+	b, err := json.Marshal(answer{Epoch: &next.Epoch, Offset: next.Offset, Records: list})
 	if err != nil {
 		logger.Error("Encoding records failed.", "topic", topic, "err", err)
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
-	logger.Info("Sent records to another entry.", "to", ctx.RemoteAddr().String(), "topic", topic, "offset", offset, "records", len(list))
+	logger.Info("Sent records to another entry.", "to", ctx.RemoteAddr().String(), "topic", topic, "epoch", next.Epoch, "offset", next.Offset, "records", len(list))
 	ctx.SetBody(b)
 }
 
-// Ask returns the latest records of a topic from the entry at an address, and the offset up to
-// which that entry has read the topic.
-func Ask(ctx context.Context, network *netio.Network, address, topic string) ([]platform.Keyed, uint64, error) {
+// Ask returns the latest records of a topic from the entry at an address, and the position up to
+// which that entry has read the topic, in NoEpoch if it runs an earlier version.
+func Ask(ctx context.Context, network *netio.Network, address, topic string) ([]platform.Keyed, platform.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req := fasthttp.AcquireRequest()
@@ -111,23 +112,27 @@
 	req.Header.SetRequestURI(path + topic)
 	x, err := httpconn.Do(ctx, network, address, req, httpconn.Limits{Header: callTimeout, Read: callTimeout, Buffer: headBufferBytes})
 	if err != nil {
-		return nil, 0, fail(KindUnreachable, err)
+		return nil, platform.Position{}, fail(KindUnreachable, err)
 	}
 	defer x.Close()
 	switch x.Status() {
 	case fasthttp.StatusOK:
 	case fasthttp.StatusNotFound:
-		return nil, 0, fail(KindUnknown, fmt.Errorf("status %d", x.Status()))
+		return nil, platform.Position{}, fail(KindUnknown, fmt.Errorf("status %d", x.Status()))
 	default:
-		return nil, 0, fail(KindUnreachable, fmt.Errorf("status %d", x.Status()))
+		return nil, platform.Position{}, fail(KindUnreachable, fmt.Errorf("status %d", x.Status()))
 	}
 	body, err := x.ReadAll(maxBodyBytes, time.Now().Add(callTimeout), nil)
 	if err != nil {
-		return nil, 0, fail(KindUnreachable, err)
+		return nil, platform.Position{}, fail(KindUnreachable, err)
 	}
 	var a answer
 	if err := json.Unmarshal(body, &a); err != nil {
-		return nil, 0, fail(KindUnreachable, err)
+		return nil, platform.Position{}, fail(KindUnreachable, err)
 	}
-	return a.Records, a.Offset, nil
+	next := platform.Position{Epoch: platform.NoEpoch, Offset: a.Offset}
+	if a.Epoch != nil && *a.Epoch <= platform.MaxEpoch {
+		next.Epoch = *a.Epoch
+	}
+	return a.Records, next, nil
 }
--- a/internal/peer/records/records_test.go
+++ b/internal/peer/records/records_test.go
@@ -19,13 +19,13 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	want := []platform.Keyed{{Key: "a", Value: []byte{0, 255}, Offset: 3}, {Key: "b", Value: []byte("x"), Offset: 7}}
-	s := records.Serve(ln, log.New(io.Discard), func(topic string) ([]platform.Keyed, uint64, bool) {
-		return want, 8, topic == "known"
+	s := records.Serve(ln, log.New(io.Discard), func(topic string) ([]platform.Keyed, platform.Position, bool) {
+		return want, platform.Position{Epoch: 2, Offset: 8}, topic == "known"
 	})
-	got, offset, err := records.Ask(t.Context(), netio.TCP(), ln.Addr().String(), "known")
+	got, next, err := records.Ask(t.Context(), netio.TCP(), ln.Addr().String(), "known")
 	is.NoErr(err)
 	is.Equal(got, want)
-	is.Equal(offset, uint64(8))
+	is.Equal(next, platform.Position{Epoch: 2, Offset: 8})
 	_, _, err = records.Ask(t.Context(), netio.TCP(), ln.Addr().String(), "other")
 	is.True(fault.Is(err, records.KindUnknown))
 	s.Close()
--- a/internal/peer/sends/exchange.go
+++ b/internal/peer/sends/exchange.go
@@ -24,6 +24,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/throttle"
+	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
 const (
@@ -74,10 +75,11 @@
 	OnReport func(entry string, r passes.Report)
 	// Peers returns the other entries.
 	Peers func() []Peer
-	// Offsets returns how far this entry has read each of the store's topics, or nil to leave
-	// the offsets out of the message. OnOffsets receives another entry's offsets.
-	Offsets   func() []uint64
-	OnOffsets func(entry string, offsets []uint64)
+	// Positions returns how far this entry has read each of the store's topics, or nil to leave
+	// that out of the message. OnPositions receives another entry's positions, which are in no
+	// epoch if it runs an earlier version.
+	Positions   func() []platform.Position
+	OnPositions func(entry string, list []platform.Position)
 	// Held returns what this entry knows of segments on which engines crash. OnHeld receives what
 	// another entry knows. nil: nothing.
 	Held   func() quarantine.Report
@@ -269,7 +271,7 @@
 	x.expirePeers(now)
 	report := x.seams.Report()
 	sortByEngine(report.Sends)
-	offsets := x.seams.Offsets()
+	read := x.seams.Positions()
 	var held quarantine.Report
 	if x.seams.Held != nil {
 		held = x.seams.Held()
@@ -280,7 +282,7 @@
 	}
 	x.mu.Lock()
 	x.seq++
-	m := message{start: x.start, seq: x.seq, leaving: x.leaving, sends: report.Sends, paces: report.Paces, waits: report.Waits, offsets: offsets, held: held, rates: rates}
+	m := message{start: x.start, seq: x.seq, leaving: x.leaving, sends: report.Sends, paces: report.Paces, waits: report.Waits, read: read, held: held, rates: rates}
 	parts := x.encode(&m, changed, now)
 	x.mu.Unlock()
 	if len(parts) > 1 {
@@ -503,8 +505,8 @@
 	if complete {
 		x.seams.OnReport(from, report)
 	}
-	if len(m.offsets) > 0 {
-		x.seams.OnOffsets(from, m.offsets)
+	if len(m.read) > 0 {
+		x.seams.OnPositions(from, m.read)
 	}
 	if x.seams.OnHeld != nil {
 		x.seams.OnHeld(m.held)
--- a/internal/peer/sends/exchange_test.go
+++ b/internal/peer/sends/exchange_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
+	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
 func newTestExchange() *Exchange {
@@ -31,7 +32,8 @@
 		is.NoErr(err)
 		conns[i] = c
 	}
-	reports, offsets := make(chan []passes.Send, 16), make(chan []uint64, 16)
+	reports, offsets := make(chan []passes.Send, 16), make(chan []platform.Position, 16)
+	want := []platform.Position{{Epoch: 2, Offset: 4}, {Epoch: 1, Offset: 5}}
 	start := func(i int, sends []passes.Send) *Exchange {
 		x := New(conns[i], time.Now(), Seams{
 			Report: func() passes.Report { return passes.Report{Sends: sends} },
@@ -40,9 +42,9 @@
 					reports <- r.Sends
 				}
 			},
-			Peers:   func() []Peer { return []Peer{{Address: conns[1-i].LocalAddr().String()}} },
-			Offsets: func() []uint64 { return []uint64{4, 5} },
-			OnOffsets: func(_ string, o []uint64) {
+			Peers:     func() []Peer { return []Peer{{Address: conns[1-i].LocalAddr().String()}} },
+			Positions: func() []platform.Position { return want },
+			OnPositions: func(_ string, o []platform.Position) {
 				select {
 				case offsets <- o:
 				default: // the test reads one only
@@ -59,5 +61,5 @@
 	got := <-reports
 	is.Equal(got[0].Engine, "i-1")
 	is.Equal(got[0].Context, 7)
-	is.Equal(<-offsets, []uint64{4, 5})
+	is.Equal(<-offsets, want)
 }
--- a/internal/peer/sends/mesh_test.go
+++ b/internal/peer/sends/mesh_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
+	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
 const (
@@ -74,7 +75,7 @@
 		}
 		e.Exchange = New(e, time.Now(), Seams{
 			Domain: e.peer.Domain, Report: e.own, OnReport: e.received, Peers: e.others,
-			Offsets: func() []uint64 { return nil }, OnOffsets: func(string, []uint64) {}, Log: log.New(io.Discard),
+			Positions: func() []platform.Position { return nil }, OnPositions: func(string, []platform.Position) {}, Log: log.New(io.Discard),
 		})
 		t.Cleanup(e.Exchange.Close)
 	}
--- a/internal/peer/sends/wire.go
+++ b/internal/peer/sends/wire.go
@@ -12,6 +12,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/throttle"
+	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
 // A message holds the sender's start time and sequence number, and its sends by engine.
@@ -38,6 +39,10 @@
 	fieldOrigin  = 16 // string: address of the entry that wrote the message
 	fieldMessage = 17 // bytes: the message
 
+	// fieldEpoch is the store's epoch of the offsets: one for all topics if they are in the same,
+	// else one for each. Earlier versions send none.
+	fieldEpoch = 18 // varint
+
 	fieldName = 1 // string
 	fieldSend = 2 // bytes: the varints of a send
 
@@ -70,8 +75,8 @@
 	base    uint64   // number of the message with the state that this one changes; 0: it holds all
 	cleared []string // engines without sends since the base
 	leaving bool
-	passOn  bool // asks the receiver to pass it on in its failure domain
-	offsets []uint64
+	passOn  bool                // asks the receiver to pass it on in its failure domain
+	read    []platform.Position // how far the sender has read each topic
 	sends   []passes.Send
 	paces   []passes.Pace
 	waits   []passes.Wait
@@ -123,10 +128,7 @@
 		b = protowire.AppendTag(b, fieldLeaving, protowire.VarintType)
 		b = protowire.AppendVarint(b, 1)
 	}
-	for _, o := range m.offsets {
-		b = protowire.AppendTag(b, fieldOffset, protowire.VarintType)
-		b = protowire.AppendVarint(b, o)
-	}
+	b = appendPositions(b, m.read)
 	for _, w := range m.waits {
 		b = protowire.AppendTag(b, fieldWait, protowire.BytesType)
 		b = protowire.AppendBytes(b, encodeWait(w, now))
@@ -138,6 +140,44 @@
 	return appendHeld(b, m.held, now)
 }
 
+func appendPositions(b []byte, list []platform.Position) []byte {
+	same := true
+	for _, p := range list {
+		b = protowire.AppendTag(b, fieldOffset, protowire.VarintType)
+		b = protowire.AppendVarint(b, p.Offset)
+		same = same && p.Epoch == list[0].Epoch
+	}
+	for i, p := range list {
+		if i > 0 && same {
+			break
+		}
+		b = protowire.AppendTag(b, fieldEpoch, protowire.VarintType)
+		b = protowire.AppendVarint(b, p.Epoch)
+	}
+	return b
+}
+
+// positions joins the offsets and epochs of a message.
+func positions(offsets, epochs []uint64) ([]platform.Position, error) {
+	tooHigh := func(n uint64) bool { return n > platform.MaxEpoch }
+	if n := len(epochs); n > 1 && n != len(offsets) || slices.ContainsFunc(epochs, tooHigh) {
+		return nil, errMalformed
+	}
+	var out []platform.Position
+	for i, o := range offsets {
+		p := platform.Position{Epoch: platform.NoEpoch, Offset: o}
+		switch len(epochs) {
+		case 0:
+		case 1:
+			p.Epoch = epochs[0]
+		default:
+			p.Epoch = epochs[i]
+		}
+		out = append(out, p)
+	}
+	return out, nil
+}
+
 // encodeBody encodes the paces, and the sends by engine, a field each.
 func (m *message) encodeBody(now time.Time) [][]byte {
 	var out [][]byte
@@ -398,7 +438,10 @@
 var errMalformed = errors.New("malformed message")
 
 func decode(b []byte, now time.Time) (message, error) {
-	var m message
+	var (
+		m               message
+		offsets, epochs []uint64
+	)
 	err := eachField(b, func(num protowire.Number, v uint64, data []byte) error {
 		switch num {
 		case fieldStart:
@@ -408,7 +451,9 @@
 		case fieldLeaving:
 			m.leaving = v == 1
 		case fieldOffset:
-			m.offsets = append(m.offsets, v)
+			offsets = append(offsets, v)
+		case fieldEpoch:
+			epochs = append(epochs, v)
 		case fieldBase:
 			m.base = v
 		case fieldPassOn:
@@ -451,6 +496,9 @@
 		}
 		return nil
 	})
+	if err == nil {
+		m.read, err = positions(offsets, epochs)
+	}
 	if err == nil && (m.start == 0 || m.part > 0 && m.part >= m.parts) {
 		err = errMalformed
 	}
--- a/internal/peer/sends/wire_test.go
+++ b/internal/peer/sends/wire_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/encoding/protowire"
 	"pgregory.net/rapid"
 
 	_ "github.com/dogwoodmill/dogwoodmill/internal/base/seed"
@@ -16,6 +17,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/segment"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/throttle"
+	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
 var testNow = time.Unix(1_000_000, 0)
@@ -26,7 +28,9 @@
 	}
 	m := message{
 		start: rapid.Uint64Min(1).Draw(t, "start"), seq: rapid.Uint64().Draw(t, "count"), leaving: rapid.Bool().Draw(t, "leaving"),
-		offsets: rapid.SliceOfN(rapid.Uint64(), 0, 3).Draw(t, "offsets"),
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "topics") {
+		m.read = append(m.read, platform.Position{Epoch: rapid.Uint64Range(0, 2).Draw(t, "epoch"), Offset: rapid.Uint64().Draw(t, "offset")})
 	}
 	for range rapid.IntRange(0, 8).Draw(t, "sends") {
 		s := passes.Send{
@@ -120,7 +124,7 @@
 			slices.SortFunc(m.paces, comparePaces)
 		}
 		if got.start != m.start || got.seq != m.seq || got.leaving != m.leaving ||
-			!slices.Equal(got.offsets, m.offsets) || !slices.Equal(got.sends, m.sends) || !slices.Equal(got.paces, m.paces) || !slices.Equal(got.waits, m.waits) ||
+			!slices.Equal(got.read, m.read) || !slices.Equal(got.sends, m.sends) || !slices.Equal(got.paces, m.paces) || !slices.Equal(got.waits, m.waits) ||
 			!reflect.DeepEqual(got.held, m.held) || !slices.Equal(got.rates, m.rates) {
 			t.Fatalf("%+v decodes as %+v", m, got)
 		}
@@ -192,6 +196,17 @@
 	is.True(!receive(message{start: 6, seq: 1, base: 5})) // of another process
 }
 
+// While entries are replaced one by one, earlier versions send offsets without an epoch. These must
+// not be taken for offsets of the first epoch, which the store has left long ago.
+func TestOffsetsOfEarlierVersionsHaveNoEpoch(t *testing.T) {
+	is := is.New(t)
+	b := protowire.AppendFixed64(protowire.AppendTag(nil, fieldStart, protowire.Fixed64Type), 1)
+	b = protowire.AppendVarint(protowire.AppendTag(b, fieldOffset, protowire.VarintType), 7)
+	got, err := decode(b, testNow)
+	is.NoErr(err)
+	is.Equal(got.read, []platform.Position{{Epoch: platform.NoEpoch, Offset: 7}})
+}
+
 func FuzzDecode(f *testing.F) {
 	m := message{start: 1, seq: 2, sends: []passes.Send{{Engine: "i-1", Read: time.Second}}}
 	f.Add(m.encode(testNow, maxMessageBytes)[0])
