Keep a restored store from reviving upstreams, and from dropping new ones

The copy lists as ready an upstream that has said since that it leaves, and one that has been removed; entries sent them requests again, past drain_ms. Upstreams that registered since the copy was made are missing in it, and were dropped at once, although they are alive and register again within about two seconds.

Cause: the newest records of a restored topic were taken for news. Those before the end that the first read after a restore names may be of before what an entry knows. Of these now hold: who said that it leaves stays leaving until it starts again; who was removed is used only when it registers anew, or when the store lists it 10 s later still (it drops silent ones after three intervals of silence); a later start of an upstream counts more than an earlier one; those that are not listed are removed 2.3 s later, as after an outage. An entry remembers removed upstreams for a minute at least, 4,096 at most.

--- a/internal/gateway/directory/directory.go
+++ b/internal/gateway/directory/directory.go
@@ -1,10 +1,13 @@
 // Package directory holds the upstreams that register themselves in the platform's
 // store. Registrations of live upstreams expire during a store outage, so a removal
 // seen in an outage or shortly after it takes effect only once upstreams have had
-// time to register again.
+// time to register again. A store that was restored from a copy may list upstreams that
+// have left since.
 package directory
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -12,6 +15,16 @@
 // platform allows them about 2 seconds.
 const reregisterGrace = 2300 * time.Millisecond
 
+const (
+	// goneRetention is how long a removed upstream is remembered, and maxGone how many are: a copy
+	// of the store is some seconds old.
+	goneRetention = time.Minute
+	maxGone       = 4096
+	// copyDoubtTime is how long after a restore a record of the copy may be of an upstream that is
+	// gone: the store removes it after three intervals of silence.
+	copyDoubtTime = 10 * time.Second
+)
+
 // Server is the registration of an upstream.
 type Server struct {
 	ID      string
@@ -28,12 +41,48 @@
 	servers     map[string]Server
 	deferred    map[string]bool // removed in an outage or within reregisterGrace of its end
 	storeDown   bool
-	recoveredAt time.Time // end of the last outage
+	recoveredAt time.Time // end of the last outage, or the last restore
+	gone        map[string]departure
+	doubted     map[string]Server // records of the copy whose upstreams were removed before the restore
+	restoredAt  time.Time
+}
+
+// departure is the removal of an upstream.
+type departure struct {
+	born    int64
+	leaving bool // it had said that it leaves
+	at      time.Time
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{servers: map[string]Server{}, deferred: map[string]bool{}}
+	return &Directory{servers: map[string]Server{}, deferred: map[string]bool{}, gone: map[string]departure{}, doubted: map[string]Server{}}
+}
+
+// Restored records that the store came back from a copy. Upstreams that registered since the
+// copy was made are not in it until they register again.
+func (d *Directory) Restored(now time.Time) {
+	d.restoredAt, d.recoveredAt = now, now
+}
+
+// PutCopied adds a registration that may be older than what is known, since the store was restored
+// from a copy, and reports whether anything changed. An upstream stays leaving, one that was
+// removed is not used until it has had the time to be removed again, and a later start of it
+// counts more.
+func (d *Directory) PutCopied(s Server, now time.Time) bool {
+	old, known := d.servers[s.ID]
+	gone, removed := d.gone[s.ID]
+	switch {
+	case known && old.Born > s.Born, !known && removed && gone.born > s.Born:
+		return false
+	case known && old.Born == s.Born:
+		s.Leaving = s.Leaving || old.Leaving
+	case !known && removed && gone.born == s.Born && now.Sub(d.restoredAt) < copyDoubtTime:
+		s.Leaving = s.Leaving || gone.leaving
+		d.doubted[s.ID] = s
+		return false
+	}
+	return d.Put(s)
 }
 
 // Put adds or replaces a registration and cancels its deferred removal. It reports
@@ -42,6 +91,8 @@
 	old, ok := d.servers[s.ID]
 	wasRemoved := d.deferred[s.ID]
 	delete(d.deferred, s.ID)
+	delete(d.doubted, s.ID)
+	delete(d.gone, s.ID)
 	d.servers[s.ID] = s
 	return !ok || wasRemoved || old != s
 }
@@ -50,6 +101,7 @@
 // and within reregisterGrace of its end the removal is deferred, unless the upstream
 // is draining.
 func (d *Directory) Remove(id string, now time.Time) bool {
+	delete(d.doubted, id)
 	s, ok := d.servers[id]
 	if !ok {
 		return false
@@ -58,10 +110,22 @@
 		d.deferred[id] = true
 		return false
 	}
-	delete(d.servers, id)
+	delete(d.deferred, id)
+	d.remove(s, now)
 	return true
 }
 
+// remove removes an upstream, and remembers it.
+func (d *Directory) remove(s Server, now time.Time) {
+	delete(d.servers, s.ID)
+	if len(d.gone) >= maxGone {
+		maps.DeleteFunc(d.gone, func(_ string, g departure) bool { return now.Sub(g.at) > goneRetention })
+	}
+	if len(d.gone) < maxGone {
+		d.gone[s.ID] = departure{s.Born, s.Leaving, now}
+	}
+}
+
 // defersRemovals reports whether a removal may be a registration that expired because
 // of an outage.
 func (d *Directory) defersRemovals(now time.Time) bool {
@@ -80,31 +144,41 @@
 func (d *Directory) StoreDown() bool { return d.storeDown }
 
 // Settle carries out the deferred removals of upstreams that did not register again
-// in time, and reports whether there were any.
+// in time, adds those that a restored store still lists after copyDoubtTime, and reports whether
+// there were any.
 func (d *Directory) Settle(now time.Time) bool {
-	if len(d.deferred) == 0 || d.defersRemovals(now) {
+	if d.storeDown {
 		return false
 	}
-	for id := range d.deferred {
-		delete(d.servers, id)
+	changed := false
+	if !d.defersRemovals(now) {
+		for id := range d.deferred {
+			changed = true
+			d.remove(d.servers[id], now)
+		}
+		clear(d.deferred)
 	}
-	clear(d.deferred)
-	return true
+	if now.Sub(d.restoredAt) >= copyDoubtTime {
+		for _, s := range d.doubted {
+			changed = true
+			d.Put(s)
+		}
+	}
+	return changed
 }
 
-// SettleAt returns when the deferred removals take effect. It returns false if there
-// are none, or the store is still down and the time is not known yet.
+// SettleAt returns when Settle has something to do. It returns false if there is nothing, or the
+// store is still down and the time is not known yet.
 func (d *Directory) SettleAt() (time.Time, bool) {
-	return d.recoveredAt.Add(reregisterGrace), len(d.deferred) > 0 && !d.storeDown
+	if len(d.deferred) > 0 {
+		return d.recoveredAt.Add(reregisterGrace), !d.storeDown
+	}
+	return d.restoredAt.Add(copyDoubtTime), len(d.doubted) > 0 && !d.storeDown
 }
 
-// IDs returns the ids of all upstreams.
+// IDs returns the ids of all upstreams, and of those that only a restored store lists.
 func (d *Directory) IDs() []string {
-	out := make([]string, 0, len(d.servers))
-	for id := range d.servers {
-		out = append(out, id)
-	}
-	return out
+	return slices.AppendSeq(slices.Collect(maps.Keys(d.servers)), maps.Keys(d.doubted))
 }
 
 // Servers returns the upstreams of a service in no particular order.
--- a/internal/gateway/directory/directory_test.go
+++ b/internal/gateway/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -70,3 +71,74 @@
 	is.Equal(newDirectory().Siblings("10.0.0.1:80"), []string{"10.0.0.2:80"})
 	is.Equal(len(newDirectory().Siblings("10.0.0.9:80")), 0) // unknown
 }
+
+// A store restored from a copy lists upstreams as ready that had said they leave, or had gone. A
+// request reached them long after.
+func TestCopyRevivesNoUpstream(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory()
+	ready := func(id string, born int64) Server {
+		return Server{ID: id, Service: "desk", Address: "10.0.0.9:80", Born: born}
+	}
+	leaving := ready("i-4", 1)
+	leaving.Leaving = true
+	d.Put(leaving)
+	d.Put(ready("i-5", 1))
+	is.True(d.Remove("i-5", at(time.Second)))
+	d.Put(ready("i-6", 2))
+	d.Restored(at(2 * time.Second))
+	is.True(!d.PutCopied(ready("i-4", 1), at(2*time.Second)))
+	is.True(!d.PutCopied(ready("i-5", 1), at(2*time.Second)))
+	is.True(!d.PutCopied(ready("i-6", 1), at(2*time.Second))) // it has started again since
+	is.True(d.servers["i-4"].Leaving)
+	is.True(!d.Has("i-5"))
+	is.Equal(d.servers["i-6"].Born, int64(2))
+	is.True(!d.Settle(at(2*time.Second + copyDoubtTime - 1)))
+	is.True(d.Settle(at(2*time.Second + copyDoubtTime))) // the store would have removed it
+	is.True(d.Has("i-5"))
+}
+
+// What is written anew after a restore holds at once, and a record of the copy that is removed
+// comes to nothing.
+func TestRecordsAfterARestore(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory()
+	for _, id := range []string{"i-1", "i-2"} {
+		is.True(d.Remove(id, at(time.Second)))
+	}
+	d.Restored(at(2 * time.Second))
+	for _, id := range []string{"i-1", "i-2"} {
+		is.True(!d.PutCopied(Server{ID: id, Service: "desk"}, at(2*time.Second)))
+	}
+	is.True(d.Put(Server{ID: "i-1", Service: "desk"}))
+	is.True(!d.Remove("i-2", at(3*time.Second)))
+	is.True(!d.Settle(at(time.Minute)))
+	is.True(d.Has("i-1") && !d.Has("i-2"))
+}
+
+// Upstreams that registered after the copy was made are missing in it until they register again.
+// They must serve on meanwhile.
+func TestRestoreDefersRemovals(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory()
+	d.Restored(at(time.Second))
+	is.True(!d.Remove("i-1", at(time.Second)))
+	is.True(d.Has("i-1"))
+	is.True(d.Settle(at(time.Second + reregisterGrace)))
+	is.True(!d.Has("i-1"))
+}
+
+// Removed upstreams are remembered for a restore, but only so many and so long.
+func TestRemovedUpstreamsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	for i := range 3 * maxGone {
+		id := strconv.Itoa(i)
+		d.Put(Server{ID: id})
+		d.Remove(id, at(time.Duration(i/maxGone)*2*goneRetention))
+		is.True(len(d.gone) <= maxGone)
+	}
+	is.Equal(len(d.gone), maxGone)
+	_, ok := d.gone[strconv.Itoa(3*maxGone-1)]
+	is.True(ok)
+}
--- a/internal/gateway/entry/recovery_test.go
+++ b/internal/gateway/entry/recovery_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -172,3 +173,38 @@
 	req.Header.Set("Authorization", "Token key-2")
 	is.Equal(env.do(req).status, http.StatusOK)
 }
+
+// The store comes back from a copy in which one upstream has not said yet that it leaves, one that
+// was removed is listed, and one that has registered since is missing. Requests must reach none of
+// the first two, and the third must serve on.
+func TestRestoredStoreRevivesNoUpstream(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.configure()
+	leaving, gone := env.serve("desk", "i-leaving"), env.serve("desk", "i-gone")
+	saved := env.store.Copy()
+	env.publish("desk", leaving, "draining")
+	env.store.Put("keyed.servers", "i-gone", nil)
+	fresh := env.serve("desk", "i-new")
+	env.await(func() bool {
+		return env.check(func(s *scheduler) bool { return s.dir.Len() == 2 && !s.dir.Has("i-gone") })
+	})
+	now := time.Now()
+	env.check(func(s *scheduler) bool {
+		s.now = func() time.Time { return now } // the time after the restore lasts as long as the test needs
+		return true
+	})
+	env.store.Restore(saved)
+	env.await(func() bool {
+		return env.check(func(s *scheduler) bool {
+			_, applied := s.dir.SettleAt()
+			return applied && s.restoredEnd > 0
+		})
+	})
+	for range 10 {
+		is.Equal(env.do(env.request(http.MethodGet, "/look/")).status, http.StatusOK)
+	}
+	is.Equal(len(leaving.Runs()), 0)
+	is.Equal(len(gone.Runs()), 0)
+	is.Equal(len(fresh.Runs()), 10)
+}
--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -48,17 +48,18 @@
 	// domainOf returns the failure domain of the entry at an address, or "" if it is unknown.
 	domainOf func(address string) string
 
-	mu              sync.Mutex
-	table           *route.Table
-	dir             *directory.Directory
-	planners        map[string]*passes.Planner // by service
-	pools           map[string]*plain.Pool     // by service
-	budget          *retry.Budget              // by service
-	reports         map[string]passes.Report   // by address of the entry
-	reportsPending  bool                       // reports changed since the planners got them
-	ready           chan struct{}              // closed once requests can be served
-	tickScheduled   bool
-	settleScheduled bool // a timer will settle the removals deferred by the directory
+	mu             sync.Mutex
+	table          *route.Table
+	dir            *directory.Directory
+	planners       map[string]*passes.Planner // by service
+	pools          map[string]*plain.Pool     // by service
+	budget         *retry.Budget              // by service
+	reports        map[string]passes.Report   // by address of the entry
+	reportsPending bool                       // reports changed since the planners got them
+	ready          chan struct{}              // closed once requests can be served
+	tickScheduled  bool
+	settleAt       time.Time // when a timer settles what the directory has deferred; zero: none is set
+	restoredEnd    uint64    // offset up to which the upstreams' records may be of the store's copy
 }
 
 func newScheduler(domain string, bound platform.RetryBound, logger *log.Logger) *scheduler {
@@ -148,17 +149,17 @@
 // must be held.
 func (s *scheduler) scheduleSettle(now time.Time) {
 	at, ok := s.dir.SettleAt()
-	if !ok || s.settleScheduled {
+	if !ok || !s.settleAt.IsZero() && !at.Before(s.settleAt) {
 		return
 	}
-	s.settleScheduled = true
+	s.settleAt = at
 	time.AfterFunc(at.Sub(now), func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.settleScheduled = false
+		s.settleAt = time.Time{}
 		now := s.now()
 		if s.dir.Settle(now) {
-			s.log.Info("Removed upstreams whose records expired during a store outage.")
+			s.log.Info("Removed upstreams whose records expired during a store outage, or added those that a restored store still lists.")
 			s.configure()
 		}
 		s.scheduleSettle(now)
@@ -174,7 +175,7 @@
 		s.log.Warn("Cannot decode the record of an upstream; it counts as removed.", "upstream", r.Key, "offset", r.Offset, "err", err)
 		return s.removeServer(r.Key, now, "unreadable")
 	}
-	if !s.dir.Put(srv) {
+	if r.Offset < s.restoredEnd && !s.dir.PutCopied(srv, now) || r.Offset >= s.restoredEnd && !s.dir.Put(srv) {
 		return false
 	}
 	s.log.Info("The record of an upstream changed.", "upstream", srv.ID, "service", srv.Service, "address", srv.Address,
@@ -190,6 +191,14 @@
 	return changed
 }
 
+// ServersRestored records that the upstreams' records up to an offset may be of a copy.
+func (s *scheduler) ServersRestored(end uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restoredEnd = end
+	s.dir.Restored(s.now())
+}
+
 // StoreReached records whether the store answered.
 func (s *scheduler) StoreReached(ok bool) {
 	s.mu.Lock()
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -175,7 +175,7 @@
 	seams := s.countStoreCalls(follow.Seams{Newest: s.store.Newest, Read: s.store.Read, Leads: s.readsStore, Entries: s.entryCount, Ask: s.askEntry})
 	config, servers, entries := seams, seams, seams
 	config.Apply, entries.Apply = s.applyConfig, s.applyEntries
-	servers.Apply, servers.Reached = s.sched.ApplyServers, s.sched.StoreReached
+	servers.Apply, servers.Restored, servers.Reached = s.sched.ApplyServers, s.sched.ServersRestored, s.sched.StoreReached
 	list := []*follow.Follower{
 		follow.New(follow.Settings{Topic: platform.ConfigTopic, Wait: configWait}, config, logger),
 		follow.New(follow.Settings{Topic: platform.ServersTopic, Wait: serversWait, Pause: pause}, servers, logger),
--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -55,6 +55,10 @@
 	// Apply receives records in order. If snapshot is set, they are the newest of all keys,
 	// and keys that are not among them no longer exist.
 	Apply func(records []platform.Keyed, snapshot bool)
+	// Restored is called before Apply gets the first records after a restore of the store, which
+	// are a snapshot up to an offset. Those before it may be of the copy, and of before what was
+	// delivered until then. It may be nil.
+	Restored func(end uint64)
 	// Reached is called after each call, with ok set if the store answered. It may be nil.
 	// A store that rejects this entry but serves others throughout counts as
 	// answering.
@@ -91,6 +95,7 @@
 	position   platform.Position         // behind what was delivered
 	epoch      uint64                    // of the store, as far as is known
 	restored   bool                      // it has risen since the first read
+	delivered  uint64                    // epoch of the records that were delivered last
 	healthy    bool                      // the last call succeeded
 	hint       platform.Position         // highest one of a hint
 	hintEntry  string                    // address of the entry that sent it
@@ -142,7 +147,8 @@
 // apply delivers the records before a position and keeps them for other entries.
 func (f *Follower) apply(records []platform.Keyed, next platform.Position, snapshot bool) {
 	f.mu.Lock()
-	f.position = next
+	restored := f.restored && next.Epoch > f.delivered
+	f.position, f.delivered = next, next.Epoch
 	if snapshot {
 		clear(f.records)
 	}
@@ -154,6 +160,9 @@
 		}
 	}
 	f.mu.Unlock()
+	if restored && f.seams.Restored != nil {
+		f.seams.Restored(next.Offset)
+	}
 	f.seams.Apply(records, snapshot)
 }
 
