Register an entry again that a restored store has lost

An entry writes its address to the store once, at its start. A store restored from a copy made before that has no record of it: the others dropped it from their lists, so its sends and positions were no longer exchanged, each of them took a larger share of limits and budgets, and entries that started later never heard of it.

Before: TestEntryRegistersAgainAfterARestore failed (the other entry was dropped at once). After: it passes, also with the race detector; go test of gateway/entry passes.

--- a/internal/gateway/entry/recovery_test.go
+++ b/internal/gateway/entry/recovery_test.go
@@ -208,3 +208,28 @@
 	is.Equal(len(gone.Runs()), 0)
 	is.Equal(len(fresh.Runs()), 10)
 }
+
+// The store comes back from a copy made before an entry registered. The others must know it all the
+// while, and it must register again, or entries that start later never hear of it.
+func TestEntryRegistersAgainAfterARestore(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.configure()
+	env.serve("desk", "i-1")
+	env.await(func() bool { return env.store.Value("keyed.status", "vm-1") != nil })
+	saved := env.store.Copy()
+	other := env.startOther()
+	env.awaitOther(other, 1)
+	env.store.Restore(saved)
+	is.True(env.store.Value("keyed.status", "vm-2") == nil)
+	env.await(func() bool {
+		is.Equal(len(env.entry.peers()), 1)
+		is.Equal(len(other.peers()), 1)
+		return env.store.Value("keyed.status", "vm-2") != nil
+	})
+	env.await(func() bool {
+		env.entry.mu.Lock()
+		defer env.entry.mu.Unlock()
+		return len(env.entry.entries) == 2 && len(env.entry.unlisted) == 0
+	})
+}
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"iter"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -65,6 +66,12 @@
 	flushWait = 80 * time.Millisecond
 	// registerRetryDelay is the delay between attempts to register with the store.
 	registerRetryDelay = time.Second
+	// registerSpread is the mean time, for each entry, between the writes of those that register
+	// again after a restore of the store: a quarter of what the store takes.
+	registerSpread = 10 * time.Millisecond
+	// lostEntryGrace is how long after a restore an entry that the copy doesn't list is still
+	// known: it registers again in that time.
+	lostEntryGrace = time.Minute
 )
 
 // Server is the entry's server.
@@ -101,9 +108,15 @@
 	stopping     atomic.Bool // refuses all requests
 	stopAt       time.Time   // when a leaving entry stops; set before refusing
 
-	mu      sync.Mutex
-	entries map[string]platform.Entry // by VM
-	domains map[string]string         // failure domains of entries by address
+	own  platform.Entry
+	lost chan struct{} // the store lost this entry's registration
+
+	mu        sync.Mutex
+	entries   map[string]platform.Entry // by VM
+	domains   map[string]string         // failure domains of entries by address
+	unlisted  map[string]platform.Entry // registered before the store was restored, but not since
+	listUntil time.Time                 // when unlisted ones are forgotten
+	restored  bool                      // the next records are the first after a restore
 }
 
 // New listens on all addresses and starts the background tasks; Serve accepts callers. dropped
@@ -116,7 +129,7 @@
 	s := &Server{
 		cfg: cfg, log: logger, sched: newScheduler(cfg.FailureDomain, cfg.Retries, logger),
 		store: platform.NewStore(network, cfg.Store, logger.WithPrefix("store")), upstreams: network.WithDialTimeout(dialTimeout),
-		droppedLines: dropped, started: time.Now(), metrics: metrics.New(cfg.VM), bodies: newBodyMemory(cfg.Memory), entries: map[string]platform.Entry{},
+		droppedLines: dropped, started: time.Now(), metrics: metrics.New(cfg.VM), bodies: newBodyMemory(cfg.Memory), entries: map[string]platform.Entry{}, unlisted: map[string]platform.Entry{}, lost: make(chan struct{}, 1),
 		crashChecks: make(chan crashCheck, maxCrashChecks),
 	}
 	s.engines = platform.NewEngines(s.upstreams)
@@ -131,6 +144,7 @@
 		Now: time.Now, Members: s.members, Changed: s.reportChanged, Log: logger.WithPrefix("throttle"),
 	})
 	own := net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.PeerPort))
+	s.own = platform.Entry{Address: own, Domain: cfg.FailureDomain}
 	conn, err := net.ListenPacket("udp", own)
 	if err != nil {
 		return nil, fail("start", KindListen, fmt.Errorf("port for other entries, %s: %w", own, err))
@@ -157,7 +171,7 @@
 	s.startFollowers(pause)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.tasks.Add(3)
-	go s.register(s.ctx, own)
+	go s.register(s.ctx)
 	go s.runGauges(s.ctx)
 	go s.crashLoop()
 	s.callers = &fasthttp.Server{
@@ -174,7 +188,8 @@
 	logger := s.log.WithPrefix("store")
 	seams := s.countStoreCalls(follow.Seams{Newest: s.store.Newest, Read: s.store.Read, Leads: s.readsStore, Entries: s.entryCount, Ask: s.askEntry})
 	config, servers, entries := seams, seams, seams
-	config.Apply, entries.Apply = s.applyConfig, s.applyEntries
+	config.Apply = s.applyConfig
+	entries.Apply, entries.Restored = s.applyEntries, s.entriesRestored
 	servers.Apply, servers.Restored, servers.Reached = s.sched.ApplyServers, s.sched.ServersRestored, s.sched.StoreReached
 	list := []*follow.Follower{
 		follow.New(follow.Settings{Topic: platform.ConfigTopic, Wait: configWait}, config, logger),
@@ -270,11 +285,13 @@
 func (s *Server) applyEntries(records []platform.Keyed, snapshot bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.entries
 	if snapshot {
-		clear(s.entries)
+		s.entries = make(map[string]platform.Entry, len(records))
 	}
 	defer s.indexDomains()
 	for _, r := range records {
+		delete(s.unlisted, r.Key)
 		if r.Value == nil {
 			delete(s.entries, r.Key)
 			continue
@@ -286,13 +303,63 @@
 		}
 		s.entries[r.Key] = e
 	}
+	if s.restored {
+		s.restored = false
+		s.keepUnlisted(before)
+	}
+}
+
+// entriesRestored records that the next records are those of a store that was restored.
+func (s *Server) entriesRestored(uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restored = true
+}
+
+// keepUnlisted keeps the entries that registered before the store was restored and are not in its
+// copy, since they run on, and has this one register again if it is such an entry. s.mu must be held.
+func (s *Server) keepUnlisted(before map[string]platform.Entry) {
+	for vm, e := range before {
+		if _, listed := s.entries[vm]; !listed {
+			s.unlisted[vm] = e
+		}
+	}
+	s.listUntil = time.Now().Add(lostEntryGrace)
+	s.log.Info("The store was restored; entries that it lost are kept for a while.", "entries", len(s.unlisted), "for", lostEntryGrace)
+	if own, ok := s.entries[s.cfg.VM]; ok && own == s.own {
+		return
+	}
+	select {
+	case s.lost <- struct{}{}:
+	default: // it is about to register
+	}
+}
+
+// known returns the entries that are registered, or were when the store was restored and may do
+// so again. s.mu must be held.
+func (s *Server) known() iter.Seq2[string, platform.Entry] {
+	return func(yield func(string, platform.Entry) bool) {
+		for vm, e := range s.entries {
+			if !yield(vm, e) {
+				return
+			}
+		}
+		if time.Now().After(s.listUntil) {
+			clear(s.unlisted)
+		}
+		for vm, e := range s.unlisted {
+			if !yield(vm, e) {
+				return
+			}
+		}
+	}
 }
 
 // indexDomains rebuilds the index of failure domains, since each message from an entry looks one
 // up. s.mu must be held.
 func (s *Server) indexDomains() {
-	s.domains = make(map[string]string, len(s.entries))
-	for _, e := range s.entries {
+	s.domains = make(map[string]string, len(s.entries)+len(s.unlisted))
+	for _, e := range s.known() {
 		s.domains[e.Address] = e.Domain
 	}
 }
@@ -302,7 +369,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make([]sends.Peer, 0, len(s.entries))
-	for vm, e := range s.entries {
+	for vm, e := range s.known() {
 		if vm != s.cfg.VM {
 			out = append(out, sends.Peer{Address: e.Address, Domain: e.Domain})
 		}
@@ -314,7 +381,7 @@
 func (s *Server) entryCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(1, len(s.entries))
+	return max(1, len(s.entries)+len(s.unlisted))
 }
 
 // domainOf returns the failure domain of the entry at an address, or "".
@@ -324,18 +391,31 @@
 	return s.domains[address]
 }
 
-// register writes this entry's address to the store once, and retries until it succeeds.
-func (s *Server) register(ctx context.Context, own string) {
+// register writes this entry's address to the store at the start, and again whenever a restore of
+// the store lost it. It retries until it succeeds.
+func (s *Server) register(ctx context.Context) {
 	defer s.tasks.Done()
 	for ctx.Err() == nil {
-		err := s.store.Put(ctx, platform.EntriesTopic, s.cfg.VM, platform.EncodeEntry(platform.Entry{Address: own, Domain: s.cfg.FailureDomain}))
-		if err == nil {
-			s.log.Info("Registered with the store.", "address", own)
-			return
+		if !s.putEntry(ctx) {
+			pause.For(ctx, registerRetryDelay)
+			continue
+		}
+		select {
+		case <-s.lost:
+			pause.For(ctx, rand.N(time.Duration(s.entryCount())*registerSpread)) // a copy may have lost all entries
+		case <-ctx.Done():
 		}
+	}
+}
+
+// putEntry writes this entry's address to the store, and reports whether that was confirmed.
+func (s *Server) putEntry(ctx context.Context) bool {
+	if err := s.store.Put(ctx, platform.EntriesTopic, s.cfg.VM, platform.EncodeEntry(s.own)); err != nil {
 		s.log.Warn("Could not register with the store.", "err", err)
-		pause.For(ctx, registerRetryDelay)
+		return false
 	}
+	s.log.Info("Registered with the store.", "address", s.own.Address)
+	return true
 }
 
 // Serve serves until Shutdown is called or an error occurs.
