Read without waiting when an entry comes to lead

The first read of an entry that comes to lead now never waits, in place of one after a second without an answer.

--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -301,6 +301,7 @@
 	next       platform.Position
 	known      bool // next is a valid position to read from
 	began      bool // the topic was read once
+	led        bool // the last call was made as one that leads
 	failing    bool // the last call failed
 	retryDelay time.Duration
 	lastCall   time.Time
@@ -337,9 +338,11 @@
 // step makes one call to the store, and returns the delay before the next one.
 func (f *Follower) step(ctx context.Context, p *progress) (delay time.Duration, err error) {
 	wait := f.cfg.Wait
-	if f.reliesOnHints(p) || p.failing || time.Since(f.Answered()) > minPollInterval {
+	leads := f.seams.Leads == nil || f.seams.Leads()
+	if !leads || !p.led || p.failing {
 		wait = 0 // an immediate answer shows that the store is back, or was restored in the meantime
 	}
+	p.led = leads
 	p.lastCall = time.Now()
 	if p.known {
 		return f.read(ctx, p, wait)
