Name a log's epoch as the store does, so that a restored one is not followed

The project's own daemon follows its log by offset and refuses one of another epoch, but took every log of the store for the same epoch, on the ground that the store loses nothing that it has acknowledged. That is so no longer: a log that was restored from a copy, and had grown past an entry's offset before it read on, was followed past the records that took the place of the lost ones. An order whose intent was among them was unknown to that entry, which would win a second intent and run it again.

The client now passes the store's epoch on; a store that names none keeps the epoch it had. A restored log is thus refused as documented, whatever its length, and a later append is not read back, so nothing is sent.

Open: an entry that starts after a restore can't know of lost intents (orders.md).

--- a/internal/platform/logservice/client.go
+++ b/internal/platform/logservice/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -20,9 +21,8 @@
 	// timestampBytes is the size of the header of each record: the writer's wall-clock time
 	// in Unix nanoseconds, since the store keeps no timestamps.
 	timestampBytes = 8
-	// storeEpoch is the epoch of every stream. It is constant because the store never
-	// loses an acknowledged record, so a stream is never replaced by another one.
-	storeEpoch = "1"
+	// unnamedEpoch is the epoch of every stream of a store that names none.
+	unnamedEpoch = "1"
 )
 
 // Kind classifies the errors of this package.
@@ -91,7 +91,7 @@
 // waits up to the given time for one and may return no records.
 func (c *Client) Read(ctx context.Context, stream string, from uint64, wait time.Duration) ([]Record, Bounds, error) {
 	records, ends, err := c.store.ReadLog(ctx, stream, max(from, 1)-1, maxReadBytes, wait)
-	b := Bounds{Epoch: storeEpoch, Earliest: ends.First + 1, Next: ends.Next + 1}
+	b := Bounds{Epoch: epochName(ends.Epoch), Earliest: ends.First + 1, Next: ends.Next + 1}
 	if fault.Is(err, platform.KindTrimmed) {
 		b.Next = max(b.Next, b.Earliest) // the store reports only the first offset
 	}
@@ -109,6 +109,14 @@
 	return out, b, nil
 }
 
+// epochName returns the epoch of the store, which changes when it is restored from a copy.
+func epochName(n uint64) string {
+	if n == platform.NoEpoch {
+		return unnamedEpoch
+	}
+	return strconv.FormatUint(n, 10)
+}
+
 var errNoTimestamp = errors.New("the record is too short for a timestamp")
 
 // Appends returns the Append function for an Appender of the stream.
--- a/internal/standin/store/http_test.go
+++ b/internal/standin/store/http_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -152,3 +154,42 @@
 	is.NoErr(err)
 	is.Equal(next, platform.Position{Epoch: 3, Offset: 2})
 }
+
+// A log was restored from a copy and had grown past a follower's offset before that read on. It
+// skipped the records that took the place of the lost ones, so an order that another entry had run
+// was unknown to it, and ran twice.
+func TestRestoredLogIsNotFollowed(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s, calls := serve(t)
+	c := logservice.NewClient(calls)
+	write := func(n int) {
+		for range n {
+			_, err := c.Append(ctx, "s", [][]byte{[]byte("x")})
+			is.NoErr(err)
+		}
+	}
+	write(1)
+	saved := s.Copy()
+	write(2)
+	f := logservice.NewFollower(logservice.FollowerConfig{
+		Stream: "s", Read: c.Reads("s"), Fold: func([]logservice.Record) {}, Log: log.New(io.Discard),
+		Restore: func(context.Context, logservice.Bounds) (uint64, error) { return 0, errors.New("none") },
+	})
+	defer f.Close()
+	await := func(ok func() bool) {
+		for !ok() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	await(func() bool { return f.Offset() == 3 })
+	s.SetOutage(true)
+	s.Restore(saved)
+	await(func() bool { return !f.Healthy() })
+	s.SetOutage(false)
+	write(4)
+	calledBefore := s.Calls()
+	await(func() bool { return s.Calls() > calledBefore+2 }) // it has read since
+	is.Equal(f.Offset(), uint64(3))
+	is.True(strings.Contains(f.State().Error, "another epoch"))
+}
