--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -159,7 +159,7 @@
 		s.settleAt = time.Time{}
 		now := s.now()
 		if s.dir.Settle(now) {
-			s.log.Info("Removed upstreams whose records expired during a store outage, or added those that a restored store still lists.")
+			s.log.Info("Settled the records of upstreams after an outage or a restore of the store.")
 			s.configure()
 		}
 		s.scheduleSettle(now)
