Poll the store within two seconds where no entry announces anything

Seen in TestFollowerPollsWithoutHints, which failed in 10 of 1,000 runs while entries were made to follow a restored store: a new record was not known after 2 s, the time limit for putting a configuration in force.

Cause: an entry that doesn't lead looks whether a poll is due every 0.5 to 1.5 s, so a poll that becomes due just after a look came up to 2.5 s after the last one.

Change: it looks every 0.5 to 1 s. The test is as it was.

--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -286,7 +286,7 @@
 		if due {
 			return
 		}
-		t := time.NewTimer(minPollInterval/2 + rand.N(minPollInterval)) // entries that lose the hints together don't read together
+		t := time.NewTimer(minPollInterval/2 + rand.N(minPollInterval/2)) // entries that lose the hints together don't read together
 		select {
 		case <-f.wake:
 		case <-t.C:
