Skip a record that is not framed as a keyed one

Callers would see: entries that no longer learn of new servers, or of those that leave (LOST, DRAIN), after another writer has left one such record.

Cause: Store.Read failed as a whole where one record of a read has no key (no byte, or a key length beyond its end), so the follower asked for the same offset for ever. Store.Newest failed as a whole where one item has a key, value or offset of another type or bad base64, so an entry that starts, or that the history was trimmed for, read nothing.

Ruled out: nesting ends no process, encoding/json gives up at 10,000 levels; a read that is cut off within a record stays a failure that is tried again.

Change: such records are marked where they are decoded, and the follower drops them with one line for each reading.

--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -451,7 +451,7 @@
 		return errOlder
 	}
 	f.advance(p, next)
-	f.apply(records, next, true)
+	f.apply(f.dropMalformed(records), next, true)
 	return nil
 }
 
@@ -487,6 +487,19 @@
 		return 0, err
 	}
 	p.next = next
-	f.apply(records, next, false)
+	f.apply(f.dropMalformed(records), next, false)
 	return f.cfg.Pause, nil
 }
+
+// dropMalformed removes the malformed records, and logs the first of them.
+func (f *Follower) dropMalformed(records []platform.Keyed) []platform.Keyed {
+	malformed := func(r platform.Keyed) bool { return r.Malformed }
+	i := slices.IndexFunc(records, malformed)
+	if i < 0 {
+		return records
+	}
+	n, offset := len(records), records[i].Offset
+	records = slices.DeleteFunc(records, malformed)
+	f.log.Warn("Skipping records that can't be decoded.", "topic", f.cfg.Topic, "records", n-len(records), "offset", offset)
+	return records
+}
