--- a/internal/gateway/entry/odd_test.go
+++ b/internal/gateway/entry/odd_test.go
@@ -52,7 +52,7 @@
 
 // Another writer leaves odd records among those of the servers and entries: deeply nested, with a
 // number too large or a port out of range. The entry lives, takes
-// none of them for a server or an entry, goes on following, and logs each one in a short line.
+// none of them for a server or an entry, goes on following, and logs each one once, in a short line.
 func TestOddRecordsAreSkipped(t *testing.T) {
 	is := is.New(t)
 	env := newTestEnv(t)
@@ -82,13 +82,18 @@
 		is.Equal(env.do(env.request("POST", "/once/")).status, 200)
 	}
 
+	env.store.SetOutage(true)
+	env.put("desk", "last", "127.0.0.1:9", "draining")
+	env.store.Trim("keyed.servers") // the entry has to read all newest records again
+	env.store.SetOutage(false)
+	env.await(func() bool { return env.known("desk", "last") })
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	lines := strings.Split(l.buf.String(), "\n")
 	for i := range odd {
 		named := fmt.Sprintf(`"upstream":"odd-%d"`, i)
 		logged := slices.DeleteFunc(slices.Clone(lines), func(line string) bool { return !strings.Contains(line, named) })
-		is.Equal(len(logged), 1)
+		is.Equal(len(logged), 1) // once, not with each reading
 		is.True(len(logged[0]) < 1<<10)
 	}
 }
--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -51,6 +52,7 @@
 	mu             sync.Mutex
 	table          *route.Table
 	dir            *directory.Directory
+	unreadable     unreadable
 	planners       map[string]*passes.Planner // by service
 	pools          map[string]*plain.Pool     // by service
 	budget         *retry.Budget              // by service
@@ -66,7 +68,7 @@
 	return &scheduler{
 		domain: domain, retryBound: bound, log: logger, now: time.Now, reportChanged: func() {}, entryCount: func() int { return 1 },
 		unreachable: func(string) bool { return false }, domainOf: func(string) string { return "" }, queryPace: func(string, passes.Engine) {},
-		dir: directory.New(), planners: map[string]*passes.Planner{}, pools: map[string]*plain.Pool{},
+		dir: directory.New(), unreadable: unreadable{}, planners: map[string]*passes.Planner{}, pools: map[string]*plain.Pool{},
 		budget:  retry.NewWithin(budgetShare*bound.Ratio, budgetShare*bound.Slack/minEntries, startShare),
 		reports: map[string]passes.Report{}, ready: make(chan struct{}),
 		throttle: throttle.New(throttle.Settings{
@@ -133,6 +135,7 @@
 		changed = s.applyServer(r, now) || changed
 	}
 	if snapshot {
+		s.unreadable.keep(records)
 		for _, id := range s.dir.IDs() {
 			if !listed[id] {
 				changed = s.removeServer(id, now, "not listed") || changed
@@ -168,13 +171,17 @@
 
 func (s *scheduler) applyServer(r platform.Keyed, now time.Time) bool {
 	if r.Value == nil {
+		delete(s.unreadable, r.Key)
 		return s.removeServer(r.Key, now, "removed")
 	}
 	srv, err := platform.DecodeServer(r.Key, r.Value)
 	if err != nil {
-		s.log.Warn("Cannot decode the record of an upstream; it counts as removed.", "upstream", r.Key, "offset", r.Offset, "err", err)
+		if s.unreadable.note(r) {
+			s.log.Warn("Cannot decode the record of an upstream; it counts as removed.", "upstream", r.Key, "offset", r.Offset, "err", err)
+		}
 		return s.removeServer(r.Key, now, "unreadable")
 	}
+	delete(s.unreadable, r.Key)
 	if r.Offset < s.restoredEnd && !s.dir.PutCopied(srv, now) || r.Offset >= s.restoredEnd && !s.dir.Put(srv) {
 		return false
 	}
@@ -183,6 +190,29 @@
 	return true
 }
 
+// unreadable are the offsets of records that can't be decoded, by key: each is logged once, though
+// each snapshot of the topic has it.
+type unreadable map[string]uint64
+
+// note reports whether the record is noted for the first time.
+func (u unreadable) note(r platform.Keyed) bool {
+	offset, ok := u[r.Key]
+	u[r.Key] = r.Offset
+	return !ok || offset != r.Offset
+}
+
+// keep forgets the records that are not in a snapshot.
+func (u unreadable) keep(snapshot []platform.Keyed) {
+	if len(u) == 0 {
+		return
+	}
+	listed := map[string]bool{}
+	for _, r := range snapshot {
+		listed[r.Key] = true
+	}
+	maps.DeleteFunc(u, func(key string, _ uint64) bool { return !listed[key] })
+}
+
 func (s *scheduler) removeServer(id string, now time.Time, why string) bool {
 	changed := s.dir.Remove(id, now)
 	if changed {
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -111,12 +111,13 @@
 	own  platform.Entry
 	lost chan struct{} // the store lost this entry's registration
 
-	mu        sync.Mutex
-	entries   map[string]platform.Entry // by VM
-	domains   map[string]string         // failure domains of entries by address
-	unlisted  map[string]platform.Entry // registered before the store was restored, but not since
-	listUntil time.Time                 // when unlisted ones are forgotten
-	restored  bool                      // the next records are the first after a restore
+	mu         sync.Mutex
+	entries    map[string]platform.Entry // by VM
+	unreadable unreadable                // records of entries
+	domains    map[string]string         // failure domains of entries by address
+	unlisted   map[string]platform.Entry // registered before the store was restored, but not since
+	listUntil  time.Time                 // when unlisted ones are forgotten
+	restored   bool                      // the next records are the first after a restore
 }
 
 // New listens on all addresses and starts the background tasks; Serve accepts callers. dropped
@@ -129,7 +130,7 @@
 	s := &Server{
 		cfg: cfg, log: logger, sched: newScheduler(cfg.FailureDomain, cfg.Retries, logger),
 		store: platform.NewStore(network, cfg.Store, logger.WithPrefix("store")), upstreams: network.WithDialTimeout(dialTimeout),
-		droppedLines: dropped, started: time.Now(), metrics: metrics.New(cfg.VM), bodies: newBodyMemory(cfg.Memory), entries: map[string]platform.Entry{}, unlisted: map[string]platform.Entry{}, lost: make(chan struct{}, 1),
+		droppedLines: dropped, started: time.Now(), metrics: metrics.New(cfg.VM), bodies: newBodyMemory(cfg.Memory), entries: map[string]platform.Entry{}, unlisted: map[string]platform.Entry{}, unreadable: unreadable{}, lost: make(chan struct{}, 1),
 		crashChecks: make(chan crashCheck, maxCrashChecks),
 	}
 	s.engines = platform.NewEngines(s.upstreams)
@@ -288,19 +289,24 @@
 	before := s.entries
 	if snapshot {
 		s.entries = make(map[string]platform.Entry, len(records))
+		s.unreadable.keep(records)
 	}
 	defer s.indexDomains()
 	for _, r := range records {
 		delete(s.unlisted, r.Key)
 		if r.Value == nil {
 			delete(s.entries, r.Key)
+			delete(s.unreadable, r.Key)
 			continue
 		}
 		e, err := platform.DecodeEntry(r.Value)
 		if err != nil {
-			s.log.Warn("Cannot decode the record of an entry.", "vm", r.Key, "err", err)
+			if s.unreadable.note(r) {
+				s.log.Warn("Cannot decode the record of an entry.", "vm", r.Key, "offset", r.Offset, "err", err)
+			}
 			continue
 		}
+		delete(s.unreadable, r.Key)
 		s.entries[r.Key] = e
 	}
 	if s.restored {
