Believe no refusal that belongs to another request

Callers would see: 503 'not run, try again' for a request that a server had run or was running (REFUSED), or a second run of it at another server (TWICE).

Cause: call.attempt took a mark of 'not run', and status 421, before it compared the attempt's id. An earlier refusal that a faulty server writes once more, ahead of the true answer, instead of it, or as soon as a connection is made, was believed. So was the limit that it names.

Evidence: before the change all 16 cases of TestRefusalOfAnotherRequestIsNotBelieved and TestRefusalAheadOfRequestIsNotBelieved got 503, 502 wanted.

Ruled out: bytes of an earlier connection. Each attempt, call to the store, order to an engine and message between entries has its own connection. A refusal with the request's own id is believed also before the body was sent (TestEarlyRefusalIsBelieved, which passed before too).

Change: the id comes first.

After: all pass.

--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -79,6 +79,11 @@
 		return nil, platform.Answer{}, fail("send", KindUnknown, err)
 	}
 	ans := platform.DecodeAnswer(x.Header())
+	if ans.ID != c.req.ID && ans.ID != "" { // another request's, a refusal too: this one may run
+		x.Close()
+		c.maybeRan++
+		return nil, platform.Answer{Status: ans.Status}, fail("send", KindUnknown, errInvalidAnswer)
+	}
 	if ans.Limit > 0 || !ans.NotRun {
 		c.s.sched.throttle.Heard(a.Instance, sentAt, ans.Limit)
 	}
@@ -87,7 +92,7 @@
 		return nil, ans, fail("send", KindNotRun, fmt.Errorf("status %d", ans.Status))
 	}
 	c.maybeRan++
-	if ans.ID != c.req.ID && ans.ID != "" || ans.Encoded || ans.Status < fasthttp.StatusMultipleChoices && !ans.Sealed {
+	if ans.Encoded || ans.Status < fasthttp.StatusMultipleChoices && !ans.Sealed {
 		x.Close()
 		return nil, ans, fail("send", KindUnknown, errInvalidAnswer)
 	}
