Pass on no promise of an engine that did not make it

Callers would see: 408, 429 or 503 for a prompt that an engine had run (REFUSED), on routes whose streams can't be resumed, and on others once no attempt is left.

Cause: call.accepts passed on any status below 500, and any failure when no attempt was left. The guard of plain answers, which refuses with 502, was missing for streams.

Evidence: before the change the three cases of TestUnmarkedRefusalIsNotRelayed on /write/ got 408, 429 and 503, 502 wanted; those on /once/ passed.

Change: one function names these statuses, and both kinds of routes take such an answer without the mark of 'not run' for a failure.

After: all six pass.

--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -189,6 +189,9 @@
 // accepts reports whether a response with the status is passed to the caller. A failure can't be
 // part of a resumed answer. Otherwise it is the answer if the request may not be sent again.
 func (c *call) accepts(status int, resumed bool) bool {
+	if promisesNotRun(status) {
+		return false
+	}
 	if resumed {
 		return status < fasthttp.StatusMultipleChoices
 	}
--- a/internal/gateway/entry/plain.go
+++ b/internal/gateway/entry/plain.go
@@ -191,11 +191,15 @@
 	}
 }
 
-// relay passes a server's answer to the caller. A status that guarantees that the request did
-// not run is not passed on, because the server did not mark it as not run.
+// promisesNotRun reports whether a status tells the caller that the request did not run. It is not
+// passed on from a server, which would have marked such an answer.
+func promisesNotRun(status int) bool {
+	return status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusRequestTimeout
+}
+
+// relay passes a server's answer to the caller.
 func (c *call) relay(ctx *fasthttp.RequestCtx, a *plainAnswer) {
-	switch a.status() {
-	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable, fasthttp.StatusRequestTimeout:
+	if promisesNotRun(a.status()) {
 		a.release()
 		c.refuse(ctx, fail("answer", KindUnknown, nil), 0)
 		return
--- a/internal/gateway/entry/refusal_test.go
+++ b/internal/gateway/entry/refusal_test.go
@@ -85,6 +85,30 @@
 	is.Equal(env.do(env.request(http.MethodPost, "/once/")).status, http.StatusBadGateway)
 }
 
+// A server ran a request and answers with a status that promises the opposite, without a mark. The
+// promise is not passed on.
+func TestUnmarkedRefusalIsNotRelayed(t *testing.T) {
+	for _, status := range []string{"408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"} {
+		for _, path := range []string{"/once/", "/write/"} {
+			t.Run(status+path, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv(t)
+				env.addOnceStream()
+				env.configure()
+				for _, service := range []string{"desk", "engines"} {
+					a := env.serve(service, "a-"+service, server.Raw)
+					a.SetRaw(func(w io.Writer, header string) {
+						_, _ = io.WriteString(w, "HTTP/1.1 "+status+"\r\n"+header+"Content-Length: 5\r\n\r\nwrong")
+					})
+				}
+				r := env.do(env.request(http.MethodPost, path))
+				is.Equal(r.status, http.StatusBadGateway)
+				is.Equal(r.body, "")
+			})
+		}
+	}
+}
+
 // addOnceStream adds a route whose streams can't be resumed.
 func (env *testEnv) addOnceStream() {
 	routes := env.config["routes"].([]any)
