Resume a stream with nothing but its further events

Cause: a stream breaks off and the next engine answers with status 2xx and the seal, but no further events. Lines such as 'overloaded: try again later' passed for a field, blocks without data were passed on, and events without an id had no place in the stream, but were taken. The end of such an answer, of one that repeated earlier events only, and of an empty one that ended with its connection was the end of the stream. Where a good event and the error came in one read, the error was dropped and the end after it counted.

Ruled out: the end of the retry budget.

Change: an event of a resumed stream needs an id after the last one; a block without data has no fields but event and retry; a resumed answer has status 200; one without a new event is complete only if it is empty and framed, as an engine's that has nothing left to send; an error of a stream stays. A first answer without any event that ends with its connection counts as broken off too.

--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -33,6 +33,8 @@
 	unreachableSilenceFactor = 1.5
 	unreachablePollInterval  = 50 * time.Millisecond
 	minTimer                 = time.Millisecond
+	// unframed is the length of an answer that ends with its connection.
+	unframed = -2
 )
 
 // engineStream is the part of a stream that one engine serves, from its placement to its end.
@@ -48,6 +50,9 @@
 	stop     chan struct{}
 	cancel   context.CancelFunc // ends the exchange
 	started  bool               // some of the answer arrived
+	received bool               // some of its body arrived
+	events   int
+	err      error // the answer is not sound; kept, as more of it may follow
 	closed   bool
 	silent   *engineStream // the stream that this one is to relieve; nil if it is the first
 	backlog  []readResult  // received by goesOn and not consumed yet
@@ -193,7 +198,7 @@
 		return false
 	}
 	if resumed {
-		return status < fasthttp.StatusMultipleChoices
+		return status == fasthttp.StatusOK
 	}
 	return status < fasthttp.StatusInternalServerError || !c.mayRunAgain(c.maybeRan)
 }
@@ -294,6 +299,9 @@
 // returns errSilent, and leaves the stream open, at the given time, or sooner if a needed engine
 // is unreachable. io.EOF means that the answer is complete.
 func (es *engineStream) next(until time.Time) (blocks []byte, events int, err error) {
+	if es.err != nil {
+		return nil, 0, es.err
+	}
 	if len(es.backlog) > 0 {
 		r := es.backlog[0]
 		es.backlog = es.backlog[1:]
@@ -362,8 +370,14 @@
 }
 
 func (es *engineStream) consume(r readResult) (blocks []byte, events int, err error) {
+	defer func() {
+		if err != nil && !errors.Is(err, io.EOF) {
+			es.err = err
+		}
+	}()
 	out, events, err := es.splitter.add(r.data)
-	if events > 0 {
+	es.received = es.received || len(r.data) > 0
+	if es.events += events; events > 0 {
 		es.exchange.Progress()
 	}
 	rest := es.splitter.remainder()
@@ -376,7 +390,7 @@
 	case !errors.Is(r.err, io.EOF):
 		es.c.countTooLarge(r.err)
 		return out, events, fail("read", KindUnknown, r.err)
-	case len(rest) > 0 && !es.splitter.anything:
+	case (len(rest) > 0 || es.lacksEvents()) && !es.splitter.anything:
 		return out, events, fail("read", KindUnknown, io.ErrUnexpectedEOF)
 	case len(rest) > 0:
 		return append(out, rest...), events + 1, io.EOF
@@ -385,6 +399,12 @@
 	}
 }
 
+// lacksEvents reports whether an answer that has ended has no event though it should: only an empty
+// one whose end is framed says that nothing is left.
+func (es *engineStream) lacksEvents() bool {
+	return es.events == 0 && (es.received || es.exchange.Header().ContentLength() == unframed)
+}
+
 // close ends the stream at the engine. Further calls do nothing.
 func (es *engineStream) close(out passes.Outcome) {
 	if es.closed {
--- a/internal/gateway/entry/events.go
+++ b/internal/gateway/entry/events.go
@@ -21,6 +21,7 @@
 	scanned int   // bytes of buf that hold no end of an event
 	lastNum int64 // numeric id of the last complete event; 0 before the first
 	lastID  string
+	resumed bool // the stream continues one of another engine, so each event needs an id
 	// anything is set for an answer that is no stream of events, which is passed on as it is.
 	anything bool
 }
@@ -48,7 +49,11 @@
 		if isEvent = isEvent || s.anything; !ok && !s.anything {
 			return out, events, fail("split", KindUnknown, errNoEvent)
 		}
-		if !s.accept(block) {
+		fresh, ok := s.accept(block, isEvent)
+		if !ok {
+			return out, events, fail("split", KindUnknown, errNoEvent)
+		}
+		if !fresh {
 			continue
 		}
 		out = append(out, block...)
@@ -59,8 +64,10 @@
 }
 
 // classify reports whether a block is an event, which has data or an id, and whether it is sound:
-// each line is empty, a comment, or a field with a name.
+// each line is empty, a comment, or a field with a name, which outside of events is one of those
+// that the format knows.
 func classify(block []byte) (isEvent, ok bool) {
+	unknown := false
 	for line := range bytes.SplitSeq(bytes.TrimSuffix(block, eventEnd), []byte("\n")) {
 		line = bytes.TrimSuffix(line, []byte("\r"))
 		name, _, found := bytes.Cut(line, []byte(":"))
@@ -70,9 +77,11 @@
 			isEvent = true
 		case !found || !isFieldName(name):
 			return false, false
+		case string(name) != "event" && string(name) != "retry":
+			unknown = true
 		}
 	}
-	return isEvent, true
+	return isEvent, isEvent || !unknown
 }
 
 func isFieldName(name []byte) bool {
@@ -81,27 +90,34 @@
 	})
 }
 
-// accept records the id of an event and reports whether the event is new.
-func (s *splitter) accept(event []byte) bool {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
+// accept records the id of a block and reports whether it is new. It is not ok if it is an event of
+// a resumed stream whose id does not tell its place.
+func (s *splitter) accept(block []byte, isEvent bool) (fresh, ok bool) {
+	hasID := false
+	for line := range bytes.SplitSeq(block, []byte("\n")) {
+		value, found := bytes.CutPrefix(line, []byte("id:"))
+		if !found {
 			continue
 		}
 		id := string(bytes.TrimSpace(value))
-		if n, err := strconv.ParseInt(id, 10, 64); err == nil {
-			if s.lastID != "" && n <= s.lastNum {
-				return false
-			}
+		n, err := strconv.ParseInt(id, 10, 64)
+		switch {
+		case err == nil && s.lastID != "" && n <= s.lastNum:
+			return false, true
+		case err == nil:
 			s.lastNum = n
+		case s.resumed && s.lastNum > 0:
+			return false, false
 		}
-		s.lastID = id
+		s.lastID, hasID = id, true
 	}
-	return true
+	return true, hasID || !isEvent || !s.resumed
 }
 
 // remainder returns the bytes of the incomplete event.
 func (s *splitter) remainder() []byte { return s.buf }
 
 // resume returns a splitter for a stream that continues after the last complete event.
-func (s *splitter) resume() splitter { return splitter{lastNum: s.lastNum, lastID: s.lastID} }
+func (s *splitter) resume() splitter {
+	return splitter{lastNum: s.lastNum, lastID: s.lastID, resumed: s.lastID != ""}
+}
