Take a gap in the ids of a resumed stream for a missing event

Evidence: before the change the six cases 'gap' and 'gap after an event' of TestBrokenStreamGetsNoOtherAnswer ended as complete.

Change: where the ids of a stream have counted its events so far (from 1, or each one more than the last), the first other step in a resumed part is no sound answer. Where they have ever risen by more, or only one is known that is not 1, nothing changes: a fleet whose ids count tokens is served as before.

After: they end as incomplete; TestResumedStreamHasNoGap tells both cases apart.

--- a/internal/gateway/entry/events.go
+++ b/internal/gateway/entry/events.go
@@ -21,7 +21,8 @@
 	scanned int   // bytes of buf that hold no end of an event
 	lastNum int64 // numeric id of the last complete event; 0 before the first
 	lastID  string
-	resumed bool // the stream continues one of another engine, so each event needs an id
+	resumed bool  // the stream continues one of another engine, so each event needs an id
+	steps   steps // by which ids have risen so far
 	// anything is set for an answer that is no stream of events, which is passed on as it is.
 	anything bool
 }
@@ -104,7 +105,10 @@
 		switch {
 		case err == nil && s.lastID != "" && n <= s.lastNum:
 			return false, true
+		case err == nil && s.resumed && s.steps == stepsOfOne && n != s.lastNum+1:
+			return false, false // a piece is missing
 		case err == nil:
+			s.steps = s.steps.next(s.lastNum, n, s.lastID == "")
 			s.lastNum = n
 		case s.resumed && s.lastNum > 0:
 			return false, false
@@ -119,5 +123,27 @@
 
 // resume returns a splitter for a stream that continues after the last complete event.
 func (s *splitter) resume() splitter {
-	return splitter{lastNum: s.lastNum, lastID: s.lastID, resumed: s.lastID != ""}
+	return splitter{lastNum: s.lastNum, lastID: s.lastID, resumed: s.lastID != "", steps: s.steps}
+}
+
+// steps tells whether the ids of a stream count its events, so that a missing one shows. They need
+// only rise.
+type steps int
+
+const (
+	stepsUnknown steps = iota
+	stepsOfOne
+	stepsOther
+)
+
+// next returns the steps after an event with id n that follows one with id last, or is the first.
+func (s steps) next(last, n int64, first bool) steps {
+	switch {
+	case s == stepsOther || !first && n != last+1:
+		return stepsOther
+	case first && n != 1: // the caller may have resumed it
+		return stepsUnknown
+	default:
+		return stepsOfOne
+	}
 }
--- a/internal/gateway/entry/events_test.go
+++ b/internal/gateway/entry/events_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"strings"
 	"testing"
 
@@ -64,3 +65,34 @@
 		}
 	})
 }
+
+// A gap in the ids of a resumed stream is a missing event only where ids have counted the events.
+func TestResumedStreamHasNoGap(t *testing.T) {
+	for _, tt := range []struct {
+		before, after string
+		ok            bool
+	}{
+		{"1 2", "3 4", true},
+		{"1 2", "4", false},
+		{"1", "3", false},
+		{"12 13", "15", false},
+		{"1 2", "3 5", false},
+		{"46", "92", true},
+		{"1 2 5", "9", true},
+		{"1 5", "6 9", true},
+		{"1 2", "2 3", true}, // the repeat is dropped
+	} {
+		var s splitter
+		feed := func(ids string) (err error) {
+			for id := range strings.FieldsSeq(ids) {
+				_, _, more := s.add([]byte("id: " + id + "\ndata: x\n\n"))
+				err = errors.Join(err, more)
+			}
+			return err
+		}
+		is := is.New(t)
+		is.NoErr(feed(tt.before))
+		s = s.resume()
+		is.Equal(feed(tt.after) == nil, tt.ok)
+	}
+}
--- a/internal/gateway/entry/resume_test.go
+++ b/internal/gateway/entry/resume_test.go
@@ -77,6 +77,8 @@
 		"error after an event":        {"200 OK", server.Event(3) + "overloaded: try again later\n\n"},
 		"error event after an event":  {"200 OK", server.Event(3) + "event: error\ndata: overloaded\n\n"},
 		"head after an event":         {"200 OK", server.Event(3) + head},
+		"gap":                         {"200 OK", server.Event(4) + server.Event(5) + server.Event(6)},
+		"gap after an event":          {"200 OK", server.Event(3) + server.Event(6)},
 		"earlier events":              {"200 OK", server.Events(2)},
 		"no events by the connection": {"200 OK", ""},
 		"comment":                     {"200 OK", ": none\n\n"},
