Believe no refusal that names no request

Callers would see: 503 'not run' for a request that runs (REFUSED), or a second run (TWICE), where a faulty server writes an earlier refusal without an id.

'400 without an id' reads as the refusal of a request that has none: it stays believed. Nothing says that a server which is full, or is another instance (421), leaves the id out. If the users' servers do so, such a refusal becomes 502 and is not offered to another server where it may run once only.

Evidence: before the change the four cases of TestRefusalWithoutIDIsNotBelieved got 503, 502 wanted.

Change: a refusal needs the id of the request.

After: the tests of gateway, platform, stand-ins and records pass, the soak too.

--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -79,7 +79,7 @@
 		return nil, platform.Answer{}, fail("send", KindUnknown, err)
 	}
 	ans := platform.DecodeAnswer(x.Header())
-	if ans.ID != c.req.ID && ans.ID != "" { // another request's, a refusal too: this one may run
+	if ans.ID != c.req.ID && (ans.ID != "" || ans.NotRun) { // another request's, a refusal too: this one may run
 		x.Close()
 		c.maybeRan++
 		return nil, platform.Answer{Status: ans.Status}, fail("send", KindUnknown, errInvalidAnswer)
--- a/internal/gateway/entry/refusal_test.go
+++ b/internal/gateway/entry/refusal_test.go
@@ -75,6 +75,25 @@
 	is.Equal(len(b.Runs()), 4)
 }
 
+// A refusal that names no request may be an earlier one: servers echo the id in all that they answer.
+func TestRefusalWithoutIDIsNotBelieved(t *testing.T) {
+	for name, refusal := range map[string]string{
+		"503": unavailable + notRunLine + noBody, "421": "HTTP/1.1 421 Misdirected Request\r\n" + noBody,
+	} {
+		for path, service := range map[string]string{"/once/": "desk", "/write/": "engines"} {
+			t.Run(name+path, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv(t)
+				env.addOnceStream()
+				env.configure()
+				a := env.serve(service, "i-1", server.Raw)
+				a.SetRaw(func(w io.Writer, header string) { _, _ = io.WriteString(w, refusal+okLine+header+"\r\n") })
+				is.Equal(env.do(env.request(http.MethodPost, path)).status, http.StatusBadGateway)
+			})
+		}
+	}
+}
+
 // An earlier refusal comes as soon as a connection is made, before the request. The request may run
 // all the same.
 func TestRefusalAheadOfRequestIsNotBelieved(t *testing.T) {
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -231,7 +231,7 @@
 		return
 	}
 	if want := req.Header.Get("X-Expect-Instance"); want != s.instance {
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", s.instance)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", req.Header.Get("X-Attempt-Id"), s.instance)
 		return
 	}
 	if req.URL.Path == "/dogwoodmill/report" {
@@ -241,7 +241,7 @@
 	}
 	script := s.nextScript()
 	if script == Reject {
-		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", req.Header.Get("X-Attempt-Id"))
 		return
 	}
 	run := &Run{
