Find the end of a log whose store answers 410 past it

Cause: the log's end was asked for with a read far past it (operator/config, configrelay), which the stand-in answered without records. The client also took the first offset for the end where a log was trimmed, and a log that was restored behind what an entry had read for a trimmed one.

Evidence: with the stand-in answering 410 past the end, TestLogOverHTTP, TestSnapshotsAreNotWrittenByAllEntries, TestConfigurationSurvivesRetentionAndReplacementOfAllVMs and TestDomainWithoutLogReadsAndChangesThroughPeers fail.

Ruled out: the entry on the users' platform, which asks for no end; a 410 makes it read the newest records.

Change: the client asks for the ends with a read from the first offset that the store names, and returns no records past the end. After: these pass, as do the tests of operator/config, entry/server, order, command/cli and proof/product.

--- a/internal/platform/logservice/client.go
+++ b/internal/platform/logservice/client.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	// maxReadBytes bounds the records of one read in bytes. The store's own limit is 1 MiB.
+	// maxReadBytes bounds the records of one read in bytes. The store's own limit is 1 MiB, and
+	// minReadBytes the lowest that can be asked for.
 	maxReadBytes = 1 << 20
+	minReadBytes = 1 << 10
 	// timestampBytes is the size of the header of each record: the writer's wall-clock time
 	// in Unix nanoseconds, since the store keeps no timestamps.
 	timestampBytes = 8
@@ -88,12 +90,20 @@
 }
 
 // Read returns at most 1 MiB of records starting at the offset. If there is none it
-// waits up to the given time for one and may return no records.
+// waits up to the given time for one and may return no records. Past the end it returns
+// none at once.
 func (c *Client) Read(ctx context.Context, stream string, from uint64, wait time.Duration) ([]Record, Bounds, error) {
 	records, ends, err := c.store.ReadLog(ctx, stream, max(from, 1)-1, maxReadBytes, wait)
+	gone := fault.Is(err, platform.KindTrimmed)
+	if gone { // the store tells the end only with records that it has
+		var endsErr error
+		if _, ends, endsErr = c.store.ReadLog(ctx, stream, ends.First, minReadBytes, 0); endsErr != nil {
+			return nil, Bounds{Epoch: epochName(ends.Epoch)}, classify("read", endsErr)
+		}
+	}
 	b := Bounds{Epoch: epochName(ends.Epoch), Earliest: ends.First + 1, Next: ends.Next + 1}
-	if fault.Is(err, platform.KindTrimmed) {
-		b.Next = max(b.Next, b.Earliest) // the store reports only the first offset
+	if gone && from > b.Next {
+		return nil, b, nil
 	}
 	if err != nil {
 		return nil, b, classify("read", err)
--- a/internal/standin/logcalls/calls.go
+++ b/internal/standin/logcalls/calls.go
@@ -44,6 +44,9 @@
 // Read reads records of a stream like logservice.Client.Read.
 func Read(ctx context.Context, s *store.Store, stream string, from uint64, wait time.Duration) ([]logservice.Record, logservice.Bounds, error) {
 	recs, b, err := s.Read(ctx, stream, max(from, 1)-1, maxReadBytes, wait)
+	if fault.Is(err, store.KindGone) && from > b.Next {
+		err = nil // past the end
+	}
 	out := make([]logservice.Record, 0, len(recs))
 	for _, r := range recs {
 		out = append(out, logservice.Record{Offset: r.Offset + 1, Time: r.Time, Data: r.Data})
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -61,7 +61,6 @@
 	newest  map[string]keyed // nil unless the topic is keyed
 	first   uint64
 	next    uint64
-	lost    uint64        // end of the topic before it was restored
 	changed chan struct{} // closed and replaced on each notify
 }
 
@@ -161,9 +160,7 @@
 	}
 	old := s.topics
 	s.topics, s.epoch = cloneTopics(c.topics), strconv.Itoa(n+1)
-	for name, t := range old {
-		r := s.topic(name)
-		r.lost = max(t.next, t.lost)
+	for _, t := range old {
 		t.notify()
 	}
 }
@@ -266,7 +263,7 @@
 		t.expireOlderThan(time.Now().Add(-s.retention))
 	}
 	b := s.bounds(t)
-	if from < t.first || from > t.next && from <= t.lost {
+	if from < t.first || from > t.next {
 		return nil, b, nil, fail("read", KindGone, nil)
 	}
 	if from >= t.next {
