Restore the store from a copy in the soak, with entries that don't read it

Two things that the soak lacked when the store came back from a copy for the first time: a store that goes back, and entries beyond the four that read it for the others, which were the ones that fell behind. A copy is taken, a change of the configuration is written and lost, the store is away for 0.3 s, and the operator and the servers that run write again. Each configuration has a route that no other one has, and at the end all entries have to know the newest one's.

A first run reported a race of the soak's own, between starting a server and registering all of them; they exclude each other now.

--- a/internal/proof/soak/roles_test.go
+++ b/internal/proof/soak/roles_test.go
@@ -56,9 +56,11 @@
 	return ln
 }
 
-// storeCommand is a command of the soak to the store: write a record where Key is set, else
-// set the faults.
+// storeCommand is a command of the soak to the store: write a record where Key is set, copy it where
+// Copy is set, else set the faults, after restoring the last copy where Restore is set.
 type storeCommand struct {
+	Copy    bool
+	Restore bool
 	Down    bool
 	DelayMS int
 	Lose    int // append responses to drop
@@ -69,6 +71,7 @@
 
 func runStore(address, control string) {
 	s := store.Serve(listen(address))
+	saved := s.Copy()
 	exitOnError(http.Serve(listen(control), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		var st storeCommand
 		if err := json.NewDecoder(r.Body).Decode(&st); err != nil {
@@ -78,6 +81,13 @@
 			s.Put(st.Topic, st.Key, []byte(st.Value))
 			return
 		}
+		if st.Copy {
+			saved = s.Copy()
+			return
+		}
+		if st.Restore {
+			s.Restore(saved)
+		}
 		s.SetOutage(st.Down)
 		s.SetDelay(time.Duration(st.DelayMS) * time.Millisecond)
 		s.LoseAnswers(st.Lose)
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -27,6 +27,8 @@
 	callerCount = 16
 	// recoveryRequests is how many consecutive requests must succeed after the last fault.
 	recoveryRequests = 40
+	// restoreOutage is how long a store that is restored from a copy is away.
+	restoreOutage = 300 * time.Millisecond
 )
 
 // seeds are used where SOAK_SEED is not set. A seed that exposed a fault stays, with a note of
@@ -97,6 +99,16 @@
 		w.reportError(w.controlStore(storeCommand{DelayMS: 300, Lose: rng.IntN(5)}))
 		return func() { w.reportError(w.controlStore(storeCommand{})) }
 	}},
+	{"store restored from a copy", storeGroup, func(w *world, _ *rand.Rand) func() {
+		w.reportError(w.controlStore(storeCommand{Copy: true}))
+		w.configure()
+		return func() {
+			w.reportError(w.controlStore(storeCommand{Restore: true, Down: true}))
+			sleep(w.t.Context(), restoreOutage)
+			w.reportError(w.controlStore(storeCommand{}))
+			w.writeAgain()
+		}
+	}},
 	{"configuration changes", storeGroup, func(w *world, _ *rand.Rand) func() {
 		w.configure()
 		return w.configure
@@ -191,6 +203,7 @@
 			end()
 			w.awaitReady()
 			w.awaitRecovery(c)
+			w.awaitConfigured()
 			stop()
 			c.wg.Wait()
 			attempts := c.snapshot()
--- a/internal/proof/soak/world_test.go
+++ b/internal/proof/soak/world_test.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	entryCount   = 4
+	entryCount   = 6 // more than read the store for the others
 	engineCount  = 5
 	plainCount   = 3
 	eventCount   = 6
@@ -76,6 +76,16 @@
 	return nil
 }
 
+// running reports whether the process has not ended.
+func (p *process) running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // signal sends a signal; it has no effect on a process that has ended.
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
@@ -107,6 +117,7 @@
 	readyAddresses []string // that serve the readiness probe, by entry
 	upstreams      []*upstream
 	version        int
+	starting       sync.Mutex // held while a server is started or registered
 
 	mu         sync.Mutex
 	executions map[string][]execution // by attempt id
@@ -252,13 +263,18 @@
 // configure writes the next version of the configuration.
 func (w *world) configure() {
 	w.version++
+	w.writeConfiguration()
+}
+
+// writeConfiguration writes the newest configuration, which has a route of its own.
+func (w *world) writeConfiguration() {
 	route := func(prefix, kind, service, more string) string {
 		return fmt.Sprintf(`{"name":%q,"host":"h.example","path_prefix":%q,"kind":%q,"timeout_ms":%d,"target_latency_ms":300,"service":%q,"max_attempts":2%s}`,
 			prefix, prefix, kind, quietDeadline.Milliseconds(), service, more)
 	}
-	w.reportError(w.controlStore(storeCommand{Topic: "keyed.op", Key: "config", Value: fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s],"services":[%s,%s],
+	w.reportError(w.controlStore(storeCommand{Topic: "keyed.op", Key: "config", Value: fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s],"services":[%s,%s],
 		"tenants":[{"name":"guild","api_keys":["key-1"]}],"limits":{"max_header_bytes":16384,"max_body_bytes":100000}}`, w.version,
-		route("/once/", "non_idempotent", "desk", ""), route("/look/", "idempotent", "desk", ""),
+		route(w.newestPrefix(), "idempotent", "desk", ""), route("/once/", "non_idempotent", "desk", ""), route("/look/", "idempotent", "desk", ""),
 		route("/ask/", "streaming", "engines", `,"resume_streams":true,"target_gap_ms":200`),
 		`{"name":"desk","max_connections":100}`,
 		`{"name":"engines","max_connections":100,"engine":{"slots":16,"kv_cache_tokens":450000,"stride":46,"step_ms":0.925,"per_seq_ms":0.00483,"context_per_k":0.00254,"read_per_s":256000,"pairs_per_m":0.0917,"chunk":2048,"hop_ms":0.1}}`)}))
@@ -294,8 +310,46 @@
 	}
 }
 
+// newestPrefix is the path prefix that only the newest configuration has a route for.
+func (w *world) newestPrefix() string { return fmt.Sprintf("/newest-%d/", w.version) }
+
+// writeAgain writes what a restored store may have lost: the configuration, and the registrations of
+// servers that run.
+func (w *world) writeAgain() {
+	w.writeConfiguration()
+	w.starting.Lock()
+	defer w.starting.Unlock()
+	for _, u := range w.upstreams {
+		if u.running() {
+			w.register(u)
+		}
+	}
+}
+
+// awaitConfigured waits until all entries have the newest configuration: they refuse an unknown key for
+// its route, and know no such route before.
+func (w *world) awaitConfigured() {
+	w.t.Helper()
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for i, address := range w.addresses {
+		w.await(fmt.Sprintf("version %d at entry %d", w.version, i), func() bool {
+			req, err := http.NewRequest(http.MethodGet, "http://"+address+w.newestPrefix(), nil)
+			w.requireNoError(err)
+			req.Host = "h.example"
+			res, err := client.Do(req)
+			if err != nil {
+				return false
+			}
+			_ = res.Body.Close() // only the status matters
+			return res.StatusCode == http.StatusUnauthorized
+		})
+	}
+}
+
 // restart starts a new process for an upstream that is down and registers it under the same name.
 func (w *world) restart(u *upstream) {
+	w.starting.Lock()
+	defer w.starting.Unlock()
 	w.reportError(u.start())
 	u.starts++
 	w.register(u)
