Take a retry from the budget before servers are asked again

Callers would see nothing; a service would get more repeats than the retry budget allows (BUDGET).

Cause: a plain request that one server broke off asks those again to which nothing was sent. Where such a server had come first, no retry was taken for that: a connection that fails costs none, and there was no other server to take one for. A spent budget was passed over as well.

Evidence: TestSilentServerIsAskedAgainWithinBudget, with no retries left: 2 of its 16 cases got 200 and a second run, 502 and none wanted (those in which the silent server was picked first, which is random).

Change: after any failure but a connection that failed, a retry is taken before the servers are asked again.

--- a/internal/gateway/entry/plain.go
+++ b/internal/gateway/entry/plain.go
@@ -88,7 +88,7 @@
 		}
 		switch {
 		case c.takePlainRetry(err):
-		case fallback == nil && c.expectsServers():
+		case fallback == nil && c.expectsServers() && c.takeLaterRetry(err):
 			pause.For(c.ctx, takeoverRetryDelay)
 			c.forgetUnsent()
 		default:
@@ -105,6 +105,12 @@
 		c.remaining() > takeoverRetryDelay+minAttemptTime
 }
 
+// takeLaterRetry reports whether the request, which may have run, may be sent once more. What a server
+// took no connection for uses the retry that was taken for it.
+func (c *call) takeLaterRetry(err error) bool {
+	return fault.Is(err, KindUnsent) || c.s.sched.TakeRetry(c.service)
+}
+
 // takePlainRetry reports whether the request may be sent to another server. It takes nothing
 // from the retry budget if there is no other server.
 func (c *call) takePlainRetry(err error) bool {
--- a/internal/gateway/entry/silence_test.go
+++ b/internal/gateway/entry/silence_test.go
@@ -122,3 +122,34 @@
 	is.Equal(r.body, "plain answer")
 	is.Equal(len(b.Runs()), 1)
 }
+
+// A plain request fails to connect to one server and is then broken off by the other, with no retries left. It
+// was sent to the first one all the same once that took connections, beyond the retry budget.
+func TestSilentServerIsAskedAgainWithinBudget(t *testing.T) {
+	for i := range 16 { // which server is picked first is random
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			env := newTestEnv(t)
+			env.check(func(sched *scheduler) bool {
+				sched.budget = retry.NewWithin(0, 0, 0)
+				return true
+			})
+			env.configure()
+			a := env.serve("desk", "i-1", server.Reset)
+			silent := closedAddress(t)
+			env.register("desk", "i-2", silent)
+			got := make(chan reply, 1)
+			go func() { got <- env.do(env.request(http.MethodGet, "/look/")) }()
+			env.await(func() bool { return len(a.Runs()) == 1 })
+			ln, err := net.Listen("tcp", silent)
+			is.NoErr(err)
+			b := server.New(ln, "i-2", 0)
+			t.Cleanup(b.Close)
+			r := <-got
+			is.NoErr(r.err)
+			is.Equal(r.status, http.StatusBadGateway)
+			is.Equal(len(b.Runs()), 0)
+		})
+	}
+}
