Read without waiting where an entry leads again

Cause: the first read of an entry that comes to lead doesn't wait for records. Whether it led before was noted at calls to the store only, and one that gets all from other entries makes none. It counted as leading all the while, and its read waited at the restored log's end.

Change: an entry that relies on hints no longer counts as one that led.

--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -301,7 +301,7 @@
 	next       platform.Position
 	known      bool // next is a valid position to read from
 	began      bool // the topic was read once
-	led        bool // the last call was made as one that leads
+	led        bool // it led at the last call, and since
 	failing    bool // the last call failed
 	retryDelay time.Duration
 	lastCall   time.Time
@@ -361,6 +361,7 @@
 	if !f.reliesOnHints(p) {
 		return false
 	}
+	p.led = false
 	f.awaitRead(ctx, p.next, p.lastCall)
 	if p.failing || time.Since(p.lastCall) > f.safetyPollInterval() {
 		return false
--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -624,6 +624,21 @@
 	return ""
 }
 
+// An entry led, relied on hints for some seconds, and led again just as the store came back from a copy. Its
+// first read waited at the restored log's end, as of one that leads all the while, and it missed what was
+// written before that.
+func TestEntryThatLeadsAgainReadsWithoutWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		steps := []restoreStep{
+			{kind: "put", sleep: 3 * time.Second}, {kind: "put", sleep: 10 * time.Millisecond}, {kind: "lead", n: 2, sleep: 3 * time.Second},
+			{kind: "lead"}, {kind: "restore", n: 1, sleep: 10 * time.Millisecond},
+		}
+		if failure := playRestores(t, steps); failure != "" {
+			t.Error(failure)
+		}
+	})
+}
+
 // While entries are replaced one by one, hints of earlier versions name no epoch. They must count
 // as before, but not once the store was restored: they may be of lost offsets then.
 func TestHintsOfEarlierVersions(t *testing.T) {
