Follow the store again after it has named a wrong epoch

Callers would see: an entry, or all of them, without new configurations, upstreams and removals until it is started again (CONFIG, DRAIN), after one answer of the store with a far too high epoch. None was seen; found by asking what one bad answer can do.

Cause: an epoch only rises. After one that is too high, every answer of the store is of an earlier epoch, which is an error, without a bound. Where it was said for longer, entries that heard of it from others took it over.

Evidence: TestBogusEpochDoesNotLast fails in both cases: after one answer the four entries that lead, after 20 s of them all twelve have an old configuration more than 10 s later.

Change: after 3 s in which the store has answered from earlier epochs only, the follower takes that of the answer, drops hints of later ones, and reads the topic anew. A follower makes one call at a time, so a late answer is one, not seconds of them. Entries with a wrong epoch announce nothing, as the store counts as not answering, so those that have come back aren't misled again.

After: both cases pass. Remains: such an entry is behind for 3 s, and one that doesn't lead for as long as it reads the store seldom; a wrong epoch that the whole fleet has heard of is not told from a restore.

--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -42,6 +42,8 @@
 	// maxHintGap is the longest gap between hints while the leading entries reach the
 	// store. They send one every 300 ms, and some are lost.
 	maxHintGap = 1200 * time.Millisecond
+	// maxOlderTime is how long answers of an earlier epoch are taken for late ones.
+	maxOlderTime = 3 * time.Second
 )
 
 // Seams are the functions through which a follower reads the store, gets records from
@@ -244,7 +246,7 @@
 	f.healthy = healthy
 }
 
-// advance moves on to a position of the same or a later epoch.
+// advance moves on to a position, of the same epoch or the one that the topic is to be read in.
 func (f *Follower) advance(p *progress, next platform.Position) {
 	had := p.next
 	p.next = next
@@ -305,6 +307,7 @@
 	failing    bool // the last call failed
 	retryDelay time.Duration
 	lastCall   time.Time
+	olderSince time.Time // the store has answered from an earlier epoch since; zero: it does not
 }
 
 func (f *Follower) run(ctx context.Context) {
@@ -378,7 +381,7 @@
 	if p.failing {
 		f.log.Info("The store answers again.", "topic", f.cfg.Topic, "epoch", p.next.Epoch, "offset", p.next.Offset)
 	}
-	p.known, p.began, p.failing, p.retryDelay = true, true, false, minRetryDelay
+	p.known, p.began, p.failing, p.retryDelay, p.olderSince = true, true, false, minRetryDelay, time.Time{}
 }
 
 // failed records a failed call to the store, fetches what another entry has read, and
@@ -449,13 +452,33 @@
 		return err
 	}
 	if next = next.In(p.next.Epoch); next.Epoch < p.next.Epoch {
-		return errOlder
+		return f.older(p, next)
 	}
 	f.advance(p, next)
 	f.apply(f.dropMalformed(records), next, true)
 	return nil
 }
 
+// older handles an answer of an epoch before the follower's. If the store has given no other for
+// maxOlderTime, the follower's epoch is not the store's: the topic is read anew in that of the answer.
+func (f *Follower) older(p *progress, next platform.Position) error {
+	if p.olderSince.IsZero() {
+		p.olderSince = time.Now()
+	}
+	if time.Since(p.olderSince) < maxOlderTime {
+		return errOlder
+	}
+	p.olderSince = time.Time{}
+	f.mu.Lock()
+	f.delivered = 0
+	if f.hint.Epoch > next.Epoch {
+		f.hint, f.hintEntry = platform.Position{}, ""
+	}
+	f.mu.Unlock()
+	f.advance(p, platform.Position{Epoch: next.Epoch})
+	return errRestored
+}
+
 // read reads on from the position. If the store was restored since, it drops the records, which
 // follow others than those before the position, and fails with errRestored.
 func (f *Follower) read(ctx context.Context, p *progress, wait time.Duration) (delay time.Duration, err error) {
@@ -480,7 +503,7 @@
 	next = next.In(from.Epoch)
 	switch {
 	case next.Epoch < from.Epoch:
-		return 0, errOlder
+		return 0, f.older(p, next)
 	case next.Epoch > from.Epoch:
 		f.advance(p, platform.Position{Epoch: next.Epoch})
 		return 0, errRestored
--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -666,3 +666,31 @@
 		is.Equal(s.lastKey(), "c")
 	})
 }
+
+// Answers of the store name a far too high epoch for a moment. Each entry that had one, or heard of it, took
+// every later answer for one of before, and followed the store no more until it was started again.
+func TestBogusEpochDoesNotLast(t *testing.T) {
+	for name, lasts := range map[string]time.Duration{"one answer": 20 * time.Millisecond, "all entries": 20 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &fakeStore{epoch: 1}
+				s.putConfig("1")
+				fleet := newFleet(t, s, 12, func(i int) bool { return i < 4 })
+				time.Sleep(time.Second)
+				s.set(func() { s.epoch = platform.MaxEpoch })
+				s.putConfig("2")
+				time.Sleep(lasts)
+				s.set(func() { s.epoch = 1 })
+				s.putConfig("3")
+				time.Sleep(minSafetyPollInterval)
+				s.putConfig("4")
+				time.Sleep(propagation)
+				for i, m := range fleet {
+					if got := m.config(); got != "4" {
+						t.Errorf("entry %d has %q", i, got)
+					}
+				}
+			})
+		})
+	}
+}
