--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -1,7 +1,7 @@
 // Package store is an in-memory fake of the platform's store for tests. It has topics of
 // records with offsets, keyed topics, long polling, retention and trimming, and injects
-// faults: outages, latency, rate limits, lost responses, a new epoch, a restore from a copy. Handler serves its
-// HTTP API.
+// faults: outages, latency, rate limits, lost responses, a new epoch, a restore from a copy. Handler
+// serves its HTTP API.
 package store
 
 import (
