Keep an engine's time for its first event after a moment of silence

Callers would see: a prompt given up though its engine was reachable again and in time. As it may be the last try, that costs the caller the answer if the other one is slow.

Cause: an engine that takes no connections is kept where no other takes the prompt, and looked at again 0.25 s later. That took the place of the time until which its first event is waited for, which may be far longer (3 times the prediction and 1.2 s): once that had passed, the engine counted as overdue.

Change: the later of the two times counts.

--- a/internal/gateway/entry/silence_test.go
+++ b/internal/gateway/entry/silence_test.go
@@ -153,3 +153,36 @@
 		})
 	}
 }
+
+// An engine has sent the head of its answer and takes no connections for a moment. It was given up 0.25 s later
+// though it was reachable again and in time, as soon as another one took the prompt.
+func TestReachableEngineKeepsItsTime(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	var silent atomic.Pointer[string]
+	env.check(func(sched *scheduler) bool {
+		sched.unreachable = func(address string) bool { at := silent.Load(); return at != nil && *at == address }
+		return true
+	})
+	env.configure()
+	a := env.serve("engines", "i-1", server.Raw)
+	at, want := a.Addr(), server.Events(testEvents)
+	spare := make(chan struct{})
+	a.SetRaw(func(w io.Writer, header string) {
+		silent.Store(&at)
+		_, _ = io.WriteString(w, okLine+header+fmt.Sprintf("Content-Length: %d\r\n\r\n", len(want))) // a failure shows in the answer
+		time.Sleep(400 * time.Millisecond)
+		silent.Store(nil)
+		close(spare)
+		time.Sleep(450 * time.Millisecond) // it has 1.2 s at least
+		_, _ = io.WriteString(w, want)
+	})
+	got := make(chan reply, 1)
+	go func() { got <- env.do(env.request(http.MethodPost, "/ask/")) }()
+	<-spare
+	b := env.serve("engines", "i-2")
+	r := <-got
+	is.NoErr(r.err)
+	is.Equal(r.body, want)
+	is.Equal(len(b.Runs()), 0)
+}
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -143,7 +143,9 @@
 	for events == 0 && !complete {
 		b, n, err := es.next(until)
 		if errors.Is(err, errSilent) && !es.silentGoesOn() && !(another && es.othersTake()) {
-			until = time.Now().Add(takeoverRetryDelay) // nothing is gained by giving it up
+			if again := time.Now().Add(takeoverRetryDelay); again.After(until) {
+				until = again // nothing is gained by giving it up
+			}
 			continue
 		}
 		blocks = append(blocks, b...)
