Test a copy's record of an earlier start of an upstream that has gone

The comparison of starts for upstreams that had been removed had no test: without it, all tests of directory passed. TestCopyRevivesNoUpstream now has such an upstream; it fails without the comparison and passes with it.

--- a/internal/gateway/directory/directory_test.go
+++ b/internal/gateway/directory/directory_test.go
@@ -86,16 +86,20 @@
 	d.Put(ready("i-5", 1))
 	is.True(d.Remove("i-5", at(time.Second)))
 	d.Put(ready("i-6", 2))
+	d.Put(ready("i-7", 2))
+	is.True(d.Remove("i-7", at(time.Second)))
 	d.Restored(at(2 * time.Second))
 	is.True(!d.PutCopied(ready("i-4", 1), at(2*time.Second)))
 	is.True(!d.PutCopied(ready("i-5", 1), at(2*time.Second)))
 	is.True(!d.PutCopied(ready("i-6", 1), at(2*time.Second))) // it has started again since
+	is.True(!d.PutCopied(ready("i-7", 1), at(2*time.Second))) // it has started again and gone since
 	is.True(d.servers["i-4"].Leaving)
 	is.True(!d.Has("i-5"))
 	is.Equal(d.servers["i-6"].Born, int64(2))
 	is.True(!d.Settle(at(2*time.Second + copyDoubtTime - 1)))
 	is.True(d.Settle(at(2*time.Second + copyDoubtTime))) // the store would have removed it
 	is.True(d.Has("i-5"))
+	is.True(!d.Has("i-7"))
 }
 
 // What is written anew after a restore holds at once, and a record of the copy that is removed
