Let the soak's servers take no connection before they write executions down

Cause, in the soak: a server that is started again listens before the function is set that writes executions to its output. A request in between runs and is not written.

Change: its listener accepts once the function is set. The check is as it was.

--- a/internal/proof/soak/roles_test.go
+++ b/internal/proof/soak/roles_test.go
@@ -105,12 +105,26 @@
 	Key      string // the caller's credentials, which must not reach a server
 }
 
+// gatedListener accepts no connections until it is opened.
+type gatedListener struct {
+	net.Listener
+
+	opened chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l gatedListener) Accept() (net.Conn, error) {
+	<-l.opened
+	return l.Listener.Accept()
+}
+
 // runServer serves until it is killed. It writes each execution to standard output before it
 // responds, so that none is lost when the process is killed.
 func runServer(address, control, instance, events string) {
 	n, err := strconv.Atoi(events)
 	exitOnError(err)
-	s := server.New(listen(address), instance, n)
+	ln := gatedListener{listen(address), make(chan struct{})}
+	s := server.New(ln, instance, n)
 	var mu sync.Mutex
 	enc := json.NewEncoder(os.Stdout)
 	s.OnRun(func(r *server.Run) {
@@ -121,6 +135,7 @@
 			Tenant: r.Header.Get("X-Tenant"), Key: r.Header.Get("Authorization"),
 		}))
 	})
+	close(ln.opened) // an execution before this would not be written
 	exitOnError(http.Serve(listen(control), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		b, err := io.ReadAll(r.Body)
 		if err != nil {
