Wait no longer for a hanging engine while memory is held for its prompt

Change: such a prompt is given up after the time that an attempt has, as before, whether another engine takes it or not. A failed connection alone still doesn't end it.

The tests of silences, leases and resumed streams pass. It has no test of its own.

--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -167,7 +167,8 @@
 
 // awaitHead calls abort before the head arrives if the silent engine goes on. If another engine
 // may be asked and takes the prompt, it also does so once a needed engine is unreachable or the head
-// took too long: a sound engine may be silent for a moment.
+// took too long: a sound engine may be silent for a moment. A prompt that holds memory elsewhere
+// doesn't wait longer, whether another one takes it or not.
 func (es *engineStream) awaitHead(headRead <-chan struct{}, abort func(), another bool) {
 	until := time.Now().Add(es.firstEventTimeout(another))
 	delay := es.unreachableCheckDelay()
@@ -182,8 +183,9 @@
 			return
 		case <-t.C:
 		}
-		overdue := another && (time.Now().After(until) || es.unreachableEngine() != "")
-		if es.silentGoesOn() || overdue && es.othersTake() {
+		late := another && time.Now().After(until)
+		overdue := late || another && es.unreachableEngine() != ""
+		if es.silentGoesOn() || late && es.lease != nil || overdue && es.othersTake() {
 			abort()
 			return
 		}
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -137,12 +137,14 @@
 func (st *stream) awaitFirst(es *engineStream, ans platform.Answer) error {
 	c := st.c
 	another := c.mayAskAnother(c.sends, c.maybeRan)
-	until := time.Now().Add(es.firstEventTimeout(another))
+	limit := time.Now().Add(es.firstEventTimeout(another))
+	until := limit
 	var blocks []byte
 	events, complete := 0, false
 	for events == 0 && !complete {
 		b, n, err := es.next(until)
-		if errors.Is(err, errSilent) && !es.silentGoesOn() && !(another && es.othersTake()) {
+		holdsMemory := es.lease != nil && !time.Now().Before(limit)
+		if errors.Is(err, errSilent) && !es.silentGoesOn() && !(another && (holdsMemory || es.othersTake())) {
 			if again := time.Now().Add(takeoverRetryDelay); again.After(until) {
 				until = again // nothing is gained by giving it up
 			}
