--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -630,8 +630,11 @@
 func TestEntryThatLeadsAgainReadsWithoutWaiting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		steps := []restoreStep{
-			{kind: "put", sleep: 3 * time.Second}, {kind: "put", sleep: 10 * time.Millisecond}, {kind: "lead", n: 2, sleep: 3 * time.Second},
-			{kind: "lead"}, {kind: "restore", n: 1, sleep: 10 * time.Millisecond},
+			{kind: "put", sleep: 3 * time.Second},
+			{kind: "put", sleep: 10 * time.Millisecond},
+			{kind: "lead", n: 2, sleep: 3 * time.Second},
+			{kind: "lead"},
+			{kind: "restore", n: 1, sleep: 10 * time.Millisecond},
 		}
 		if failure := playRestores(t, steps); failure != "" {
 			t.Error(failure)
