Wait in tests for the registration of an entry before it is copied

It copies the first one's registration to another store, and nothing if that entry has not registered yet.

That the registration was late in that run is not in its logs. TestReachableEngineKeepsItsTime no longer waits for an engine that a refused request never reaches.

What the tests check is as it was.

--- a/internal/gateway/entry/recovery_test.go
+++ b/internal/gateway/entry/recovery_test.go
@@ -79,6 +79,7 @@
 	// outage.
 	own := store.Serve(listen(t))
 	t.Cleanup(own.Close)
+	env.await(func() bool { return env.store.Value("keyed.status", "vm-1") != nil })
 	for _, r := range []struct{ topic, key string }{{"keyed.op", "config"}, {"keyed.servers", "i-1"}, {"keyed.status", "vm-1"}} {
 		own.Put(r.topic, r.key, env.store.Value(r.topic, r.key))
 	}
@@ -127,6 +128,7 @@
 	env.configure()
 	env.serve("desk", "i-gone")
 	env.serve("desk", "i-stays")
+	env.await(func() bool { return env.store.Value("keyed.status", "vm-1") != nil })
 	// startOther starts an entry whose store has the same records and is its own.
 	startOther := func(vm string) (*Server, *store.Server) {
 		own := store.Serve(listen(t))
--- a/internal/gateway/entry/silence_test.go
+++ b/internal/gateway/entry/silence_test.go
@@ -179,7 +179,11 @@
 	})
 	got := make(chan reply, 1)
 	go func() { got <- env.do(env.request(http.MethodPost, "/ask/")) }()
-	<-spare
+	select {
+	case <-spare:
+	case r := <-got:
+		t.Fatalf("status %d, %v, before the engine was reachable again", r.status, r.err)
+	}
 	b := env.serve("engines", "i-2")
 	r := <-got
 	is.NoErr(r.err)
