--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -697,3 +697,33 @@
 		})
 	}
 }
+
+// An entry that doesn't lead can't fetch newer records from another one, and then one read of the store
+// fails. The records come a moment later, but the store counted as away for as long as hints came, since it
+// was not called again: removals of upstreams were held back, and these got requests long after they had left.
+func TestStoreIsCalledAgainAfterAFailedRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &fakeStore{}
+		s.put("a")
+		var reached, asked atomic.Bool
+		f := New(Settings{Topic: "t", Wait: 2 * time.Second}, Seams{
+			Newest: s.newest, Read: s.read, Apply: s.apply, Leads: func() bool { return false }, Reached: reached.Store,
+			Ask: func(context.Context, string, string) ([]platform.Keyed, platform.Position, error) {
+				if !asked.Swap(true) {
+					return nil, platform.Position{}, errors.New("no answer")
+				}
+				return []platform.Keyed{{Key: "b", Value: []byte("1"), Offset: 1}}, at(0, 2), nil
+			},
+		}, log.New(io.Discard))
+		t.Cleanup(f.Close)
+		time.Sleep(time.Second)
+		s.set(func() { s.down = true })
+		for range 20 {
+			f.Hint("other", at(0, 2))
+			time.Sleep(300 * time.Millisecond)
+			s.set(func() { s.down = false })
+		}
+		is.True(reached.Load())
+	})
+}
