Poll the store after a failed call, whatever other entries announce

Cause: after a failed call the store counts as away until a call succeeds, and removals of upstreams are held back meanwhile. An entry that doesn't lead made no further call while hints came, but for the safety read: 10 s later, or 94 s with 117 entries.

Ruled out: to call again at once, as entries that lead do; TestLargeFleetAsksRarelyDuringOutage bounds the calls of all entries together. To let the other entry's records end the outage: they may be of before it, and a lapse after it would then remove all upstreams.

Change: after a failed call the next poll comes after the interval that holds without hints, 1 s, or 4.7 s with 117 entries.

--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -278,12 +278,14 @@
 	return f.seams.Entries()
 }
 
-// awaitRead blocks an entry that does not lead until a hint or a timeout calls for a read.
-func (f *Follower) awaitRead(ctx context.Context, next platform.Position, last time.Time) {
+// awaitRead blocks an entry that does not lead until a hint or a timeout calls for a read. After a
+// failed call the store counts as away until it answers, so hints don't put off the next poll.
+func (f *Follower) awaitRead(ctx context.Context, p *progress) {
 	for ctx.Err() == nil && !f.seams.Leads() {
 		f.mu.Lock()
 		poll := f.pollInterval()
-		due := f.hint.After(next) || time.Since(f.lastHint) >= poll && time.Since(last) >= poll || time.Since(last) > f.safetyPollInterval()
+		polls := p.failing || time.Since(f.lastHint) >= poll
+		due := f.hint.After(p.next) || polls && time.Since(p.lastCall) >= poll || time.Since(p.lastCall) > f.safetyPollInterval()
 		f.mu.Unlock()
 		if due {
 			return
@@ -365,7 +367,7 @@
 		return false
 	}
 	p.led = false
-	f.awaitRead(ctx, p.next, p.lastCall)
+	f.awaitRead(ctx, p)
 	if p.failing || time.Since(p.lastCall) > f.safetyPollInterval() {
 		return false
 	}
