Stop only once all answers are written

Cause: a request counted as in progress until its handler returned. Its answer is written after that; a stream that was complete at once, too. The process waited 80 ms more and ended, however much was still to be written.

Evidence: TestStopWaitsForAnswersToBeWritten, with an answer of 8 MiB that its caller doesn't read yet, fails in each run.

Change: a connection counts as answering from the arrival of a request until the next one is read, which follows the last byte of the answer, or until it closes. The time at which the entry has to stop bounds the wait as before.

After: the test passes, as do all tests of stops and callers' connections.

--- a/internal/gateway/entry/caller.go
+++ b/internal/gateway/entry/caller.go
@@ -26,6 +26,7 @@
 	betweenRequests bool      // the next bytes start a request
 	waiting         bool      // blocked in Read between requests, with all answers written
 	served          bool      // at least one request arrived
+	answering       bool      // a request arrived whose answer may not be written yet
 	onClose         func()
 }
 
@@ -33,6 +34,13 @@
 	return &callerConn{Conn: c, betweenRequests: true, onClose: onClose}
 }
 
+// isAnswering reports whether an answer may not be written yet: the handler may have returned.
+func (c *callerConn) isAnswering() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answering
+}
+
 // Close closes the connection.
 func (c *callerConn) Close() error {
 	c.onClose()
@@ -59,6 +67,9 @@
 	c.mu.Lock()
 	ahead := c.ahead
 	c.waiting = c.betweenRequests
+	if c.betweenRequests { // all answers are written before the next request is read
+		c.answering = false
+	}
 	c.mu.Unlock()
 	var (
 		n   int
@@ -136,7 +147,7 @@
 	if at.IsZero() {
 		at = time.Now()
 	}
-	c.started, c.betweenRequests, c.served = time.Time{}, true, true
+	c.started, c.betweenRequests, c.served, c.answering = time.Time{}, true, true, true
 	return at
 }
 
@@ -170,6 +181,19 @@
 	return conn, nil
 }
 
+// answering returns the number of connections on which an answer may not be written yet.
+func (l *callerListener) answering() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for c := range l.conns {
+		if c.isAnswering() {
+			n++
+		}
+	}
+	return n
+}
+
 // closeIdle closes the connections that wait for another request, so that callers reconnect to
 // another entry, and returns their number.
 func (l *callerListener) closeIdle() int {
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -463,9 +463,10 @@
 	return errors.Join(s.callersLn.Close(), s.readyLn.Close(), s.metrics.Close())
 }
 
-// drain waits until no request is in progress, the entry has to stop, or ctx ends.
+// drain waits until no request is in progress and all answers are written, the entry has to stop, or
+// ctx ends.
 func (s *Server) drain(ctx context.Context) {
-	for s.inFlight.Load()+s.streams.Load() > 0 && time.Now().Before(s.stopAt) && ctx.Err() == nil {
+	for s.inFlight.Load()+s.streams.Load()+int64(s.callersLn.answering()) > 0 && time.Now().Before(s.stopAt) && ctx.Err() == nil {
 		pause.For(ctx, drainPollInterval)
 	}
 }
--- a/internal/gateway/entry/stop_test.go
+++ b/internal/gateway/entry/stop_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -112,3 +113,39 @@
 	}
 	is.True(len(load.answered) > 2*callersPerPath)
 }
+
+// An entry stops while the answer of a request is still being written. Only the handler counted as in
+// progress, so the process could end before, and the caller got a part of the answer or none.
+func TestStopWaitsForAnswersToBeWritten(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.configure()
+	desk := env.serve("desk", "i-1", server.Raw)
+	const size = 8 << 20 // more than the connection takes unread
+	desk.SetRaw(func(w io.Writer, header string) {
+		_, _ = io.WriteString(w, okLine+header+fmt.Sprintf("Content-Length: %d\r\n\r\n", size)) // a failure shows in the answer
+		_, _ = w.Write(make([]byte, size))
+	})
+	c, err := net.Dial("tcp", env.entry.callersLn.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	is.NoErr(env.request(http.MethodGet, "/look/").Write(c))
+	env.await(func() bool { return len(desk.Runs()) == 1 && env.entry.inFlight.Load() == 0 })
+	env.entry.stopAt = time.Now().Add(time.Minute)
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		env.entry.drain(t.Context())
+	}()
+	select {
+	case <-drained:
+		t.Fatal("the entry stopped before the answer was written")
+	case <-time.After(5 * drainPollInterval):
+	}
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	n, err := io.Copy(io.Discard, res.Body)
+	is.NoErr(err)
+	is.Equal(n, int64(size))
+	<-drained
+}
