Name the digest and the caller of each request in the logs

Cause of this change: the log lines of plain requests named neither the caller nor anything of what was sent, so they could not tell a request that is repeated from servers that fail under load, or from all requests of a caller.

No decision changes.

--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -13,6 +13,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/route"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/segment"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
@@ -39,7 +40,8 @@
 	service    string
 	engine     *passes.Figures // of the service; nil for a plain service
 	workspace  string
-	version    int64 // of the configuration
+	digest     segment.ID // of the request without its attempt
+	version    int64      // of the configuration
 	arrived    time.Time
 	deadline   time.Time
 	ctx        context.Context // ends at the deadline, or when the caller disconnects
--- a/internal/gateway/entry/handle.go
+++ b/internal/gateway/entry/handle.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"github.com/zeebo/xxh3"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/segment"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
@@ -145,6 +148,7 @@
 		s: s, callerReq: cloneRequest(&ctx.Request), req: req, route: r, service: r.Service(req.ID), workspace: workspace, version: t.Version(),
 		arrived: arrived, tried: map[string]bool{},
 	}
+	c.digest = digest(c.callerReq, workspace)
 	if svc := t.Service(c.service); svc != nil {
 		c.engine = svc.Engine
 	}
@@ -161,6 +165,17 @@
 	return c
 }
 
+// digest identifies what a server gets of a request, whoever's attempt it is: a request that is sent
+// again has the same one.
+func digest(req *fasthttp.Request, workspace string) segment.ID {
+	h := xxh3.New()
+	for _, part := range [][]byte{[]byte(workspace), req.Header.Method(), req.Header.Host(), req.Header.RequestURI(), req.Body()} {
+		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part)))) // writing to a hash can't fail
+		_, _ = h.Write(part)
+	}
+	return segment.ID(h.Sum64())
+}
+
 // cloneRequest returns a copy that outlives the handler, because a stream may be sent again.
 func cloneRequest(req *fasthttp.Request) *fasthttp.Request {
 	out := &fasthttp.Request{}
--- a/internal/gateway/entry/plain.go
+++ b/internal/gateway/entry/plain.go
@@ -66,7 +66,7 @@
 			return
 		}
 		c.tried[k.Name()] = true
-		c.s.log.Info("Sent.", "id", c.req.ID, "route", c.route.Name, "upstream", k.Name(), "once", c.route.Repeat != route.Idempotent,
+		c.s.log.Info("Sent.", "id", c.req.ID, "digest", c.digest, "workspace", c.workspace, "route", c.route.Name, "upstream", k.Name(), "once", c.route.Repeat != route.Idempotent,
 			"left_ms", c.remaining().Milliseconds())
 		sent := time.Now()
 		a, err := c.fetch(k)
@@ -82,7 +82,7 @@
 			c.relay(ctx, a)
 			return
 		}
-		c.s.log.Warn("A server did not answer.", "id", c.req.ID, "upstream", k.Name(), "took_ms", time.Since(sent).Milliseconds(), "err", err)
+		c.s.log.Warn("A server did not answer.", "id", c.req.ID, "digest", c.digest, "upstream", k.Name(), "took_ms", time.Since(sent).Milliseconds(), "err", err)
 		if fault.Is(err, KindUnsent) {
 			c.unsent = append(c.unsent, k.Name())
 		}
