--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -61,7 +61,7 @@
 	onRun   func(*Run)
 	raw     func(w io.Writer, header string)
 	pace    float64
-	poison  string // segment of prompts on which the server crashes
+	deadly  func(*Run) bool // requests on which the server crashes; nil: none
 	crashed bool
 	limit   string // named in answers; "": none
 	reports int    // load reports served
@@ -121,11 +121,18 @@
 	s.pace = pace
 }
 
-// SetPoison makes the server crash as it begins to answer a prompt with the segment.
-func (s *Server) SetPoison(segment string) {
+// SetDeadly makes the server crash as it begins to answer a request for which deadly returns true.
+func (s *Server) SetDeadly(deadly func(*Run) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.poison = segment
+	s.deadly = deadly
+}
+
+// SetPoison is SetDeadly for prompts with the segment.
+func (s *Server) SetPoison(segment string) {
+	s.SetDeadly(func(run *Run) bool {
+		return strings.Contains(","+run.Header.Get("X-Prompt-Prefix"), ","+segment+":")
+	})
 }
 
 // SetLimit sets the limit of requests a second that the server names in its answers; "" names none.
@@ -152,11 +159,11 @@
 	return s.crashed
 }
 
-// isPoison reports whether the server crashes on the prompt of a run.
-func (s *Server) isPoison(run *Run) bool {
+// isDeadly reports whether the server crashes on a run.
+func (s *Server) isDeadly(run *Run) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.poison != "" && strings.Contains(","+run.Header.Get("X-Prompt-Prefix"), ","+s.poison+":")
+	return s.deadly != nil && s.deadly(run)
 }
 
 // crash closes the listener and all connections.
@@ -300,12 +307,17 @@
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+header+"\r\nplain answer")
 		return
 	}
+	if s.events == 0 && s.isDeadly(run) {
+		time.Sleep(passTime)
+		s.crash()
+		return
+	}
 	if s.events == 0 {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+header+"Content-Length: 12\r\n\r\nplain answer")
 		return
 	}
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+header+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
-	if s.isPoison(run) {
+	if s.isDeadly(run) {
 		time.Sleep(passTime)
 		s.crash()
 		return
@@ -320,8 +332,8 @@
 // longPause is long enough to make an entry resume the stream at another server.
 const longPause = 1500 * time.Millisecond
 
-// passTime is the time from the head of an answer to the crash of a poisoned prompt: engines read
-// prompts for a pass or longer before they write.
+// passTime is the time until a deadly request crashes the server, for a stream from the head of the
+// answer: engines read prompts for a pass or longer before they write.
 const passTime = 60 * time.Millisecond
 
 // eventInterval separates the events, so that the reader gets each one on its own.
