Hold back requests on which upstreams crash

Cause: a crash was taken for the server's failure. The entry sent the request to the next server, its caller sent it once more at any entry, and nothing counted that it was the same one. Class of fault: a request that harms whoever runs it, retried like one that was harmed; the same as with segments of prompts, one level down. Those had a tracker, of the segments that prompts share, at engines only. Plain requests, and prompts that share no segment, had none.

A second tracker for requests beside that for segments: the same rule twice. A digest without the prompt's own segment: prompts with the same body would be one request (TestSegmentThatCrashesEnginesIsHeldBack fails).

Change: the digest counts as the last of a request's segments in the same tracker, so evidence, answers, objections, holds and probes of all entries cover plain requests and whole prompts. A request that was answered before needs three crashes, a segment still six. Answered requests are remembered apart from segments, since they are far more. 256 segments may be held in place of 32, of which the 32 wanted last are reported; the one nobody sends for makes room.

--- a/internal/gateway/entry/crashes.go
+++ b/internal/gateway/entry/crashes.go
@@ -9,16 +9,16 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
 )
 
-// maxCrashChecks is the number of attempts that wait for a check of their engine.
+// maxCrashChecks is the number of attempts that wait for a check of their upstream.
 const maxCrashChecks = 256
 
-// crashCheck is an attempt that its engine ended before it was proven.
+// crashCheck is an attempt that its upstream ended before it was proven.
 type crashCheck struct {
-	attempt *quarantine.Attempt
-	engine  string
-	address string
-	at      time.Time
-	suspect bool // its answer had begun
+	attempt  *quarantine.Attempt
+	upstream string
+	address  string
+	at       time.Time
+	suspect  bool // it may have begun to run
 }
 
 // isBroken reports whether err is that of a connection which its other end closed or reset.
@@ -26,28 +26,34 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// checkCrash makes crashLoop find out whether an engine has crashed under the attempt.
-func (es *engineStream) checkCrash(err error, suspect bool) {
-	if !isBroken(err) || es.c.ctx.Err() != nil || es.watch.Proven() || es.watch.Aborted() {
+// checkCrash makes crashLoop find out whether the upstream has crashed under an attempt that failed.
+func (c *call) checkCrash(k crashCheck, err error) {
+	if !isBroken(err) || c.ctx.Err() != nil || k.attempt.Proven() || k.attempt.Aborted() {
 		return
 	}
-	name, address := es.ticket.Engine()
+	k.at = time.Now()
 	select {
-	case es.c.s.crashChecks <- crashCheck{attempt: es.watch, engine: name, address: address, at: time.Now(), suspect: suspect}:
+	case c.s.crashChecks <- k:
 	default:
-		es.c.s.log.Warn("Too many attempts broke off; not checking the engine.", "id", es.c.req.ID, "upstream", name)
+		c.s.log.Warn("Too many attempts broke off; not checking the upstream.", "id", c.req.ID, "upstream", k.upstream)
 	}
 }
 
-// crashLoop reports the attempts to the quarantine whose engines can't be connected to any more.
-// Other engines have only lost the connection.
+// checkCrash is that of the call for the engine that generates the answer.
+func (es *engineStream) checkCrash(err error, suspect bool) {
+	name, address := es.ticket.Engine()
+	es.c.checkCrash(crashCheck{attempt: es.watch, upstream: name, address: address, suspect: suspect}, err)
+}
+
+// crashLoop reports the attempts to the quarantine whose upstreams can't be connected to any more.
+// Other upstreams have only lost the connection.
 func (s *Server) crashLoop() {
 	defer s.tasks.Done()
 	for {
 		select {
 		case k := <-s.crashChecks:
 			if s.reach.IsUnreachable(k.address) || !s.reach.Try(s.ctx, k.address) {
-				k.attempt.Crashed(k.engine, k.at, k.suspect)
+				k.attempt.Crashed(k.upstream, k.at, k.suspect)
 			}
 		case <-s.ctx.Done():
 			return
--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -88,7 +88,7 @@
 // stream that it is to relieve, if any, goes on. Errors are those of Place, reserve and attempt.
 func (c *call) startOnEngine(after splitter, timing eventTiming, silent *engineStream) (*engineStream, platform.Answer, error) {
 	ctx, cancel := context.WithCancel(c.ctx)
-	watch, held := c.s.quarantine.Watch(c.req.Segments, cancel)
+	watch, held := c.s.quarantine.Watch(c.req.Segments, c.digest, cancel)
 	if watch == nil {
 		cancel()
 		return nil, platform.Answer{}, fail("admit", KindHeld, fmt.Errorf("engines crash on segment %s", held))
--- a/internal/gateway/entry/handle.go
+++ b/internal/gateway/entry/handle.go
@@ -148,7 +148,7 @@
 		s: s, callerReq: cloneRequest(&ctx.Request), req: req, route: r, service: r.Service(req.ID), workspace: workspace, version: t.Version(),
 		arrived: arrived, tried: map[string]bool{},
 	}
-	c.digest = digest(c.callerReq, workspace)
+	c.digest = c.makeDigest()
 	if svc := t.Service(c.service); svc != nil {
 		c.engine = svc.Engine
 	}
@@ -165,11 +165,13 @@
 	return c
 }
 
-// digest identifies what a server gets of a request, whoever's attempt it is: a request that is sent
-// again has the same one.
-func digest(req *fasthttp.Request, workspace string) segment.ID {
+// makeDigest returns an ID of what an upstream gets of the request, whoever's attempt it is: a request
+// that is sent again has the same one.
+func (c *call) makeDigest() segment.ID {
+	r := c.callerReq
+	own := binary.BigEndian.AppendUint64(nil, uint64(c.req.OwnSegment))
 	h := xxh3.New()
-	for _, part := range [][]byte{[]byte(workspace), req.Header.Method(), req.Header.Host(), req.Header.RequestURI(), req.Body()} {
+	for _, part := range [][]byte{[]byte(c.workspace), r.Header.Method(), r.Header.Host(), r.Header.RequestURI(), own, r.Body()} {
 		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part)))) // writing to a hash can't fail
 		_, _ = h.Write(part)
 	}
--- a/internal/gateway/entry/plain.go
+++ b/internal/gateway/entry/plain.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -10,6 +11,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/route"
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/plain"
 	"github.com/dogwoodmill/dogwoodmill/platform"
@@ -60,33 +62,19 @@
 		}
 	}
 	for {
-		k := c.s.sched.Pick(c.service, c.tried)
-		if k == nil {
-			c.endPlain(ctx, fallback, fail("pick", KindRefused, errNoServer))
-			return
-		}
-		c.tried[k.Name()] = true
-		c.s.log.Info("Sent.", "id", c.req.ID, "digest", c.digest, "workspace", c.workspace, "route", c.route.Name, "upstream", k.Name(), "once", c.route.Repeat != route.Idempotent,
-			"left_ms", c.remaining().Milliseconds())
-		sent := time.Now()
-		a, err := c.fetch(k)
-		c.s.sched.DonePick(c.service, k, c.outcome(a, err))
+		a, err := c.ask()
 		switch {
 		case err == nil && a.failed() && c.takePlainRetry(fail("answer", KindUnknown, nil)):
-			c.s.log.Warn("A server failed.", "id", c.req.ID, "upstream", k.Name(), "status", a.status())
+			c.s.log.Warn("A server failed.", "id", c.req.ID, "upstream", a.upstream, "status", a.status())
 			drop()
 			fallback = a
-			continue
 		case err == nil:
 			drop()
 			c.relay(ctx, a)
 			return
-		}
-		c.s.log.Warn("A server did not answer.", "id", c.req.ID, "digest", c.digest, "upstream", k.Name(), "took_ms", time.Since(sent).Milliseconds(), "err", err)
-		if fault.Is(err, KindUnsent) {
-			c.unsent = append(c.unsent, k.Name())
-		}
-		switch {
+		case fault.Is(err, KindRefused) || fault.Is(err, KindHeld):
+			c.endPlain(ctx, fallback, err)
+			return
 		case c.takePlainRetry(err):
 		case fallback == nil && c.expectsServers() && c.takeLaterRetry(err):
 			pause.For(c.ctx, takeoverRetryDelay)
@@ -98,6 +86,39 @@
 	}
 }
 
+// ask sends the request to a server and returns its answer. The kind of an error is KindRefused if there
+// is no server, KindHeld if servers crash on the request, or that of fetch.
+func (c *call) ask() (*plainAnswer, error) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel() // by then the body is complete, or of no use
+	watch, held := c.s.quarantine.Watch(nil, c.digest, cancel)
+	if watch == nil {
+		return nil, fail("admit", KindHeld, fmt.Errorf("servers crash on request %s", held))
+	}
+	k := c.s.sched.Pick(c.service, c.tried)
+	if k == nil {
+		watch.End(false)
+		return nil, fail("pick", KindRefused, errNoServer)
+	}
+	c.tried[k.Name()] = true
+	c.s.log.Info("Sent.", "id", c.req.ID, "digest", c.digest, "workspace", c.workspace, "route", c.route.Name, "upstream", k.Name(), "once", c.route.Repeat != route.Idempotent,
+		"left_ms", c.remaining().Milliseconds())
+	sent := time.Now()
+	watch.Sent()
+	a, err := c.fetch(ctx, cancel, k)
+	c.s.sched.DonePick(c.service, k, c.outcome(watch, a, err))
+	watch.End(err == nil && !a.failed())
+	if err == nil {
+		return a, nil
+	}
+	c.checkCrash(crashCheck{attempt: watch, upstream: k.Name(), address: k.Address(), suspect: true}, err)
+	c.s.log.Warn("A server did not answer.", "id", c.req.ID, "digest", c.digest, "upstream", k.Name(), "took_ms", time.Since(sent).Milliseconds(), "err", err)
+	if fault.Is(err, KindUnsent) {
+		c.unsent = append(c.unsent, k.Name())
+	}
+	return nil, heldOr(watch, err)
+}
+
 // expectsServers reports whether a request that may have run, and so can't be refused, has time left to
 // ask the servers again that took no connection: a sound one may be silent for a moment.
 func (c *call) expectsServers() bool {
@@ -120,17 +141,19 @@
 // endPlain relays fallback, a server's 5xx answer, or refuses if it is nil.
 func (c *call) endPlain(ctx *fasthttp.RequestCtx, fallback *plainAnswer, err error) {
 	if fallback == nil {
-		c.refuse(ctx, err, plainRetryAfter)
+		after := plainRetryAfter
+		if fault.Is(err, KindHeld) {
+			after = heldRetryAfter
+		}
+		c.refuse(ctx, err, after)
 		return
 	}
 	c.s.log.Info("No other server answered better; relaying a failure.", "id", c.req.ID, "err", err)
 	c.relay(ctx, fallback)
 }
 
-// fetch sends the request to a server and reads the complete answer.
-func (c *call) fetch(k *plain.Pick) (*plainAnswer, error) {
-	ctx, cancel := context.WithCancel(c.ctx)
-	defer cancel() // by then the body is complete, or of no use
+// fetch sends the request to a server and reads the complete answer. cancel ends ctx.
+func (c *call) fetch(ctx context.Context, cancel context.CancelFunc, k *plain.Pick) (*plainAnswer, error) {
 	limit := c.remaining()
 	if c.mayAskAnother(c.sends+1, c.maybeRan+1) {
 		stop := c.giveUpAfter(min(limit, max(minAttemptTime, time.Duration(attemptShare*float64(limit)))), cancel)
@@ -184,13 +207,13 @@
 	}
 }
 
-func (c *call) outcome(a *plainAnswer, err error) plain.Outcome {
+func (c *call) outcome(watch *quarantine.Attempt, a *plainAnswer, err error) plain.Outcome {
 	switch {
 	case err == nil && a.failed():
 		return plain.Failed
 	case err == nil:
 		return plain.Answered
-	case c.callerGone.Load():
+	case c.callerGone.Load() || watch.Aborted():
 		return plain.CallerLeft
 	default:
 		return plain.Failed
--- a/internal/gateway/entry/poison_test.go
+++ b/internal/gateway/entry/poison_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/zeebo/xxh3"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/server"
 )
@@ -96,7 +98,7 @@
 	env.t.Helper()
 	req := env.requestAt(entry, http.MethodPost, path)
 	req.Header.Set("X-Attempt-Id", id)
-	req.Header.Set("X-Prompt-Prefix", id+":500")
+	req.Header.Set("X-Prompt-Prefix", fmt.Sprintf("%x:500", xxh3.HashString(body)))
 	req.Body, req.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
 	return env.do(req)
 }
@@ -119,6 +121,9 @@
 			for i := range repeats {
 				is.True(env.post(entries[i%2], fmt.Sprintf("%x", i), c.path, deadlyBody).status != http.StatusOK)
 			}
+			env.await(func() bool { // the last one to run it may not have crashed yet
+				return !slices.ContainsFunc(list, func(s *server.Server) bool { return len(s.Runs()) > 0 && !s.Crashed() })
+			})
 			t.Logf("%d servers crashed", crashes(list))
 			is.True(crashes(list) <= maxRequestCrashes+maxSendsBeyond)
 			for i := range repeats { // sound ones of the same caller and path
--- a/internal/prompt/quarantine/crash.go
+++ b/internal/prompt/quarantine/crash.go
@@ -7,16 +7,17 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/segment"
 )
 
-// Crash is the end of an engine's process under prompts that had no event yet.
+// Crash is the end of an upstream's process under requests without an answer. Each is given by its
+// segments, of which the last one is its digest.
 type Crash struct {
 	Engine     string
 	At         time.Time
-	SentAt     time.Time      // when the latest of the prompts was sent
-	Suspects   []segment.List // prompts whose answers had begun
+	SentAt     time.Time      // when the latest of the requests was sent
+	Suspects   []segment.List // requests that may have begun to run
 	Bystanders []segment.List // prompts that were still read
 }
 
-// blamed returns the prompts that the crash speaks against: bystanders only without suspects.
+// blamed returns the requests that the crash speaks against: bystanders only without suspects.
 func (c *Crash) blamed() []segment.List {
 	if len(c.Suspects) > 0 {
 		return c.Suspects
@@ -24,7 +25,7 @@
 	return c.Bystanders
 }
 
-// score returns how much the crash speaks against each segment of the blamed prompts.
+// score returns how much the crash speaks against each segment of the blamed requests.
 func (c *Crash) score() int {
 	if len(c.Suspects) > 0 {
 		return suspectScore
@@ -33,7 +34,7 @@
 }
 
 // isApart reports whether the crash has another cause than one at an earlier time may have: a failure
-// domain that is lost takes its engines down together, whatever they run.
+// domain that is lost takes its upstreams down together, whatever they run.
 func (c *Crash) isApart(earlier time.Time) bool {
 	return c.At.Sub(earlier) >= crashSpacing || c.SentAt.After(earlier)
 }
@@ -59,7 +60,7 @@
 	return list, true
 }
 
-// union returns the prompts of both lists, as many as have maxSegmentsPerCrash segments. Neither
+// union returns the requests of both lists, as many as have maxSegmentsPerCrash segments. Neither
 // list is changed.
 func union(a, b []segment.List) []segment.List {
 	out, size := slices.Clone(a), 0
--- a/internal/prompt/quarantine/report.go
+++ b/internal/prompt/quarantine/report.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -14,7 +15,7 @@
 	Term    uint64
 }
 
-// Answer tells when a prompt with a segment was last answered.
+// Answer tells when a request with a segment was last answered.
 type Answer struct {
 	Segment segment.ID
 	At      time.Time
@@ -27,8 +28,8 @@
 	Verdicts []Verdict
 }
 
-// Report returns what the other entries are to know. It is empty unless engines crashed lately or
-// prompts with held segments come.
+// Report returns what the other entries are to know. It is empty unless upstreams crashed lately or
+// requests with held segments come.
 func (q *Tracker) Report() Report {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -36,20 +37,33 @@
 	q.own = slices.DeleteFunc(q.own, func(c Crash) bool { return now.Sub(c.At) > reportTTL })
 	r := Report{Crashes: slices.Clone(q.own[max(0, len(q.own)-maxReportedCrashes):])}
 	questioned := q.questioned(now.Add(-reportTTL))
-	for _, id := range slices.Sorted(maps.Keys(q.verdicts)) {
-		if v := q.verdicts[id]; now.Before(v.reportEnd) {
-			r.Verdicts = append(r.Verdicts, Verdict{Segment: id, Term: v.term})
-			questioned[id] = true
-		}
+	for _, id := range q.wantedVerdicts(now) {
+		r.Verdicts = append(r.Verdicts, Verdict{Segment: id, Term: q.term(id)})
+		questioned[id] = true
 	}
 	for _, id := range slices.Sorted(maps.Keys(questioned)) {
-		if at := q.answered.at(id); !at.IsZero() && len(r.Answers) < maxReportedAnswers {
+		if at := q.seenAnswered(id); !at.IsZero() && len(r.Answers) < maxReportedAnswers {
 			r.Answers = append(r.Answers, Answer{Segment: id, At: at})
 		}
 	}
 	return r
 }
 
+// wantedVerdicts returns the segments whose verdicts are reported, those that requests came for last
+// if there are too many. q.mu must be held.
+func (q *Tracker) wantedVerdicts(now time.Time) []segment.ID {
+	var out []segment.ID
+	for id, v := range q.verdicts {
+		if now.Before(v.reportEnd) {
+			out = append(out, id)
+		}
+	}
+	slices.SortFunc(out, func(a, b segment.ID) int {
+		return cmp.Or(q.verdicts[b].reportEnd.Compare(q.verdicts[a].reportEnd), cmp.Compare(a, b))
+	})
+	return out[:min(len(out), maxReportedVerdicts)]
+}
+
 // Merge takes in the report of another entry.
 func (q *Tracker) Merge(r Report) {
 	if len(r.Crashes)+len(r.Answers)+len(r.Verdicts) == 0 {
@@ -107,9 +121,15 @@
 	if reversed {
 		v.Term++
 	}
+	if q.verdicts[v.Segment] == nil {
+		if !q.hasRoom() {
+			return false // those that are held here were learned first-hand, or earlier
+		}
+		q.makeRoom()
+	}
 	own := q.setTerm(v.Segment, v.Term, now)
-	if own != nil && reversed {
+	if reversed {
 		own.reportEnd = now.Add(holdTTL)
 	}
-	return own != nil
+	return true
 }
--- a/internal/prompt/quarantine/tracker.go
+++ b/internal/prompt/quarantine/tracker.go
@@ -1,11 +1,13 @@
-// Package quarantine finds the segments of prompts on which engines crash, and holds prompts with
-// such a segment back. Without it each of these prompts takes down one engine after the other, as
-// it is sent again, and with them the streams of all others there.
+// Package quarantine finds the requests, and the segments of prompts, on which upstreams crash, and
+// holds them back. Without it each of these requests takes down one upstream after the other, as
+// it is sent again, and with them the answers of all others there.
 //
-// An engine that crashes had prompts without an event: suspects, whose answers had begun, and
-// bystanders, which were still read. Held are the fewest segments that all crashes have in common
-// and that no prompt was answered with since. Entries report to each other the crashes that they
-// saw, which of the segments in question they have seen answered, and which they hold.
+// An upstream that crashes had requests without an answer: suspects, which may have begun to run, and
+// bystanders, prompts that were still read. A request counts as the last of its own segments, since
+// one that is sent again has it in common with the first. Held are the fewest segments that all
+// crashes have in common and that no request was answered with since. Entries report to each other
+// the crashes that they saw, which of the segments in question they have seen answered, and which
+// they hold.
 package quarantine
 
 import (
@@ -22,15 +24,17 @@
 
 const (
 	// A segment is held from heldScore on: two crashes as a suspect, three as a bystander. One
-	// that was answered lately needs answeredScore since then: engines may have changed.
-	suspectScore   = 3
-	bystanderScore = 2
-	heldScore      = 6
-	answeredScore  = 18
-	// crashSpacing is the time within which crashes count as one, unless the prompt was sent after
+	// that was answered lately needs answeredScore since then, or answeredRequestScore if it is a
+	// whole request, which fewer callers miss: upstreams may have changed.
+	suspectScore         = 3
+	bystanderScore       = 2
+	heldScore            = 6
+	answeredRequestScore = 9
+	answeredScore        = 18
+	// crashSpacing is the time within which crashes count as one, unless the request was sent after
 	// the first.
 	crashSpacing = 25 * time.Millisecond
-	// sameCrash is the time within which entries see one crash of an engine.
+	// sameCrash is the time within which entries see one crash of an upstream.
 	sameCrash = time.Second
 	// settleDelay lets other entries report that they have seen a segment answered.
 	settleDelay = 40 * time.Millisecond
@@ -43,11 +47,11 @@
 	reportTTL = 2 * time.Second
 	// reportSkew is the error of a time in a report: the transit of a message.
 	reportSkew = 50 * time.Millisecond
-	// holdTTL is how long an entry reports a held segment after the last prompt with it, and how
+	// holdTTL is how long an entry reports a held segment after the last request with it, and how
 	// long the segment stays held at entries after that.
 	holdTTL = 10 * time.Minute
 	// The first probe of a held segment comes no sooner than minProbeDelay, and all entries
-	// together send about one in meanProbeDelay: each may cost an engine.
+	// together send about one in meanProbeDelay: each may cost an upstream.
 	minProbeDelay  = 5 * time.Minute
 	meanProbeDelay = 10 * time.Minute
 
@@ -55,7 +59,8 @@
 	maxCrashes          = 128
 	maxReportedCrashes  = 16
 	maxSegmentsPerCrash = 64
-	maxVerdicts         = 32
+	maxVerdicts         = 256
+	maxReportedVerdicts = 32
 	maxReportedAnswers  = 64
 	maxReported         = 4096    // segments whose answers other entries reported
 	maxTerm             = 1 << 40 // of a verdict that another entry reports
@@ -72,12 +77,13 @@
 	Log     *log.Logger
 }
 
-// Tracker tracks the segments of one entry's prompts. It is safe for concurrent use.
+// Tracker tracks one entry's requests and their segments. It is safe for concurrent use.
 type Tracker struct {
 	cfg Settings
 
 	mu       sync.Mutex
-	answered answers                  // seen by this entry
+	answered answers                  // segments, seen by this entry
+	requests answers                  // the same of requests, of which there are far more
 	reported map[segment.ID]time.Time // latest answers seen by other entries, of segments in question
 	own      []Crash                  // seen by this entry, oldest first
 	crashes  []Crash                  // seen by any entry
@@ -92,7 +98,7 @@
 	changedAt time.Time
 	probeAt   time.Time
 	forgetAt  time.Time
-	reportEnd time.Time // while prompts with the segment come here
+	reportEnd time.Time // while requests with the segment come here
 }
 
 func (v *verdict) held() bool { return v.term%2 == 1 }
@@ -102,7 +108,7 @@
 	return &Tracker{cfg: cfg, reported: map[segment.ID]time.Time{}, verdicts: map[segment.ID]*verdict{}, unproven: map[*Attempt]struct{}{}}
 }
 
-// nextProbe returns when this entry may send a prompt with a held segment.
+// nextProbe returns when this entry may send a request with a held segment.
 func (q *Tracker) nextProbe(now time.Time) time.Time {
 	spread := 2 * meanProbeDelay * time.Duration(max(1, q.cfg.Entries()))
 	return now.Add(minProbeDelay + time.Duration(q.cfg.Rand()*float64(spread)))
@@ -122,10 +128,10 @@
 	return out
 }
 
-// Attempt is a prompt at an engine. Its methods may be called from any goroutine.
+// Attempt is a request at an upstream. Its methods may be called from any goroutine.
 type Attempt struct {
 	tracker  *Tracker
-	segments segment.List
+	segments segment.List // the last one is the request's digest
 	abort    func()
 	sentAt   time.Time
 	firstAt  time.Time
@@ -133,13 +139,14 @@
 	aborted  bool
 }
 
-// Watch starts the attempt of a prompt, before it is placed. It returns the first segment that is
-// held, if any, and then no attempt; once in a while it passes one, as a probe. abort is called if
-// a segment of the prompt is held before the first event of the answer.
-func (q *Tracker) Watch(list segment.List, abort func()) (a *Attempt, held segment.ID) {
+// Watch starts the attempt of a request with the given segments and digest, before it is placed. It
+// returns the first one that is held, if any, and then no attempt; once in a while it passes one, as
+// a probe. abort is called if one of them is held before the first event of the answer.
+func (q *Tracker) Watch(list segment.List, digest segment.ID, abort func()) (a *Attempt, held segment.ID) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.cfg.Now()
+	list = append(slices.Clone(list), digest)
 	for _, id := range list {
 		if !q.passes(id, now) {
 			return nil, id
@@ -150,7 +157,7 @@
 	return a, segment.None
 }
 
-// passes reports whether prompts with the segment are not held, or one is due as a probe. q.mu
+// passes reports whether requests with the segment are not held, or one is due as a probe. q.mu
 // must be held.
 func (q *Tracker) passes(id segment.ID, now time.Time) bool {
 	v := q.verdicts[id]
@@ -162,11 +169,11 @@
 		return false
 	}
 	v.probeAt = q.nextProbe(now)
-	q.cfg.Log.Info("Sending a prompt with a held segment as a probe.", "segment", id)
+	q.cfg.Log.Info("Sending a request with a held segment as a probe.", "segment", id)
 	return true
 }
 
-// Sent records that the prompt is sent to an engine.
+// Sent records that the request is sent to an upstream.
 func (a *Attempt) Sent() {
 	a.tracker.mu.Lock()
 	defer a.tracker.mu.Unlock()
@@ -197,7 +204,7 @@
 	delete(q.unproven, a)
 }
 
-// Proven reports whether the answer has shown that the engine does not crash on the prompt.
+// Proven reports whether the answer has shown that the upstream does not crash on the request.
 func (a *Attempt) Proven() bool {
 	a.tracker.mu.Lock()
 	defer a.tracker.mu.Unlock()
@@ -211,15 +218,13 @@
 	return a.aborted
 }
 
-// Crashed records that the engine crashed under the attempt. suspect is set if its answer had begun.
+// Crashed records that the upstream crashed under the attempt. suspect is set if the request may have
+// begun to run.
 func (a *Attempt) Crashed(engine string, at time.Time, suspect bool) {
-	if len(a.segments) == 0 {
-		return
-	}
 	q := a.tracker
 	q.mu.Lock()
 	c := Crash{Engine: engine, At: at, SentAt: a.sentAt}
-	list := []segment.List{a.segments[:min(len(a.segments), maxSegmentsPerCrash)]}
+	list := []segment.List{a.segments[max(0, len(a.segments)-maxSegmentsPerCrash):]}
 	if suspect {
 		c.Suspects = list
 	} else {
@@ -232,20 +237,34 @@
 	q.cfg.Changed()
 }
 
-// prove records that a prompt was answered. q.mu must be held.
+// prove records that a request was answered. q.mu must be held.
 func (q *Tracker) prove(a *Attempt, now time.Time) {
 	a.proven = true
 	delete(q.unproven, a)
-	for _, id := range a.segments {
-		q.answered.add(id, now)
+	last := len(a.segments) - 1
+	for i, id := range a.segments {
+		if i < last {
+			q.answered.add(id, now)
+		} else {
+			q.requests.add(id, now)
+		}
 		q.release(id, now)
 	}
 }
 
-// lastAnswered returns when a prompt with the segment was last answered, or zero. q.mu must be
+// seenAnswered returns when this entry last saw a request with the segment answered, or zero. q.mu must
+// be held.
+func (q *Tracker) seenAnswered(id segment.ID) time.Time {
+	if at := q.answered.at(id); !at.IsZero() {
+		return at
+	}
+	return q.requests.at(id)
+}
+
+// lastAnswered returns when a request with the segment was last answered, or zero. q.mu must be
 // held.
 func (q *Tracker) lastAnswered(id segment.ID) time.Time {
-	at := q.answered.at(id)
+	at := q.seenAnswered(id)
 	if other := q.reported[id]; other.After(at) {
 		at = other
 	}
@@ -259,36 +278,46 @@
 type blame struct {
 	id       segment.ID
 	score    int
-	need     int       // score from which it is held
 	since    time.Time // latest answer; zero: none is known
-	position int       // in the prompts, the last one
+	position int       // in the requests, the last one
+	whole    bool      // it is the digest of the requests
 	open     bool      // no other held segment explains one of the crashes
 	last     time.Time // latest crash
 }
 
-func (b *blame) suffices() bool { return b.open && b.score >= b.need }
+// need returns the score from which the segment is held.
+func (b *blame) need() int {
+	switch {
+	case b.since.IsZero():
+		return heldScore
+	case b.whole:
+		return answeredRequestScore
+	default:
+		return answeredScore
+	}
+}
+
+func (b *blame) suffices() bool { return b.open && b.score >= b.need() }
 
-// compare orders segments by what speaks against them. Of those that are in the same prompts, the
-// one comes first that fewer other prompts have.
+// compare orders segments by what speaks against them. Of those that are in the same requests, the
+// one comes first that fewer other requests have.
 func (b *blame) compare(o *blame) int {
 	return cmp.Or(cmp.Compare(o.score, b.score), cmp.Compare(o.position, b.position), cmp.Compare(b.id, o.id))
 }
 
 // newBlame returns the blame of a segment that no crash speaks against yet. q.mu must be held.
 func (q *Tracker) newBlame(id segment.ID) *blame {
-	b := &blame{id: id, need: heldScore, since: q.lastAnswered(id)}
-	if !b.since.IsZero() {
-		b.need = answeredScore
-	}
-	return b
+	return &blame{id: id, since: q.lastAnswered(id)}
 }
 
-// add counts a crash after which no prompt with the segment was answered.
-func (b *blame) add(c *Crash, position int, explained bool) {
+// add counts a crash under a request that has the segment at a position, after which no request with it
+// was answered.
+func (b *blame) add(c *Crash, request segment.List, position int, explained bool) {
 	if !c.At.After(b.since) || !c.isApart(b.last) {
 		return
 	}
 	b.score, b.position, b.last = b.score+c.score(), max(b.position, position), c.At
+	b.whole = position == len(request)-1
 	b.open = b.open || !explained
 }
 
@@ -300,14 +329,14 @@
 		c := &q.crashes[i]
 		for _, list := range c.blamed() {
 			if at := slices.Index(list, id); at >= 0 {
-				b.add(c, at, q.isExplained(c, id))
+				b.add(c, list, at, q.isExplained(c, id))
 			}
 		}
 	}
 	return b
 }
 
-// isExplained reports whether a prompt that a crash speaks against has a held segment other than
+// isExplained reports whether a request that a crash speaks against has a held segment other than
 // the given one. q.mu must be held.
 func (q *Tracker) isExplained(c *Crash, other segment.ID) bool {
 	for _, list := range c.blamed() {
@@ -334,11 +363,10 @@
 			q.settleLater()
 			return
 		}
-		v := q.setTerm(worst.id, q.term(worst.id)+1, now)
-		if v == nil {
-			return
+		if q.verdicts[worst.id] == nil {
+			q.makeRoom()
 		}
-		v.reportEnd = now.Add(holdTTL)
+		q.setTerm(worst.id, q.term(worst.id)+1, now).reportEnd = now.Add(holdTTL)
 	}
 }
 
@@ -353,7 +381,7 @@
 				if all[id] == nil {
 					all[id] = q.newBlame(id)
 				}
-				all[id].add(c, at, explained)
+				all[id].add(c, list, at, explained)
 			}
 		}
 	}
@@ -408,21 +436,16 @@
 	return 0
 }
 
-// setTerm sets the state of a segment, held if the term is odd, and returns it, or nil if too many
-// segments are held. q.mu must be held.
+// setTerm sets the state of a segment, held if the term is odd, and returns it. q.mu must be held.
 func (q *Tracker) setTerm(id segment.ID, term uint64, now time.Time) *verdict {
 	v := q.verdicts[id]
 	if v == nil {
-		if !q.hasRoom() {
-			q.cfg.Log.Error("Too many segments are held.", "segment", id, "held", len(q.verdicts))
-			return nil
-		}
 		v = &verdict{}
 		q.verdicts[id] = v
 	}
 	v.term, v.changedAt, v.forgetAt, v.probeAt = term, now, now.Add(2*holdTTL), q.nextProbe(now)
 	if !v.held() {
-		q.cfg.Log.Info("A segment is no longer held: a prompt with it was answered.", "segment", id, "term", term)
+		q.cfg.Log.Info("A segment is no longer held: a request with it was answered.", "segment", id, "term", term)
 		return v
 	}
 	aborted := 0
@@ -433,25 +456,42 @@
 			aborted++
 		}
 	}
-	q.cfg.Log.Warn("Engines crash on a segment; prompts with it are held back.", "segment", id, "term", term,
+	q.cfg.Log.Warn("Upstreams crash on a segment; requests with it are held back.", "segment", id, "term", term,
 		"score", q.blameOf(id).score, "answered_before", !q.lastAnswered(id).IsZero(), "aborted", aborted)
 	return v
 }
 
-// hasRoom reports whether there is room for a verdict. It evicts the one that nobody asked for the
-// longest among those that hold nothing. q.mu must be held.
+// hasRoom reports whether there is room for a verdict, if need be in place of one that holds nothing.
+// q.mu must be held.
 func (q *Tracker) hasRoom() bool {
 	if len(q.verdicts) < maxVerdicts {
 		return true
 	}
-	var oldest segment.ID
-	for id, v := range q.verdicts {
-		if o := q.verdicts[oldest]; !v.held() && (o == nil || v.forgetAt.Before(o.forgetAt)) {
-			oldest = id
+	_, v := q.leastWanted()
+	return !v.held()
+}
+
+// makeRoom evicts a verdict if there is no room for another one. q.mu must be held.
+func (q *Tracker) makeRoom() {
+	if len(q.verdicts) < maxVerdicts {
+		return
+	}
+	id, v := q.leastWanted()
+	if v.held() {
+		q.cfg.Log.Warn("Too many segments are held; one is no longer.", "segment", id, "held", len(q.verdicts))
+	}
+	delete(q.verdicts, id)
+}
+
+// leastWanted returns the verdict that nobody asked for the longest, of those that hold nothing if
+// there is one. q.mu must be held.
+func (q *Tracker) leastWanted() (id segment.ID, least *verdict) {
+	for i, v := range q.verdicts {
+		if least == nil || least.held() && !v.held() || least.held() == v.held() && v.forgetAt.Before(least.forgetAt) {
+			id, least = i, v
 		}
 	}
-	delete(q.verdicts, oldest)
-	return len(q.verdicts) < maxVerdicts
+	return id, least
 }
 
 // release ends the hold of a segment if answers speak for it. q.mu must be held.
--- a/internal/prompt/quarantine/tracker_test.go
+++ b/internal/prompt/quarantine/tracker_test.go
@@ -23,6 +23,16 @@
 	passTime = 60 * time.Millisecond
 )
 
+// lastDigest is the digest of the latest request; segments of tests are below.
+var lastDigest = segment.ID(1 << 60)
+
+// watch starts an attempt of a request that differs from all others.
+func (q *Tracker) watch(list segment.List, abort func()) *Attempt {
+	lastDigest++
+	a, _ := q.Watch(list, lastDigest, abort)
+	return a
+}
+
 // fleet is a number of trackers, each of which gets the reports of all others.
 type fleet []*Tracker
 
@@ -57,13 +67,21 @@
 func (q *Tracker) crash(engine string, suspect bool, prompts ...segment.List) {
 	now := time.Now()
 	for _, list := range prompts {
-		if a, _ := q.Watch(list, func() {}); a != nil {
+		if a := q.watch(list, func() {}); a != nil {
 			a.Crashed(engine, now, suspect)
 			a.End(false)
 		}
 	}
 }
 
+// crashUnder lets an upstream crash under a request that may have begun to run.
+func (q *Tracker) crashUnder(upstream string, digest segment.ID, segments ...segment.ID) {
+	if a, _ := q.Watch(segments, digest, func() {}); a != nil {
+		a.Crashed(upstream, time.Now(), true)
+		a.End(false)
+	}
+}
+
 // crashTwice lets two engines crash under a prompt as a suspect, and waits until that is weighed.
 func (q *Tracker) crashTwice(list segment.List) {
 	for i := range 2 {
@@ -75,7 +93,7 @@
 
 // answer answers a prompt and reports whether it was sent.
 func (q *Tracker) answer(list ...segment.ID) bool {
-	a, _ := q.Watch(list, func() {})
+	a := q.watch(list, func() {})
 	if a != nil {
 		a.End(true)
 	}
@@ -109,6 +127,106 @@
 	})
 }
 
+// One request of a caller crashes upstreams, and is sent again by the entry and the caller. Holding a
+// segment that others share with it would take from them what only this one does.
+func TestRepeatedRequestIsHeldWithoutItsSegments(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2)
+		const digest = segment.ID(7)
+		for i, q := range f {
+			time.Sleep(passTime)
+			q.crashUnder(fmt.Sprint(i), digest, shared)
+			f.exchange()
+		}
+		settle()
+		for _, q := range f {
+			is.Equal(q.HeldSegments(), segment.List{digest})
+			is.True(q.answer(shared))
+		}
+	})
+}
+
+// A request that was answered before crashes upstreams since they changed. The users accept three
+// crashes, where a segment that many callers share takes six.
+func TestOnceAnsweredRequestIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := newFleet(1)[0]
+		const digest = segment.ID(7)
+		a, _ := q.Watch(nil, digest, func() {})
+		a.End(true)
+		for i := range 3 {
+			is.Equal(q.HeldSegments(), segment.List{})
+			time.Sleep(passTime)
+			q.crashUnder(fmt.Sprint(i), digest)
+		}
+		settle()
+		is.Equal(q.HeldSegments(), segment.List{digest})
+	})
+}
+
+// Sound requests that callers send all the time are in progress at each upstream that another one
+// crashes; an answer in between, at any entry, shows that they are sound.
+func TestRepeatedSoundRequestIsNotHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2)
+		const digest, sound = segment.ID(7), segment.ID(8)
+		for i := range 2 {
+			time.Sleep(passTime)
+			a, _ := f[1].Watch(nil, sound, func() {})
+			a.End(true)
+			f[0].crashUnder(fmt.Sprint(i), sound)
+			f[0].crashUnder(fmt.Sprint(i), digest)
+			f.exchange()
+		}
+		settle()
+		is.Equal(f[0].HeldSegments(), segment.List{digest})
+	})
+}
+
+// A sound request was lost with the deadly one at both upstreams that crashed, and is held in its place.
+// The next crash must hold the deadly one.
+func TestWrongVerdictIsFollowedByTheRightOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := newFleet(1)[0]
+		const digest, sound = segment.ID(8), segment.ID(7)
+		for i := range 2 {
+			time.Sleep(passTime)
+			q.crashUnder(fmt.Sprint(i), digest)
+			q.crashUnder(fmt.Sprint(i), sound)
+		}
+		settle()
+		is.Equal(q.HeldSegments(), segment.List{sound})
+		q.crashUnder("third", digest)
+		settle()
+		is.Equal(q.HeldSegments(), segment.List{sound, digest})
+	})
+}
+
+// More requests crash upstreams than can be held. The latest ones are, in place of those that no one
+// sends any more.
+func TestLatestRequestsAreHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2)
+		for i := range segment.ID(maxVerdicts + 10) {
+			for n := range 2 {
+				time.Sleep(passTime)
+				f[0].crashUnder(fmt.Sprint(i, n), 100+i)
+			}
+			settle()
+			f.exchange()
+			for _, q := range f {
+				_, held := q.Watch(nil, 100+i, func() {})
+				is.Equal(held, 100+i)
+			}
+		}
+	})
+}
+
 // Sound prompts are lost with the engines that others crash, also the same ones several times.
 func TestBystandersAreNotHeld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -163,8 +281,8 @@
 			f := newFleet(n)
 			is.True(f[3].answer(shared)) // the others have not seen it answered
 			aborted := 0
-			_, _ = f[2].Watch(segment.List{shared, deadly}, func() { aborted++ })
-			_, _ = f[2].Watch(segment.List{shared, other}, func() { aborted += n })
+			f[2].watch(segment.List{shared, deadly}, func() { aborted++ })
+			f[2].watch(segment.List{shared, other}, func() { aborted += n })
 			for i := range 2 {
 				time.Sleep(passTime)
 				f[i].crash(fmt.Sprint(i), true, segment.List{shared, deadly})
@@ -230,7 +348,7 @@
 				is.True(!q.answer(deadly))
 			}
 			time.Sleep(2 * meanProbeDelay)
-			probe, _ := q.Watch(segment.List{deadly}, func() {})
+			probe := q.watch(segment.List{deadly}, func() {})
 			is.True(probe != nil)
 			is.True(!q.answer(deadly))
 			probe.Crashed("probe", time.Now(), true)
@@ -267,12 +385,13 @@
 			settle()
 		}
 		is.True(len(q.answered.current) <= maxAnswered+300)
+		is.True(len(q.requests.current) <= maxAnswered)
 		is.True(len(q.crashes) <= maxCrashes && len(q.own) <= maxCrashes)
 		is.True(len(q.verdicts) <= maxVerdicts)
 		is.True(len(q.reported) <= maxReported)
 		is.Equal(len(q.unproven), 0)
 		r := q.Report()
-		is.True(len(r.Crashes) <= maxReportedCrashes && len(r.Verdicts) <= maxVerdicts && len(r.Answers) <= maxReportedAnswers)
+		is.True(len(r.Crashes) <= maxReportedCrashes && len(r.Verdicts) <= maxReportedVerdicts && len(r.Answers) <= maxReportedAnswers)
 		for _, c := range r.Crashes {
 			size := 0
 			for _, list := range c.Suspects {
@@ -299,7 +418,7 @@
 				list := segment.List{first, segment.ID(rapid.IntRange(20, 40).Draw(rt, "second"))}
 				if rapid.IntRange(0, 3).Draw(rt, "deadly") > 0 {
 					q.answer(list...)
-				} else if a, _ := q.Watch(segment.List{first, deadly}, func() {}); a != nil {
+				} else if a := q.watch(segment.List{first, deadly}, func() {}); a != nil {
 					crashes++
 					a.Crashed(fmt.Sprint(i), time.Now(), rapid.Bool().Draw(rt, "begun"))
 					a.End(false)
