Give up a call of a service that may have run at three servers

Cause: in the project's own interface a repeatable call went on to the next server after any failure, until all servers of the service had had it. One that crashes what runs it takes down the whole service at once.

Evidence: TestCallThatCrashesServersIsGivenUp failed: 8 of 8 servers.

Change: a call that may have run at three servers is given up; the time for a try is a share of the tries that may follow. Servers that can't be connected to still cost nothing. After: 3 of 8.

Not changed: a caller that sends such a call again takes down three more, and prompts there are bounded by their attempts.

--- a/internal/caller/service/forward.go
+++ b/internal/caller/service/forward.go
@@ -20,6 +20,8 @@
 	// minTries is the minimum number of tries of a repeatable call, even if the
 	// service has fewer servers. Each try uses a new connection.
 	minTries = 2
+	// maxRuns is how many servers a repeatable call may run at: it may be what they fail of.
+	maxRuns = 3
 )
 
 var errNoServer = errors.New("the service has no server")
@@ -48,8 +50,8 @@
 	}
 }
 
-// send sends the call to the service's servers in turn until one answers. If none
-// does, sent reports whether any byte may have been sent. A call that is not
+// send sends the call to the service's servers in turn until one answers, or it may
+// have run at maxRuns of them. If none answers, sent reports whether any byte may have been sent. A call that is not
 // repeatable is retried only while no byte may have been sent. The time of a
 // repeatable call is split among its tries, so that a silent connection leaves time
 // for another.
@@ -62,15 +64,19 @@
 	if repeatable {
 		tries = max(tries, minTries)
 	}
+	runs := 0
 	first := int(h.nextServer.Add(1) % uint64(len(servers)))
 	for i := range tries {
 		u := servers[(first+i)%len(servers)]
-		if answer, err = h.exchange(ctx, c, u.Spec().Address, tryLimits(ctx, c, repeatable, tries-i)); err == nil {
+		if answer, err = h.exchange(ctx, c, u.Spec().Address, tryLimits(ctx, c, repeatable, min(tries-i, maxRuns-runs))); err == nil {
 			return answer, true, nil
 		}
 		h.log.Warn("A server did not answer.", "service", c.service.Name(), "upstream", u.Name(), "err", err)
-		sent = sent || !fault.Is(err, httpconn.KindUnsent)
-		if sent && !repeatable || ctx.Err() != nil {
+		if !fault.Is(err, httpconn.KindUnsent) {
+			runs++
+		}
+		sent = runs > 0
+		if sent && !repeatable || runs == maxRuns || ctx.Err() != nil {
 			break
 		}
 	}
--- a/internal/caller/service/handler_test.go
+++ b/internal/caller/service/handler_test.go
@@ -61,19 +61,23 @@
 	return near, nil
 }
 
-func serviceView(t *testing.T) *resource.View {
+// serviceView returns a view of a service with n servers, h:1 and so on.
+func serviceView(t *testing.T, n int) *resource.View {
 	t.Helper()
 	f := resource.NewFold()
-	for _, o := range []struct {
+	type object struct {
 		kind resource.Type
 		name string
 		spec any
-	}{
+	}
+	list := []object{
 		{resource.TypeService, "s", resource.ServiceSpec{}},
 		{resource.TypeWorkspace, "w", resource.WorkspaceSpec{Keys: []string{resource.HashKey("key")}}},
-		{resource.TypeUpstream, "u1", resource.UpstreamSpec{Address: "h:1", FailureDomain: "a", Service: "s"}},
-		{resource.TypeUpstream, "u2", resource.UpstreamSpec{Address: "h:2", FailureDomain: "a", Service: "s"}},
-	} {
+	}
+	for i := 1; i <= n; i++ {
+		list = append(list, object{resource.TypeUpstream, fmt.Sprint("u", i), resource.UpstreamSpec{Address: fmt.Sprint("h:", i), FailureDomain: "a", Service: "s"}})
+	}
+	for _, o := range list {
 		raw, err := json.Marshal(o.spec)
 		if err != nil {
 			t.Fatal(err)
@@ -120,7 +124,7 @@
 		{"POST", "refuses", "refuses", 503, `"ran":"no"`, "0 0"},
 	} {
 		t.Run(tt.method+" "+tt.second+" "+tt.first, func(t *testing.T) {
-			view := serviceView(t)
+			view := serviceView(t, 2)
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				s := &servers{modes: map[string]string{"h:1": tt.first, "h:2": tt.second}, got: map[string]int{}}
@@ -140,3 +144,24 @@
 		})
 	}
 }
+
+// A call crashes each server that runs it. One that may be repeated must not take down all of them.
+func TestCallThatCrashesServersIsGivenUp(t *testing.T) {
+	const count, maxCrashes = 8, 3
+	view := serviceView(t, count)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &servers{modes: map[string]string{}, got: map[string]int{}}
+		for i := 1; i <= count; i++ {
+			s.modes[fmt.Sprint("h:", i)] = "cuts"
+		}
+		h := NewHandler(netio.New(s.dial, nil), func() *resource.View { return view }, Orders{Run: runOnce}, tally.NoopScope, log.New(io.Discard))
+		var ctx fasthttp.RequestCtx
+		ctx.Request.SetRequestURI("/v1/services/s/x")
+		ctx.Request.Header.Set("Authorization", "Bearer key")
+		h.Serve(&ctx)
+		synctest.Wait()
+		is.Equal(ctx.Response.StatusCode(), http.StatusBadGateway)
+		is.True(len(s.got) <= maxCrashes)
+	})
+}
