--- a/internal/gateway/entry/entry_test.go
+++ b/internal/gateway/entry/entry_test.go
@@ -91,12 +91,18 @@
 
 // startEntryAt is startEntry with the port for other entries, as after a restart.
 func startEntryAt(t *testing.T, vm, domain, store string, peerPort int) *Server {
+	t.Helper()
+	return startEntryOn(t, vm, domain, store, peerPort, netio.TCP())
+}
+
+// startEntryOn is startEntryAt on a network.
+func startEntryOn(t *testing.T, vm, domain, store string, peerPort int, network *netio.Network) *Server {
 	t.Helper()
 	s, err := newServer(platform.Settings{
 		VM: vm, FailureDomain: domain, IP: "127.0.0.1", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0",
 		PeerPort: peerPort, Store: store, Grace: 8 * time.Second, Heartbeat: time.Second,
 		Retries: platform.RetryBound{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
-	}, netio.TCP(), time.Millisecond, log.New(io.Discard), func() int64 { return 0 })
+	}, network, time.Millisecond, log.New(io.Discard), func() int64 { return 0 })
 	if err != nil {
 		t.Fatal(err)
 	}
