Connect through another entry where upstreams can't be reached

Cause: the entry found out within a second, and then refused what it could not send itself. The path from each entry to each upstream was the only one there was, though the other entries, which it hears, had theirs. Class of fault: a partial partition taken for an outage.

Ruled out by the logs: that the entry does not notice, that streams of before the cut fill it, and flapping.

Change: an entry that connects to no upstream of a service has another entry connect to them, and exchanges bytes with them through it (internal/peer/tunnel). What it decides and counts stays as it was. Answers come in chunks between the entries, so that a lost entry is no end of an answer. Reports tell who is cut off; a prober finds the detours without a request, and leaves them upstream by upstream. Handing on whole requests was weighed; docs/design/platform.md says why not.

Seen once in the package's tests, beside other runs: TestUnendingAnswers/event/ask/fast got no answer of the second engine.

--- a/internal/gateway/directory/directory.go
+++ b/internal/gateway/directory/directory.go
@@ -210,6 +210,25 @@
 	return out
 }
 
+// At returns the upstream at an address, and whether there is one.
+func (d *Directory) At(address string) (Server, bool) {
+	for _, s := range d.servers {
+		if s.Address == address {
+			return s, true
+		}
+	}
+	return Server{}, false
+}
+
+// Services returns the addresses of the upstreams, in a list for each service.
+func (d *Directory) Services() [][]string {
+	lists := map[string][]string{}
+	for _, s := range d.servers {
+		lists[s.Service] = append(lists[s.Service], s.Address)
+	}
+	return slices.Collect(maps.Values(lists))
+}
+
 // Has reports whether the upstream with the id is known.
 func (d *Directory) Has(id string) bool {
 	_, ok := d.servers[id]
--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -103,7 +103,7 @@
 	name, address := t.Engine()
 	c.tried[name] = true
 	load := t.Decision()
-	c.s.log.Info("Placed.", "id", c.req.ID, "digest", c.digest, "workspace", c.workspace, "segments", c.req.Segments.String(), "tokens", c.req.Prompt, "upstream", name, "helpers", len(t.Helpers()),
+	c.s.log.Info("Placed.", "id", c.req.ID, "digest", c.digest, "workspace", c.workspace, "segments", c.req.Segments.String(), "tokens", c.req.Prompt, "upstream", name, "detour", c.s.reach.HasDetour(address), "helpers", len(t.Helpers()),
 		"predicted_ms", t.Predicted().Milliseconds(), "waited_ms", time.Since(c.arrived).Milliseconds(), "read_ms", t.Read().Milliseconds(),
 		"streams", load.Streams, "ahead_ms", load.Reads.Milliseconds(), "pass_ms", load.Pass.Milliseconds(),
 		"memory", load.Memory, "usable", load.Usable, "others", fmt.Sprint(load.Others))
--- a/internal/gateway/entry/observe.go
+++ b/internal/gateway/entry/observe.go
@@ -97,6 +97,8 @@
 	Version       int64    `json:"version"`      // of the configuration; 0 if there is none
 	Upstreams     int      `json:"upstreams"`
 	Unreachable   []string `json:"cut"`     // addresses that can't be connected to
+	Detours       []string `json:"detours"` // addresses that are reached through other entries
+	Tunnels       int      `json:"tunnels"` // connections that other entries have through this one
 	Entries       []string `json:"entries"` // addresses of the other entries
 	// Held are the segments on which engines crash, in hexadecimal.
 	Held      string `json:"heldSegments"`
@@ -115,7 +117,7 @@
 	told := s.exchange.Sent()
 	st := State{
 		VM: s.cfg.VM, FailureDomain: s.cfg.FailureDomain, Leaving: s.leaving.Load(), Busy: s.inFlight.Load(), Streams: s.streams.Load(), Reservations: s.leases.Load(),
-		Unreachable: s.reach.Unreachable(), Leads: s.readsStore(), Held: s.quarantine.HeldSegments().String(), ToldBytes: told.Bytes, ToldDomainBytes: told.DomainBytes,
+		Unreachable: s.reach.Unreachable(), Detours: s.reach.Detours(), Tunnels: s.tunnels.Open(), Leads: s.readsStore(), Held: s.quarantine.HeldSegments().String(), ToldBytes: told.Bytes, ToldDomainBytes: told.DomainBytes,
 	}
 	for _, p := range s.peers() {
 		st.Entries = append(st.Entries, p.Address)
@@ -213,6 +215,9 @@
 		scope.Gauge("reservations").Update(float64(s.leases.Load()))
 		scope.Gauge("entries_known").Update(float64(len(s.peers())))
 		scope.Gauge("upstreams_cut").Update(float64(len(s.reach.Unreachable())))
+		scope.Gauge("upstreams_detoured").Update(float64(len(s.reach.Detours())))
+		scope.Gauge("tunnels").Update(float64(s.tunnels.Open()))
+		scope.Gauge("tunnels_opened").Update(float64(s.tunnels.Opened()))
 		scope.Gauge("segments_held").Update(float64(len(s.quarantine.HeldSegments())))
 		scope.Gauge("upstreams_limited").Update(float64(len(s.sched.throttle.Limits())))
 		told := s.exchange.Sent()
--- a/internal/gateway/entry/plain.go
+++ b/internal/gateway/entry/plain.go
@@ -101,7 +101,7 @@
 		return nil, fail("pick", KindRefused, errNoServer)
 	}
 	c.tried[k.Name()] = true
-	c.s.log.Info("Sent.", "id", c.req.ID, "digest", c.digest, "workspace", c.workspace, "route", c.route.Name, "upstream", k.Name(), "once", c.route.Repeat != route.Idempotent,
+	c.s.log.Info("Sent.", "id", c.req.ID, "digest", c.digest, "workspace", c.workspace, "route", c.route.Name, "upstream", k.Name(), "detour", c.s.reach.HasDetour(k.Address()), "once", c.route.Repeat != route.Idempotent,
 		"left_ms", c.remaining().Milliseconds())
 	sent := time.Now()
 	watch.Sent()
--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -489,6 +489,21 @@
 	return s.dir.Siblings(address)
 }
 
+// Services returns the addresses of the upstreams, in a list for each service.
+func (s *scheduler) Services() [][]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dir.Services()
+}
+
+// UpstreamDomain returns the failure domain of the upstream at an address, and whether there is one.
+func (s *scheduler) UpstreamDomain(address string) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u, ok := s.dir.At(address)
+	return u.Domain, ok
+}
+
 // Pick selects a server of a plain service that is not in tried, or returns nil.
 func (s *scheduler) Pick(service string, tried map[string]bool) *plain.Pick {
 	s.mu.Lock()
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -23,6 +23,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/follow"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/records"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/sends"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/tunnel"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/reach"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/throttle"
@@ -80,7 +81,9 @@
 	log          *log.Logger
 	sched        *scheduler
 	store        *platform.Store
-	upstreams    *netio.Network
+	direct       *netio.Network // to upstreams and entries
+	upstreams    *netio.Network // to upstreams, through other entries if need be
+	tunnels      *tunnel.Server
 	engines      *platform.Engines
 	reach        *reach.Prober
 	metrics      *metrics.Metrics
@@ -129,14 +132,16 @@
 func newServer(cfg platform.Settings, network *netio.Network, pause time.Duration, logger *log.Logger, dropped func() int64) (*Server, error) {
 	s := &Server{
 		cfg: cfg, log: logger, sched: newScheduler(cfg.FailureDomain, cfg.Retries, logger),
-		store: platform.NewStore(network, cfg.Store, logger.WithPrefix("store")), upstreams: network.WithDialTimeout(dialTimeout),
+		store: platform.NewStore(network, cfg.Store, logger.WithPrefix("store")), direct: network.WithDialTimeout(dialTimeout),
 		droppedLines: dropped, started: time.Now(), metrics: metrics.New(cfg.VM), bodies: newBodyMemory(cfg.Memory), entries: map[string]platform.Entry{}, unlisted: map[string]platform.Entry{}, unreadable: unreadable{}, lost: make(chan struct{}, 1),
 		crashChecks: make(chan crashCheck, maxCrashChecks),
 	}
-	s.engines = platform.NewEngines(s.upstreams)
 	s.reach = reach.New(reach.Settings{
-		Network: s.upstreams, Siblings: s.sched.Siblings, Changed: s.sched.ReachabilityChanged, Log: logger.WithPrefix("reach"),
+		Network: s.direct, Detour: s.detour, Siblings: s.sched.Siblings, Services: s.sched.Services, Changed: s.sched.ReachabilityChanged, Log: logger.WithPrefix("reach"),
 	})
+	s.upstreams = netio.New(s.reach.Dial, nil) // nothing listens
+	s.engines = platform.NewEngines(s.upstreams)
+	s.tunnels = tunnel.NewServer(tunnel.Settings{Network: s.direct, Known: s.isUpstream, Log: logger.WithPrefix("tunnel")})
 	s.sched.unreachable, s.sched.queryPace = s.reach.IsUnreachable, s.queryPace
 	s.quarantine = quarantine.New(quarantine.Settings{
 		Now: time.Now, Rand: rand.Float64, Entries: s.entryCount, Changed: s.reportChanged, Log: logger.WithPrefix("quarantine"),
@@ -162,10 +167,10 @@
 	if s.readyLn, err = network.Listen(cfg.Ready); err != nil {
 		return nil, errors.Join(fail("start", KindListen, fmt.Errorf("address for readiness, %s: %w", cfg.Ready, err)), conn.Close(), peerLn.Close(), s.callersLn.Close())
 	}
-	s.records = records.Serve(peerLn, logger.WithPrefix("records"), s.newest)
+	s.records = records.Serve(peerLn, logger.WithPrefix("records"), s.newest, s.servePeer)
 	s.exchange = sends.New(conn, time.Now(), sends.Seams{
 		Domain: cfg.FailureDomain, Report: s.sched.Report, OnReport: s.sched.SetReport, Peers: s.peers, Positions: s.positions, OnPositions: s.applyPositions,
-		Held: s.quarantine.Report, OnHeld: s.quarantine.Merge, Rates: s.sched.throttle.Report, OnRates: s.sched.throttle.Merge, Log: logger.WithPrefix("sends"),
+		Held: s.quarantine.Report, OnHeld: s.quarantine.Merge, Rates: s.sched.throttle.Report, OnRates: s.sched.throttle.Merge, CutOff: s.reach.IsCutOff, Log: logger.WithPrefix("sends"),
 	})
 	s.sched.reportChanged = s.exchange.Changed
 	s.sched.entryCount, s.sched.domainOf = s.entryCount, s.domainOf
@@ -208,7 +213,7 @@
 
 // askEntry asks another entry for a topic's records.
 func (s *Server) askEntry(ctx context.Context, entry, topic string) ([]platform.Keyed, platform.Position, error) {
-	return records.Ask(ctx, s.upstreams, entry, topic)
+	return records.Ask(ctx, s.direct, entry, topic)
 }
 
 // newest returns a topic's records and position for other entries, and whether the topic is known.
@@ -456,6 +461,7 @@
 	for _, f := range *s.followers.Load() {
 		f.Close()
 	}
+	s.tunnels.Close()
 	s.exchange.Close()
 	s.records.Close()
 	s.reach.Close()
@@ -463,10 +469,10 @@
 	return errors.Join(s.callersLn.Close(), s.readyLn.Close(), s.metrics.Close())
 }
 
-// drain waits until no request is in progress and all answers are written, the entry has to stop, or
+// drain waits until no request is in progress, here or through a tunnel, and all answers are written, the entry has to stop, or
 // ctx ends.
 func (s *Server) drain(ctx context.Context) {
-	for s.inFlight.Load()+s.streams.Load()+int64(s.callersLn.answering()) > 0 && time.Now().Before(s.stopAt) && ctx.Err() == nil {
+	for s.inFlight.Load()+s.streams.Load()+int64(s.callersLn.answering()+s.tunnels.Open()) > 0 && time.Now().Before(s.stopAt) && ctx.Err() == nil {
 		pause.For(ctx, drainPollInterval)
 	}
 }
--- a/internal/peer/records/records.go
+++ b/internal/peer/records/records.go
@@ -64,12 +64,19 @@
 }
 
 // Serve starts a server on the listener. newest returns all latest records of a topic and the
-// position up to which it was read, or false for an unknown topic.
-func Serve(ln net.Listener, logger *log.Logger, newest func(topic string) ([]platform.Keyed, platform.Position, bool)) *Server {
+// position up to which it was read, or false for an unknown topic. others serves the requests for
+// other paths than those of records.
+func Serve(ln net.Listener, logger *log.Logger, newest func(topic string) ([]platform.Keyed, platform.Position, bool), others fasthttp.RequestHandler) *Server {
 	s := &Server{ln: ln, done: make(chan struct{})}
 	s.http = &fasthttp.Server{
 		NoDefaultServerHeader: true, DisableKeepalive: true, ReadTimeout: callTimeout,
-		Handler: func(ctx *fasthttp.RequestCtx) { serve(ctx, logger, newest) },
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			if topic, ok := strings.CutPrefix(string(ctx.Path()), path); ok {
+				serve(ctx, logger, topic, newest)
+				return
+			}
+			others(ctx)
+		},
 	}
 	go func() {
 		defer close(s.done)
@@ -84,8 +91,7 @@
 	<-s.done
 }
 
-func serve(ctx *fasthttp.RequestCtx, logger *log.Logger, newest func(topic string) ([]platform.Keyed, platform.Position, bool)) {
-	topic, _ := strings.CutPrefix(string(ctx.Path()), path) // a path without the prefix matches no topic
+func serve(ctx *fasthttp.RequestCtx, logger *log.Logger, topic string, newest func(topic string) ([]platform.Keyed, platform.Position, bool)) {
 	list, next, ok := newest(topic)
 	if !ok {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
--- a/internal/peer/records/records_test.go
+++ b/internal/peer/records/records_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
@@ -21,7 +22,7 @@
 	want := []platform.Keyed{{Key: "a", Value: []byte{0, 255}, Offset: 3}, {Key: "b", Value: []byte("x"), Offset: 7}}
 	s := records.Serve(ln, log.New(io.Discard), func(topic string) ([]platform.Keyed, platform.Position, bool) {
 		return want, platform.Position{Epoch: 2, Offset: 8}, topic == "known"
-	})
+	}, func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusNotFound) })
 	got, next, err := records.Ask(t.Context(), netio.TCP(), ln.Addr().String(), "known")
 	is.NoErr(err)
 	is.Equal(got, want)
--- a/internal/peer/sends/exchange.go
+++ b/internal/peer/sends/exchange.go
@@ -88,7 +88,9 @@
 	// entry heard. nil: none.
 	Rates   func() []throttle.Rate
 	OnRates func(list []throttle.Rate)
-	Log     *log.Logger
+	// CutOff reports whether this entry connects to no upstream. nil: it is not.
+	CutOff func() bool
+	Log    *log.Logger
 }
 
 // Exchange sends this entry's reports and receives those of others. It is safe for
@@ -135,6 +137,7 @@
 	lastSent     time.Time
 	live         bool
 	leaving      bool
+	cutOff       bool      // connects to no upstream
 	leavingSince time.Time // when its first message with the leaving flag arrived
 }
 
@@ -240,6 +243,17 @@
 	return false, leavingSince
 }
 
+// Connected returns the live entries that stay, have been heard lately, and connect to upstreams.
+func (x *Exchange) Connected() []Peer {
+	list, now := x.seams.Peers(), time.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return slices.DeleteFunc(list, func(o Peer) bool {
+		p := x.peers[o.Address]
+		return p == nil || !p.live || p.leaving || p.cutOff || now.Sub(p.lastReceived) > relayTimeout
+	})
+}
+
 // Sent returns what was sent so far.
 func (x *Exchange) Sent() Traffic {
 	x.mu.Lock()
@@ -280,9 +294,10 @@
 	if x.seams.Rates != nil {
 		rates = x.seams.Rates()
 	}
+	cutOff := x.seams.CutOff != nil && x.seams.CutOff()
 	x.mu.Lock()
 	x.seq++
-	m := message{start: x.start, seq: x.seq, leaving: x.leaving, sends: report.Sends, paces: report.Paces, waits: report.Waits, read: read, held: held, rates: rates}
+	m := message{start: x.start, seq: x.seq, leaving: x.leaving, cutOff: cutOff, sends: report.Sends, paces: report.Paces, waits: report.Waits, read: read, held: held, rates: rates}
 	parts := x.encode(&m, changed, now)
 	x.mu.Unlock()
 	if len(parts) > 1 {
@@ -536,6 +551,9 @@
 	if m.leaving && !p.leaving {
 		p.leavingSince = now
 	}
+	if m.seq >= p.seq {
+		p.cutOff = m.cutOff
+	}
 	p.seq, p.lastReceived, p.live, p.leaving = max(p.seq, m.seq), now, true, p.leaving || m.leaving
 	report, complete = passes.Report{Sends: m.sends, Paces: m.paces, Waits: m.waits}, true
 	if m.parts > 1 {
--- a/internal/peer/sends/wire.go
+++ b/internal/peer/sends/wire.go
@@ -43,6 +43,8 @@
 	// else one for each. Earlier versions send none.
 	fieldEpoch = 18 // varint
 
+	fieldCutOff = 19 // varint: 1 if the sender connects to no upstream
+
 	fieldName = 1 // string
 	fieldSend = 2 // bytes: the varints of a send
 
@@ -75,6 +77,7 @@
 	base    uint64   // number of the message with the state that this one changes; 0: it holds all
 	cleared []string // engines without sends since the base
 	leaving bool
+	cutOff  bool                // connects to no upstream
 	passOn  bool                // asks the receiver to pass it on in its failure domain
 	read    []platform.Position // how far the sender has read each topic
 	sends   []passes.Send
@@ -128,6 +131,10 @@
 		b = protowire.AppendTag(b, fieldLeaving, protowire.VarintType)
 		b = protowire.AppendVarint(b, 1)
 	}
+	if m.cutOff {
+		b = protowire.AppendTag(b, fieldCutOff, protowire.VarintType)
+		b = protowire.AppendVarint(b, 1)
+	}
 	b = appendPositions(b, m.read)
 	for _, w := range m.waits {
 		b = protowire.AppendTag(b, fieldWait, protowire.BytesType)
@@ -450,6 +457,8 @@
 			m.seq = v
 		case fieldLeaving:
 			m.leaving = v == 1
+		case fieldCutOff:
+			m.cutOff = v == 1
 		case fieldOffset:
 			offsets = append(offsets, v)
 		case fieldEpoch:
--- /dev/null
+++ b/internal/peer/tunnel/tunnel_test.go
@@ -0,0 +1,108 @@
+package tunnel
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
+)
+
+// listen serves each connection on loopback, and returns the address.
+func listen(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+			go serve(c)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// newServer returns a server for tunnels to one upstream, and the address of its entry.
+func newServer(t *testing.T, upstream string) (*Server, string) {
+	t.Helper()
+	s := NewServer(Settings{Network: netio.TCP(), Known: func(a string) bool { return a == upstream }, Log: log.New(io.Discard)})
+	t.Cleanup(s.Close)
+	web := &fasthttp.Server{Handler: s.Serve, ReadTimeout: time.Second}
+	return s, listen(t, func(c net.Conn) { _ = web.ServeConn(c) })
+}
+
+// An answer may end with its connection. It must look complete only if the upstream ended it, and not
+// if the upstream or the other entry broke off.
+func TestBrokenTunnelIsNoEnd(t *testing.T) {
+	for name, want := range map[string]error{"ends": nil, "resets": io.ErrUnexpectedEOF, "entry stops": io.ErrUnexpectedEOF} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var s *Server
+			upstream := listen(t, func(c net.Conn) {
+				_, _ = io.ReadFull(c, make([]byte, len("request")))
+				_, _ = io.WriteString(c, "answer")
+				switch name {
+				case "resets":
+					_ = c.(*net.TCPConn).SetLinger(0)
+				case "entry stops":
+					s.Close()
+				}
+				_ = c.Close()
+			})
+			s, entry := newServer(t, upstream)
+			c, err := Dial(t.Context(), netio.TCP(), entry, upstream)
+			is.NoErr(err)
+			_, err = io.WriteString(c, "request")
+			is.NoErr(err)
+			b, err := io.ReadAll(c)
+			is.Equal(err, want)
+			is.True(want != nil || string(b) == "answer")
+			is.NoErr(c.Close())
+		})
+	}
+}
+
+// A caller leaves. The upstream has to see it at once, and no tunnel stays open.
+func TestUpstreamSeesThatTunnelIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan struct{})
+	upstream := listen(t, func(c net.Conn) {
+		_, _ = io.Copy(io.Discard, c)
+		close(gone)
+	})
+	s, entry := newServer(t, upstream)
+	c, err := Dial(t.Context(), netio.TCP(), entry, upstream)
+	is.NoErr(err)
+	is.Equal(s.Open(), 1)
+	is.NoErr(c.Close())
+	<-gone
+	s.Close()
+	is.Equal(s.Open(), 0)
+}
+
+// Tunnels lead to upstreams only, and leave an entry room for its own callers.
+func TestRefusals(t *testing.T) {
+	is := is.New(t)
+	upstream := listen(t, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
+	s, entry := newServer(t, upstream)
+	_, err := Dial(t.Context(), netio.TCP(), entry, entry)
+	is.True(fault.Is(err, KindRefused)) // not an upstream
+	for range maxTunnels {
+		c, err := Dial(t.Context(), netio.TCP(), entry, upstream)
+		is.NoErr(err)
+		t.Cleanup(func() { _ = c.Close() })
+	}
+	_, err = Dial(t.Context(), netio.TCP(), entry, upstream)
+	is.True(fault.Is(err, KindRefused)) // full
+	is.Equal(s.Opened(), int64(maxTunnels))
+	_, err = Dial(t.Context(), netio.TCP(), "127.0.0.1:1", upstream)
+	is.True(fault.Is(err, KindUnreachable))
+}
