Test that a head that ends early is no answer

It can't happen here: six heads, closed in order after each of their bytes, with a length, with chunks, without either, after an interim answer and with bare line feeds, are all failures of the exchange. The test passes on the code as it was, and guards the reading of heads by the HTTP library.

--- a/internal/upstream/httpconn/conn_test.go
+++ b/internal/upstream/httpconn/conn_test.go
@@ -1,6 +1,7 @@
 package httpconn_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -217,3 +218,35 @@
 		}
 	})
 }
+
+// A server ends the connection in the middle of its answer's head. It must be no answer: what is there of
+// the head may name a status and a length, and a body that is missing would pass for an empty one.
+func TestHeadThatEndsEarlyIsNoAnswer(t *testing.T) {
+	heads := []string{
+		"HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nContent-Length: 5\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Response-Seal: s\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nConnection: close\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+		"HTTP/1.1 200 OK\nX-Response-Seal: s\nContent-Length: 5\n\n",
+	}
+	for _, head := range heads {
+		for n := range len(head) {
+			near, far := net.Pipe()
+			go func() {
+				_, _ = http.ReadRequest(bufio.NewReader(far))
+				_, _ = io.WriteString(far, head[:n])
+				_ = far.Close()
+			}()
+			network := netio.New(func(context.Context, string) (net.Conn, error) { return near, nil }, nil)
+			req := fasthttp.AcquireRequest()
+			req.SetRequestURI("http://h/")
+			x, err := httpconn.Do(t.Context(), network, "h:1", req, limits)
+			if err == nil {
+				body, err := x.ReadAll(100, time.Now().Add(time.Second), nil)
+				t.Errorf("after %d bytes of %q: status %d, length %d, body %q, %v", n, head, x.Status(), x.Header().ContentLength(), body, err)
+				x.Close()
+			}
+		}
+	}
+}
