Leave no request without an answer in a planned stop

It could happen here: a leaving entry took late requests by what requests usually take, 1.5 s for plain ones, while their time limits are longer and a sound server may be silent for a moment. At its end the entry closed the connections of those, and of all that were still in progress.

Evidence: TestStopLeavesNoRequestWithoutAnswer failed: a late request that may not be repeated was passed on to a silent server, and an earlier one had no answer when the process was to end.

Change: once an entry refuses, it takes only requests whose time limit ends before it stops, if another entry stays to serve the others; without one it goes by the usual time, as before. At its end it ends what is in progress, so that callers get 503, or 502 if it may have run, and waits for these answers to be written.

--- a/internal/gateway/entry/handle.go
+++ b/internal/gateway/entry/handle.go
@@ -26,7 +26,7 @@
 	// restartTime is the time from the end of an entry until it serves again: half a second for the
 	// platform to restart it and a tenth of a second to read the store.
 	restartTime = 700 * time.Millisecond
-	// maxPlainTime is an upper bound of the time of a plain request. leavingMargin is reserved
+	// maxPlainTime is an upper bound of the usual time of a plain request. leavingMargin is reserved
 	// before a leaving entry stops.
 	maxPlainTime  = 1500 * time.Millisecond
 	leavingMargin = 500 * time.Millisecond
@@ -55,7 +55,7 @@
 	if c == nil {
 		return
 	}
-	if s.refusing.Load() && !c.finishesWithin(time.Until(s.stopAt)) {
+	if s.refusing.Load() && !s.finishesInTime(c) {
 		c.cancel()
 		after := s.retryAfter()
 		refuse(ctx, fasthttp.StatusServiceUnavailable, after)
@@ -100,6 +100,15 @@
 	return max(leavingRetryAfter, time.Until(servesAt.Add(restartTime)))
 }
 
+// finishesInTime reports whether a request ends before this leaving entry stops: whatever it takes if
+// another entry can serve it instead, else by what it is expected to take.
+func (s *Server) finishesInTime(c *call) bool {
+	if staying, _ := s.exchange.Staying(); staying {
+		return c.deadline.Before(s.stopAt)
+	}
+	return c.finishesWithin(time.Until(s.stopAt))
+}
+
 // finishesWithin reports whether the request can be completed in the given time.
 func (c *call) finishesWithin(left time.Duration) bool {
 	if c.engine == nil {
@@ -160,7 +169,7 @@
 		timeout = min(timeout, r.Timeout)
 	}
 	c.deadline = c.arrived.Add(timeout - answerMargin)
-	c.ctx, c.cancel = context.WithDeadline(context.Background(), c.deadline)
+	c.ctx, c.cancel = context.WithDeadline(s.calls, c.deadline)
 	s.sched.CountRequest(c.service)
 	return c
 }
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -64,7 +64,8 @@
 	stopMargin        = 200 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
 	// flushWait lets the last bytes of finished answers leave the connections.
-	flushWait = 80 * time.Millisecond
+	flushWait         = 80 * time.Millisecond
+	flushPollInterval = 5 * time.Millisecond
 	// registerRetryDelay is the delay between attempts to register with the store.
 	registerRetryDelay = time.Second
 	// registerSpread is the mean time, for each entry, between the writes of those that register
@@ -99,6 +100,8 @@
 	crashChecks  chan crashCheck
 	ctx          context.Context // of the background tasks
 	cancel       context.CancelFunc
+	calls        context.Context // of the requests in progress
+	endCalls     context.CancelFunc
 	tasks        sync.WaitGroup
 	inFlight     atomic.Int64 // requests in the handler; streams that outlive it count in streams
 	streams      atomic.Int64 // streams in progress
@@ -176,6 +179,7 @@
 	s.sched.entryCount, s.sched.domainOf = s.entryCount, s.domainOf
 	s.startFollowers(pause)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.calls, s.endCalls = context.WithCancel(context.Background())
 	s.tasks.Add(3)
 	go s.register(s.ctx)
 	go s.runGauges(s.ctx)
@@ -456,6 +460,11 @@
 	s.stopping.Store(true)
 	pause.For(ctx, flushWait)
 	s.drain(ctx) // requests accepted just before stopping was set
+	if cut := s.inFlight.Load(); cut > 0 {
+		s.log.Warn("Ending requests that did not finish in time.", "requests", cut, "streams", s.streams.Load())
+	}
+	s.endCalls() // those without an answer get a failure
+	s.flush(ctx)
 	s.log.Info("Stopped.", "cut", s.inFlight.Load()+s.streams.Load())
 	s.cancel()
 	for _, f := range *s.followers.Load() {
@@ -477,6 +486,14 @@
 	}
 }
 
+// flush waits until all answers are written, for flushWait at most.
+func (s *Server) flush(ctx context.Context) {
+	until := time.Now().Add(flushWait)
+	for s.inFlight.Load()+int64(s.callersLn.answering()) > 0 && time.Now().Before(until) && ctx.Err() == nil {
+		pause.For(ctx, flushPollInterval)
+	}
+}
+
 // httpLogger is the logger of the HTTP library.
 type httpLogger struct{ log *log.Logger }
 
--- a/internal/gateway/entry/stop_test.go
+++ b/internal/gateway/entry/stop_test.go
@@ -149,3 +149,39 @@
 	is.Equal(n, int64(size))
 	<-drained
 }
+
+// Upstreams are silent as an entry is stopped. What came before it refuses was cut at the end without an
+// answer, and so was what came after: requests that may take longer than the entry has left were taken
+// and passed on, among them such as may not be repeated.
+func TestStopLeavesNoRequestWithoutAnswer(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.configure()
+	other := env.startOther()
+	list := []*server.Server{env.serve("desk", "i-1", server.Silent, server.Silent), env.serve("engines", "i-2", server.Silent, server.Silent)}
+	env.awaitOther(other, len(list))
+	paths := []string{"/once/", "/ask/"}
+	ask := func(id string) (<-chan reply, <-chan reply) {
+		got := []chan reply{make(chan reply, 1), make(chan reply, 1)}
+		for i, path := range paths {
+			req := env.request(http.MethodPost, path)
+			req.Header.Set("X-Attempt-Id", id+path)
+			req.Header.Set("X-Deadline-Milliseconds", "9000")
+			go func() { got[i] <- env.do(req) }()
+		}
+		return got[0], got[1]
+	}
+	early, earlyStream := ask("early")
+	env.await(func() bool { return len(list[0].Runs())+len(list[1].Runs()) == 2 })
+	env.entry.cfg.Grace = acceptWhileLeaving + maxPlainTime + leavingMargin
+	stopped := make(chan error, 1)
+	go func() { stopped <- env.entry.Shutdown(t.Context()) }()
+	env.await(env.entry.refusing.Load)
+	late, lateStream := ask("late")
+	is.Equal((<-late).status, http.StatusServiceUnavailable)
+	is.Equal((<-lateStream).status, http.StatusServiceUnavailable)
+	is.Equal((<-early).status, http.StatusBadGateway) // they may have run
+	is.Equal((<-earlyStream).status, http.StatusBadGateway)
+	is.NoErr(<-stopped)
+	is.Equal(len(list[0].Runs())+len(list[1].Runs()), 2)
+}
