Take no attempt that was not sent for one that broke off

Found by reading the change: an entry that lends its connections may end as a tunnel is opened. The error then looks like that of a connection that broke, though nothing was sent to the upstream, and could count as a crash of the upstream under the request. Such attempts are no evidence now. No test shows it: it takes the loss of an entry between two messages that are a millisecond apart.

Beside it: two log lines for the loss of all direct connections and their return in place of one for both.

--- a/internal/gateway/entry/crashes.go
+++ b/internal/gateway/entry/crashes.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
 )
 
@@ -28,7 +29,7 @@
 
 // checkCrash makes crashLoop find out whether the upstream has crashed under an attempt that failed.
 func (c *call) checkCrash(k crashCheck, err error) {
-	if !isBroken(err) || c.ctx.Err() != nil || k.attempt.Proven() || k.attempt.Aborted() {
+	if !isBroken(err) || fault.Is(err, KindUnsent) || c.ctx.Err() != nil || k.attempt.Proven() || k.attempt.Aborted() {
 		return
 	}
 	k.at = time.Now()
--- a/internal/upstream/reach/prober.go
+++ b/internal/upstream/reach/prober.go
@@ -303,8 +303,11 @@
 		}
 	}
 	cutOff := count > 0 && lost == count
-	if was := p.cutOff.Swap(cutOff); was != cutOff {
-		p.cfg.Log.Warn("The connection to all upstreams was lost or is back.", "lost", cutOff, "upstreams", len(out))
+	switch was := p.cutOff.Swap(cutOff); {
+	case cutOff && !was:
+		p.cfg.Log.Warn("No upstream can be connected to directly.", "upstreams", len(out))
+	case was && !cutOff:
+		p.cfg.Log.Info("Upstreams can be connected to directly again.")
 	}
 	return out
 }
