Take ports for refusing addresses that no other test gets

Suspected by reading: TestSilentServerIsAskedAgainWithinBudget closes a listener and listens at its port again later. The port was of the system's choice, so that a test beside it could be given it in between: the server "i-2" then answers, the wait for a run of "i-1" never ends. It was not seen again, so this is not shown.

Change: the address is a free port below those that the system chooses from, which a process takes once.

--- a/internal/gateway/entry/lease_test.go
+++ b/internal/gateway/entry/lease_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/ports"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/server"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
@@ -89,9 +91,9 @@
 	return slices.ContainsFunc(s.Runs(), func(r *server.Run) bool { return strings.Contains(r.Body, id) })
 }
 
-// closedAddress returns an address that refuses connections.
+// closedAddress returns an address that refuses connections until the test listens there. No listener
+// with a port of the system's choice gets it.
 func closedAddress(t *testing.T) string {
-	ln := listen(t)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	t.Helper()
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(ports.Free(t, 1)[0]))
 }
