Connect through a leaving entry where no other one can

The entries that were cut off dropped all 34 detours, and got them back when the first of the others had started again, at 15 s.

Ruled out: a second cut, and the limits of tunnels (no entry had refused one).

Change: leaving entries are asked after those that stay, until they end. The test hangs without it.

Beside it, the limits of tunnels are settings now: TestRefusals opened 512 of them and failed under a load average of 33, as each had 0.3 s. It opens two, and the limit of time is the entry's.

--- a/internal/gateway/entry/cutoff_test.go
+++ b/internal/gateway/entry/cutoff_test.go
@@ -156,6 +156,20 @@
 	is.Equal(r.body, server.Events(testEvents))
 }
 
+// The only entry that reaches the servers is leaving. It still serves its own callers, and those of the
+// entry that is cut off found nothing.
+func TestEntryCutOffFromServersServesThroughLeavingOne(t *testing.T) {
+	env, network, other, _ := newCutEnv(t)
+	other.exchange.Leave()
+	env.await(func() bool {
+		staying, _ := env.entry.exchange.Staying()
+		return !staying
+	})
+	network.set(cutRefuse)
+	env.await(func() bool { return env.do(env.request(http.MethodPost, "/once/")).status == http.StatusOK })
+	env.requireServed("later-0", "/ask/", server.Events(testEvents))
+}
+
 // All entries are cut off from the servers: none hands a connection on to another, which would hand it
 // back, and callers are told at once that nothing ran.
 func TestEntriesThatAreAllCutOffRefuse(t *testing.T) {
@@ -169,7 +183,10 @@
 		is.Equal(env.do(env.request(http.MethodPost, "/once/")).status, http.StatusServiceUnavailable)
 	}
 	env.await(env.entry.reach.IsCutOff)
-	env.await(func() bool { return len(other.exchange.Connected()) == 0 })
+	env.await(func() bool {
+		staying, leaving := other.exchange.Connected()
+		return len(staying)+len(leaving) == 0
+	})
 	is.Equal(len(env.entry.reach.Detours()), 0)
 }
 
--- a/internal/gateway/entry/detour.go
+++ b/internal/gateway/entry/detour.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -20,6 +21,12 @@
 	// them may refuse it: then the upstream is to blame.
 	maxDetours  = 3
 	maxRefusals = 2
+	// detourTimeout limits the connection through one of them: its dial has a limit of its own, and
+	// messages between entries take some milliseconds.
+	detourTimeout = 300 * time.Millisecond
+	// maxTunnels bounds the memory and descriptors that tunnels of other entries take from an entry's
+	// own callers.
+	maxTunnels = 512
 )
 
 var errNoEntry = errors.New("no other entry reaches upstreams")
@@ -33,23 +40,24 @@
 	ctx.SetStatusCode(fasthttp.StatusNotFound)
 }
 
-// isUpstream reports whether an upstream is registered at an address.
-func (s *Server) isUpstream(address string) bool {
+// tunnelsTo reports whether other entries may connect to an address through this one: an upstream is
+// registered there, and the entry is not about to end.
+func (s *Server) tunnelsTo(address string) bool {
 	_, ok := s.sched.UpstreamDomain(address)
-	return ok
+	return ok && !s.stopping.Load()
 }
 
-// detour connects to an upstream through another entry: one in the upstream's failure domain if there
-// is one, else in the own one, so that no byte crosses domains more often than it has to.
+// detour connects to an upstream through another entry. Leaving ones are the last resort.
 func (s *Server) detour(ctx context.Context, address string) (net.Conn, error) {
 	domain, _ := s.sched.UpstreamDomain(address)
-	list := s.exchange.Connected()
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	slices.SortStableFunc(list, func(a, b sends.Peer) int { return s.crossings(a, domain) - s.crossings(b, domain) })
+	staying, leaving := s.exchange.Connected()
+	s.sortDetours(staying, domain)
+	s.sortDetours(leaving, domain)
+	list := slices.Concat(staying, leaving)
 	err, refusals := error(fail("detour", KindUnsent, errNoEntry)), 0
 	for _, o := range list[:min(len(list), maxDetours)] {
 		var c net.Conn
-		if c, err = tunnel.Dial(ctx, s.direct, o.Address, address); err == nil {
+		if c, err = s.dialThrough(ctx, o, address); err == nil {
 			return c, nil
 		}
 		if fault.Is(err, tunnel.KindRefused) {
@@ -62,6 +70,20 @@
 	return nil, err
 }
 
+// dialThrough connects to an upstream through an entry.
+func (s *Server) dialThrough(ctx context.Context, o sends.Peer, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, detourTimeout)
+	defer cancel()
+	return tunnel.Dial(ctx, s.direct, o.Address, address)
+}
+
+// sortDetours sorts entries to connect to an upstream in a failure domain through: those in that domain
+// first, then those in the own one, so that no byte crosses domains more often than it has to.
+func (s *Server) sortDetours(list []sends.Peer, domain string) {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(a, b sends.Peer) int { return s.crossings(a, domain) - s.crossings(b, domain) })
+}
+
 // crossings returns how often a connection through an entry to an upstream in a domain crosses domains.
 func (s *Server) crossings(o sends.Peer, domain string) int {
 	n := 0
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -144,7 +144,7 @@
 	})
 	s.upstreams = netio.New(s.reach.Dial, nil) // nothing listens
 	s.engines = platform.NewEngines(s.upstreams)
-	s.tunnels = tunnel.NewServer(tunnel.Settings{Network: s.direct, Known: s.isUpstream, Log: logger.WithPrefix("tunnel")})
+	s.tunnels = tunnel.NewServer(tunnel.Settings{Network: s.direct, Known: s.tunnelsTo, Most: maxTunnels, Log: logger.WithPrefix("tunnel")})
 	s.sched.unreachable, s.sched.queryPace = s.reach.IsUnreachable, s.queryPace
 	s.quarantine = quarantine.New(quarantine.Settings{
 		Now: time.Now, Rand: rand.Float64, Entries: s.entryCount, Changed: s.reportChanged, Log: logger.WithPrefix("quarantine"),
--- a/internal/peer/sends/exchange.go
+++ b/internal/peer/sends/exchange.go
@@ -243,15 +243,23 @@
 	return false, leavingSince
 }
 
-// Connected returns the live entries that stay, have been heard lately, and connect to upstreams.
-func (x *Exchange) Connected() []Peer {
+// Connected returns the live entries that have been heard lately and connect to upstreams: those that
+// stay, and those that are leaving.
+func (x *Exchange) Connected() (staying, leaving []Peer) {
 	list, now := x.seams.Peers(), time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return slices.DeleteFunc(list, func(o Peer) bool {
+	for _, o := range list {
 		p := x.peers[o.Address]
-		return p == nil || !p.live || p.leaving || p.cutOff || now.Sub(p.lastReceived) > relayTimeout
-	})
+		switch {
+		case p == nil || !p.live || p.cutOff || now.Sub(p.lastReceived) > relayTimeout:
+		case p.leaving:
+			leaving = append(leaving, o)
+		default:
+			staying = append(staying, o)
+		}
+	}
+	return staying, leaving
 }
 
 // Sent returns what was sent so far.
--- a/internal/peer/tunnel/tunnel.go
+++ b/internal/peer/tunnel/tunnel.go
@@ -27,22 +27,17 @@
 	// Path is the prefix of a request's path. The upstream's address follows it.
 	Path = "/tunnel/"
 
-	// openTimeout limits opening a tunnel: the other entry's dial, which has a limit of its own, and
-	// messages between entries, which take some milliseconds.
-	openTimeout = 300 * time.Millisecond
 	// idleTimeout is how long an upstream may send nothing, or the other entry take nothing. Whoever
 	// opened the tunnel has shorter limits, unless its VM is lost.
 	idleTimeout = time.Minute
-	// maxTunnels bounds the memory and descriptors that tunnels of other entries take from an entry's
-	// own callers.
-	maxTunnels  = 512
 	bufferBytes = 8 << 10
 )
 
 // Settings are the settings and dependencies of a Server.
 type Settings struct {
 	Network *netio.Network            // to upstreams, without tunnels; dials must have a time limit
-	Known   func(address string) bool // whether there is an upstream at the address
+	Known   func(address string) bool // whether tunnels may lead to the address
+	Most    int                       // open tunnels
 	Log     *log.Logger
 }
 
@@ -92,7 +87,7 @@
 // serve connects to the upstream and copies until either side ends.
 func (s *Server) serve(c net.Conn, address string) {
 	if !s.cfg.Known(address) {
-		s.reject(c, fasthttp.StatusNotFound, address, "unknown upstream")
+		s.reject(c, fasthttp.StatusNotFound, address, "not an upstream, or stopping")
 		return
 	}
 	upstream, err := s.cfg.Network.Dial(context.Background(), address)
@@ -132,7 +127,7 @@
 func (s *Server) add(c, upstream net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.conns) >= maxTunnels {
+	if s.closed || len(s.conns) >= s.cfg.Most {
 		return false
 	}
 	s.done.Add(1)
@@ -197,11 +192,9 @@
 // it, or the other entry, has not.
 func (c *conn) Read(p []byte) (int, error) { return c.answer.Read(p) }
 
-// Dial connects to the upstream at an address through another entry. Nothing has been sent to the
-// upstream if it fails.
+// Dial connects to the upstream at an address through another entry, until ctx ends. Nothing has been
+// sent to the upstream if it fails.
 func Dial(ctx context.Context, network *netio.Network, entry, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, openTimeout)
-	defer cancel()
 	c, err := network.Dial(ctx, entry)
 	if err != nil {
 		return nil, fail("dial", KindUnreachable, err)
--- a/internal/peer/tunnel/tunnel_test.go
+++ b/internal/peer/tunnel/tunnel_test.go
@@ -4,7 +4,6 @@
 	"io"
 	"net"
 	"testing"
-	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
@@ -30,12 +29,14 @@
 	return ln.Addr().String()
 }
 
-// newServer returns a server for tunnels to one upstream, and the address of its entry.
+const most = 2
+
+// newServer returns a server for a few tunnels to one upstream, and the address of its entry.
 func newServer(t *testing.T, upstream string) (*Server, string) {
 	t.Helper()
-	s := NewServer(Settings{Network: netio.TCP(), Known: func(a string) bool { return a == upstream }, Log: log.New(io.Discard)})
+	s := NewServer(Settings{Network: netio.TCP(), Known: func(a string) bool { return a == upstream }, Most: most, Log: log.New(io.Discard)})
 	t.Cleanup(s.Close)
-	web := &fasthttp.Server{Handler: s.Serve, ReadTimeout: time.Second}
+	web := &fasthttp.Server{Handler: s.Serve}
 	return s, listen(t, func(c net.Conn) { _ = web.ServeConn(c) })
 }
 
@@ -95,14 +96,14 @@
 	s, entry := newServer(t, upstream)
 	_, err := Dial(t.Context(), netio.TCP(), entry, entry)
 	is.True(fault.Is(err, KindRefused)) // not an upstream
-	for range maxTunnels {
+	for range most {
 		c, err := Dial(t.Context(), netio.TCP(), entry, upstream)
 		is.NoErr(err)
 		t.Cleanup(func() { _ = c.Close() })
 	}
 	_, err = Dial(t.Context(), netio.TCP(), entry, upstream)
 	is.True(fault.Is(err, KindRefused)) // full
-	is.Equal(s.Opened(), int64(maxTunnels))
+	is.Equal(s.Opened(), int64(most))
 	_, err = Dial(t.Context(), netio.TCP(), "127.0.0.1:1", upstream)
 	is.True(fault.Is(err, KindUnreachable))
 }
