Name the upstream of a crash as such

The record of a crash named an engine; since plain requests are evidence, too, it may be any upstream. No change of behaviour, nor of what entries send each other.

--- a/internal/peer/sends/exchange.go
+++ b/internal/peer/sends/exchange.go
@@ -80,7 +80,7 @@
 	// epoch if it runs an earlier version.
 	Positions   func() []platform.Position
 	OnPositions func(entry string, list []platform.Position)
-	// Held returns what this entry knows of segments on which engines crash. OnHeld receives what
+	// Held returns what this entry knows of segments on which upstreams crash. OnHeld receives what
 	// another entry knows. nil: nothing.
 	Held   func() quarantine.Report
 	OnHeld func(r quarantine.Report)
--- a/internal/peer/sends/heldwire.go
+++ b/internal/peer/sends/heldwire.go
@@ -29,7 +29,7 @@
 
 func encodeCrash(c quarantine.Crash, now time.Time) []byte {
 	b := protowire.AppendTag(nil, fieldName, protowire.BytesType)
-	b = appendAge(protowire.AppendString(b, c.Engine), fieldAge, c.At, now)
+	b = appendAge(protowire.AppendString(b, c.Upstream), fieldAge, c.At, now)
 	b = appendAge(b, fieldSentAge, c.SentAt, now)
 	for _, list := range c.Suspects {
 		b = appendSegments(b, fieldSuspect, list)
@@ -74,7 +74,7 @@
 	err := eachField(b, func(num protowire.Number, v uint64, data []byte) error {
 		switch num {
 		case fieldName:
-			c.Engine = string(data)
+			c.Upstream = string(data)
 		case fieldAge:
 			c.At = now.Add(-millis(v))
 		case fieldSentAge:
--- a/internal/peer/sends/wire.go
+++ b/internal/peer/sends/wire.go
@@ -29,7 +29,7 @@
 	fieldParts   = 9  // varint: number of parts; missing in a message of one part
 	fieldPassOn  = 10 // varint: 1 if the receiver is to pass the message on in its failure domain
 	fieldBase    = 11 // varint: number of the message that this one holds the changes since
-	fieldCrash   = 12 // bytes: an engine's name, the age of its crash, and its prompts without an event
+	fieldCrash   = 12 // bytes: an upstream's name, the age of its crash, and its requests without an answer
 	fieldAnswer  = 13 // bytes: a segment, and the age of its latest answer
 	fieldVerdict = 14 // bytes: a segment, and the term of its verdict
 	fieldRate    = 15 // bytes: an upstream's name, the rate that it named, and the age of that
--- a/internal/peer/sends/wire_test.go
+++ b/internal/peer/sends/wire_test.go
@@ -72,7 +72,7 @@
 		return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) segment.ID { return segment.ID(rapid.Uint64().Draw(t, "segment")) }), 1, 3).Draw(t, "prompt")
 	}), 0, 3)
 	for range rapid.IntRange(0, 2).Draw(t, "crashes") {
-		c := quarantine.Crash{Engine: rapid.SampledFrom([]string{"i-1", "i-2"}).Draw(t, "engine"), At: testNow.Add(-drawMillis("age")), SentAt: testNow.Add(-drawMillis("sent"))}
+		c := quarantine.Crash{Upstream: rapid.SampledFrom([]string{"i-1", "i-2"}).Draw(t, "engine"), At: testNow.Add(-drawMillis("age")), SentAt: testNow.Add(-drawMillis("sent"))}
 		c.Suspects = append(c.Suspects, prompts.Draw(t, "suspects")...)
 		c.Bystanders = append(c.Bystanders, prompts.Draw(t, "bystanders")...)
 		r.Crashes = append(r.Crashes, c)
--- a/internal/prompt/quarantine/crash.go
+++ b/internal/prompt/quarantine/crash.go
@@ -10,7 +10,7 @@
 // Crash is the end of an upstream's process under requests without an answer. Each is given by its
 // segments, of which the last one is its digest.
 type Crash struct {
-	Engine     string
+	Upstream   string
 	At         time.Time
 	SentAt     time.Time      // when the latest of the requests was sent
 	Suspects   []segment.List // requests that may have begun to run
@@ -43,7 +43,7 @@
 // reports whether anything was. The oldest one is dropped from a full list.
 func addCrash(list []Crash, c Crash) (out []Crash, changed bool) {
 	for i := range list {
-		if o := &list[i]; o.Engine == c.Engine && c.At.Sub(o.At).Abs() < sameCrash {
+		if o := &list[i]; o.Upstream == c.Upstream && c.At.Sub(o.At).Abs() < sameCrash {
 			known := len(o.Suspects) + len(o.Bystanders)
 			if c.SentAt.After(o.SentAt) {
 				o.SentAt = c.SentAt
--- a/internal/prompt/quarantine/tracker.go
+++ b/internal/prompt/quarantine/tracker.go
@@ -220,10 +220,10 @@
 
 // Crashed records that the upstream crashed under the attempt. suspect is set if the request may have
 // begun to run.
-func (a *Attempt) Crashed(engine string, at time.Time, suspect bool) {
+func (a *Attempt) Crashed(upstream string, at time.Time, suspect bool) {
 	q := a.tracker
 	q.mu.Lock()
-	c := Crash{Engine: engine, At: at, SentAt: a.sentAt}
+	c := Crash{Upstream: upstream, At: at, SentAt: a.sentAt}
 	list := []segment.List{a.segments[max(0, len(a.segments)-maxSegmentsPerCrash):]}
 	if suspect {
 		c.Suspects = list
