Call what there is instead of writing it again

Behaviour is as before.

- The Retry-After of requests that are held back was set by each caller of refuse, for prompts and for plain requests; refuse sets it, from the error that it gets.
- The prober looked an outage up in three places with the same lines, and peers' silence was compared in two; each has one method now.
The directory sought an upstream by its address twice; Siblings calls At.
- The stand-in server crashed in two copies of the same lines.
- A comment of the own interface's forwarding is wrapped again.

--- a/internal/caller/service/forward.go
+++ b/internal/caller/service/forward.go
@@ -53,9 +53,8 @@
 // send sends the call to the service's servers in turn until one answers, or it may
 // have run at maxRuns of them. If none answers, sent reports whether any byte may
 // have been sent. A call that is not repeatable is retried only while no byte may
-// have been sent. The time of a
-// repeatable call is split among its tries, so that a silent connection leaves time
-// for another.
+// have been sent. The time of a repeatable call is split among its tries, so that a
+// silent connection leaves time for another.
 func (h *Handler) send(ctx context.Context, c *call, repeatable bool) (answer *ledger.StoredAnswer, sent bool, err error) {
 	servers := c.service.Servers()
 	if len(servers) == 0 {
--- a/internal/gateway/directory/directory.go
+++ b/internal/gateway/directory/directory.go
@@ -195,15 +195,10 @@
 // Siblings returns the other upstream addresses in the failure domain of the upstream
 // at address, or nil if that is unknown.
 func (d *Directory) Siblings(address string) []string {
-	domain, known := "", false
-	for _, s := range d.servers {
-		if s.Address == address {
-			domain, known = s.Domain, true
-		}
-	}
+	own, known := d.At(address)
 	var out []string
 	for _, s := range d.servers {
-		if known && s.Domain == domain && s.Address != address {
+		if known && s.Domain == own.Domain && s.Address != address {
 			out = append(out, s.Address)
 		}
 	}
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -145,11 +145,17 @@
 	// maxUnsent limits the upstreams tried if connections fail. If a failure domain is unreachable,
 	// each try takes 150 ms, and the entry knows within a second which upstreams are reachable.
 	maxUnsent = 8
+	// heldRetryAfter is the Retry-After of requests on which upstreams crash: they are held for longer
+	// than callers wait.
+	heldRetryAfter = time.Minute
 )
 
 // refuse answers a failed request. A 503 status means that the request did not run and will not;
 // if it may have run, the status is 502 or 504.
 func (c *call) refuse(ctx *fasthttp.RequestCtx, err error, after time.Duration) {
+	if fault.Is(err, KindHeld) {
+		after = heldRetryAfter
+	}
 	switch {
 	case c.callerGone.Load():
 		ctx.SetConnectionClose()
--- a/internal/gateway/entry/plain.go
+++ b/internal/gateway/entry/plain.go
@@ -141,11 +141,7 @@
 // endPlain relays fallback, a server's 5xx answer, or refuses if it is nil.
 func (c *call) endPlain(ctx *fasthttp.RequestCtx, fallback *plainAnswer, err error) {
 	if fallback == nil {
-		after := plainRetryAfter
-		if fault.Is(err, KindHeld) {
-			after = heldRetryAfter
-		}
-		c.refuse(ctx, err, after)
+		c.refuse(ctx, err, plainRetryAfter)
 		return
 	}
 	c.s.log.Info("No other server answered better; relaying a failure.", "id", c.req.ID, "err", err)
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -30,9 +30,6 @@
 	// takeoverRetryDelay is the delay before another engine is sought again. It allows three
 	// attempts before the least patient callers leave.
 	takeoverRetryDelay = 250 * time.Millisecond
-	// heldRetryAfter is the Retry-After of prompts on which engines crash: they are held for longer
-	// than callers wait.
-	heldRetryAfter = time.Minute
 )
 
 // stream is an answer on its way to the caller. If the route allows it, the stream is resumed at
@@ -59,11 +56,7 @@
 func (c *call) serveStream(ctx *fasthttp.RequestCtx, finish func()) {
 	st := &stream{c: c, finish: finish}
 	if err := st.open(splitter{}, eventTiming{since: c.arrived, target: c.route.Target, callerLeavesAt: c.callerLeavesAt(c.arrived)}, nil); err != nil {
-		after := passes.RetryAfter(err)
-		if fault.Is(err, KindHeld) {
-			after = heldRetryAfter
-		}
-		c.refuse(ctx, err, after)
+		c.refuse(ctx, err, passes.RetryAfter(err))
 		finish()
 		return
 	}
--- a/internal/peer/sends/exchange.go
+++ b/internal/peer/sends/exchange.go
@@ -141,6 +141,9 @@
 	leavingSince time.Time // when its first message with the leaving flag arrived
 }
 
+// isSilent reports whether the entry has not been heard for longer than some lost repeats explain.
+func (p *peer) isSilent(now time.Time) bool { return now.Sub(p.lastReceived) > relayTimeout }
+
 // isOld reports whether a message of the same process, or the part of it, has been received or
 // overtaken. Parts of a message may come after later messages, which hold the changes since.
 func (p *peer) isOld(m *message) bool {
@@ -252,7 +255,7 @@
 	for _, o := range list {
 		p := x.peers[o.Address]
 		switch {
-		case p == nil || !p.live || p.cutOff || now.Sub(p.lastReceived) > relayTimeout:
+		case p == nil || !p.live || p.cutOff || p.isSilent(now):
 		case p.leaving:
 			leaving = append(leaving, o)
 		default:
@@ -383,7 +386,7 @@
 func (x *Exchange) relayOf(list []Peer, now time.Time, changed bool) Peer {
 	group := strconv.FormatUint(xxh3.HashString(x.self)%relayGroups, 10)
 	lastResort := func(o Peer) int {
-		if p := x.peers[o.Address]; p.leaving || now.Sub(p.lastReceived) > relayTimeout {
+		if p := x.peers[o.Address]; p.leaving || p.isSilent(now) {
 			return 1
 		}
 		return 0
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -307,7 +307,10 @@
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+header+"\r\nplain answer")
 		return
 	}
-	if s.events == 0 && s.isDeadly(run) {
+	if s.events > 0 {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+header+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	}
+	if s.isDeadly(run) {
 		time.Sleep(passTime)
 		s.crash()
 		return
@@ -316,12 +319,6 @@
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+header+"Content-Length: 12\r\n\r\nplain answer")
 		return
 	}
-	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+header+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
-	if s.isDeadly(run) {
-		time.Sleep(passTime)
-		s.crash()
-		return
-	}
 	if err := s.stream(conn, run, script); err == nil {
 		_, _ = io.WriteString(conn, "0\r\n\r\n")
 	}
--- a/internal/upstream/reach/prober.go
+++ b/internal/upstream/reach/prober.go
@@ -87,18 +87,24 @@
 // IsUnreachable reports whether an upstream is known to be unreachable, directly and through
 // other entries.
 func (p *Prober) IsUnreachable(address string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	o := p.outages[address]
-	return o != nil && !o.detour
+	o, down := p.outage(address)
+	return down && !o.detour
 }
 
 // HasDetour reports whether an upstream is reached through another entry.
 func (p *Prober) HasDetour(address string) bool {
+	o, _ := p.outage(address)
+	return o.detour
+}
+
+// outage returns the outage of an upstream, and whether it has one.
+func (p *Prober) outage(address string) (outage, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	o := p.outages[address]
-	return o != nil && o.detour
+	if o := p.outages[address]; o != nil {
+		return *o, true
+	}
+	return outage{}, false
 }
 
 // IsCutOff reports whether none of the known upstreams can be connected to directly.
@@ -213,9 +219,8 @@
 
 // isDown reports whether an upstream can't be connected to directly.
 func (p *Prober) isDown(address string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.outages[address] != nil
+	_, down := p.outage(address)
+	return down
 }
 
 func (p *Prober) allDown(list []string) bool {
