Show that orders reach a server that says it leaves

Cause: nothing reads the header Server-Leaving, so in an outage of the store an entry learns of a leaving by failed connections only. Change: case 2 of the review, a script: the store is down for 8 s, and one server of three leaves.

--- a/review/rig.go
+++ b/review/rig.go
@@ -48,7 +48,8 @@
 
 // cases are the cases by name.
 var cases = map[string]func(r *rig) (broken bool, why string){
-	"keys": keys,
+	"keys":    keys,
+	"leaving": leaving,
 }
 
 func main() {
