Show that stopping entries take streams that they can't finish

Cause: an entry that leaves while no other one stays estimates the time of a stream from passes without context, and leaves out its wait in the queue. Change: case 3 of the review, a script: both entries of a zone get SIGTERM, a second apart, under steady traffic on three model servers that take the declared times.

--- a/review/rig.go
+++ b/review/rig.go
@@ -21,7 +21,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,12 +47,15 @@
 	grace         = 8 * time.Second
 	startupLimit  = 15 * time.Second
 	requestMargin = 2 * time.Second
+	restartDelay  = 500 * time.Millisecond // of the platform
 )
 
 // cases are the cases by name.
 var cases = map[string]func(r *rig) (broken bool, why string){
-	"keys":    keys,
-	"leaving": leaving,
+	"keys":     keys,
+	"leaving":  leaving,
+	"channels": channels,
+	"stopping": stopping,
 }
 
 func main() {
@@ -100,12 +106,15 @@
 
 // rig is what a case is played on.
 type rig struct {
-	trouble bool
-	start   time.Time
-	dir     string
-	store   *store.Server
-	entries []*entry
-	servers []*server
+	trouble     bool
+	start       time.Time
+	dir         string
+	closing     atomic.Bool
+	quiet       bool // sends and runs are not noted
+	descriptors int  // that an entry's process may have; 0: no limit
+	store       *store.Server
+	entries     []*entry
+	servers     []*server
 
 	mu     sync.Mutex
 	record *os.File
@@ -129,6 +138,7 @@
 }
 
 func (r *rig) close() {
+	r.closing.Store(true)
 	for _, e := range r.entries {
 		e.kill()
 	}
@@ -182,15 +192,18 @@
 	r            *rig
 	name         string
 	front, ready string
-	cmd          *exec.Cmd
-	done         chan struct{}
+	boot, log    string
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
 }
 
 // startEntry starts an entry and waits until it is ready.
 func (r *rig) startEntry(name, zone string) *entry {
 	port := func() string { return fmt.Sprintf("127.0.0.1:%d", freePort()) }
 	peer := freePort()
-	e := &entry{r: r, name: name, front: port(), ready: port(), done: make(chan struct{})}
+	e := &entry{r: r, name: name, front: port(), ready: port()}
 	b, err := json.Marshal(map[string]any{
 		"node_name": name, "role": "entry", "machine_class": "frontend", "serves": []string{"frontend"},
 		"ip_address": "127.0.0.1", "zone": zone, "region": "r", "zones": map[string]string{"a": "r", "b": "r"},
@@ -203,29 +216,57 @@
 	require(err)
 	boot := filepath.Join(r.dir, name+".json")
 	require(os.WriteFile(boot, b, 0o600))
-	log, err := os.Create(filepath.Join(r.dir, name+".log"))
-	require(err)
-	e.cmd = exec.Command(program, "gateway")
-	e.cmd.Env = append(os.Environ(), "DOGWOODMILL_BOOT="+boot)
-	e.cmd.Stdout, e.cmd.Stderr = log, log
-	e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	require(e.cmd.Start())
+	e.boot, e.log = boot, filepath.Join(r.dir, name+".log")
+	e.spawn()
 	r.entries = append(r.entries, e)
+	r.await(name+" is ready", e.isReady)
+	r.note("ready", map[string]any{"entry": name})
+	return e
+}
+
+// isReady asks the entry whether it is ready, as the platform does.
+func (e *entry) isReady() bool {
+	res, err := (&http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Get("http://" + e.ready + readyPath)
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// spawn starts the process.
+func (e *entry) spawn() {
+	log, err := os.OpenFile(e.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	require(err)
+	cmd := exec.Command(program, "gateway")
+	if n := e.r.descriptors; n > 0 { // the platform limits the process
+		cmd = exec.Command("bash", "-c", fmt.Sprintf("ulimit -n %d && exec %s gateway", n, program))
+	}
+	cmd.Env = append(os.Environ(), "DOGWOODMILL_BOOT="+e.boot)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	require(cmd.Start())
+	done := make(chan struct{})
+	e.mu.Lock()
+	e.cmd, e.done = cmd, done
+	e.mu.Unlock()
 	go func() {
-		_ = e.cmd.Wait() // ends by a signal
+		_ = cmd.Wait() // ends by a signal
 		_ = log.Close()
-		close(e.done)
+		close(done)
 	}()
-	r.await(name+" is ready", func() bool {
-		res, err := (&http.Client{Timeout: time.Second}).Get("http://" + e.ready + readyPath)
-		if err != nil {
-			return false
-		}
-		_ = res.Body.Close()
-		return res.StatusCode == http.StatusOK
-	})
-	r.note("ready", map[string]any{"entry": name})
-	return e
+}
+
+// restart starts the process again once it has ended, as the platform does.
+func (e *entry) restart() {
+	<-e.done
+	e.r.note("ended", map[string]any{"entry": e.name})
+	time.Sleep(restartDelay)
+	if e.r.closing.Load() {
+		return
+	}
+	e.spawn()
+	e.r.note("started", map[string]any{"entry": e.name})
 }
 
 // await waits until something holds.
@@ -237,7 +278,16 @@
 	}
 }
 
+// lastLine returns the last line that the process wrote.
+func (e *entry) lastLine() string {
+	b, _ := os.ReadFile(e.log)
+	lines := strings.Split(strings.TrimSpace(string(b)), "\n")
+	return lines[len(lines)-1]
+}
+
 func (e *entry) kill() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	_ = e.cmd.Process.Kill()
 	<-e.done
 }
@@ -263,7 +313,9 @@
 	id      string
 	service string
 	zone    string
-	work    time.Duration
+	work    time.Duration // of a plain answer, or between events
+	events  int           // 0: a plain answer
+	model   *model        // nil: it isn't one of model requests
 	ln      net.Listener
 	http    *http.Server
 	born    int64
@@ -283,6 +335,13 @@
 	return s
 }
 
+// startModel starts a server of model requests.
+func (r *rig) startModel(id, service, zone string) *server {
+	s := r.startServer(id, service, zone, 0)
+	s.model = &model{slots: make(chan struct{}, engineSlots)}
+	return s
+}
+
 // register writes the server's entry to the store.
 func (s *server) register(state string) {
 	b, err := json.Marshal(map[string]any{
@@ -333,11 +392,29 @@
 	if _, err := io.Copy(io.Discard, q.Body); err != nil {
 		return
 	}
+	switch {
+	case s.model != nil && q.URL.Path == "/dogwoodmill/order":
+		s.serveOrder(w)
+		return
+	case s.model != nil && q.URL.Path == "/dogwoodmill/report":
+		s.serveReport(w)
+		return
+	}
 	s.mu.Lock()
 	n := len(s.runs)
 	s.runs = append(s.runs, run{ID: id, Server: s.id, Tenant: q.Header.Get("X-Tenant"), Arrived: s.r.now()})
 	s.mu.Unlock()
-	s.r.note("run", map[string]any{"id": id, "server": s.id, "tenant": q.Header.Get("X-Tenant")})
+	if !s.r.quiet {
+		s.r.note("run", map[string]any{"id": id, "server": s.id, "tenant": q.Header.Get("X-Tenant")})
+	}
+	if s.model != nil {
+		s.serveModel(w, q, n)
+		return
+	}
+	if s.events > 0 {
+		s.stream(w, q, n)
+		return
+	}
 	select {
 	case <-time.After(s.work):
 	case <-q.Context().Done(): // the channel is closed
@@ -357,6 +434,28 @@
 	_, _ = io.WriteString(w, "answer to "+id)
 }
 
+// stream answers with events, from the one after Last-Event-Id on.
+func (s *server) stream(w http.ResponseWriter, q *http.Request, n int) {
+	w.Header().Set("X-Attempt-Id", q.Header.Get("X-Attempt-Id"))
+	w.Header().Set("X-Response-Seal", "seal-"+s.id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id")) // 0 if there is none
+	for i := from + 1; i <= s.events; i++ {
+		select {
+		case <-time.After(s.work):
+		case <-q.Context().Done():
+			return
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", 65)); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush() // a failed write shows at the next event
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[n].Whole = true
+}
+
 // request is a request of a client.
 type request struct {
 	Entry   *entry
