--- a/review/rig.go
+++ b/review/rig.go
@@ -389,7 +389,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if _, err := io.Copy(io.Discard, q.Body); err != nil {
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
 		return
 	}
 	switch {
@@ -408,7 +409,7 @@
 		s.r.note("run", map[string]any{"id": id, "server": s.id, "tenant": q.Header.Get("X-Tenant")})
 	}
 	if s.model != nil {
-		s.serveModel(w, q, n)
+		s.serveModel(w, q, body, n)
 		return
 	}
 	if s.events > 0 {
--- a/review/stop.go
+++ b/review/stop.go
@@ -58,11 +58,11 @@
 }
 
 // serveModel serves orders, reports and prompts.
-func (s *server) serveModel(w http.ResponseWriter, q *http.Request, n int) {
+func (s *server) serveModel(w http.ResponseWriter, q *http.Request, body []byte, n int) {
 	m := s.model
-	prompt, output, _ := strings.Cut(q.Header.Get("X-Token-Counts"), ",")
+	prompt, _, _ := strings.Cut(q.Header.Get("X-Token-Counts"), ",")
 	tokens, _ := strconv.Atoi(prompt)
-	most, _ := strconv.Atoi(output)
+	events, _ := strconv.Atoi(string(body)) // the prompt decides the length of the answer
 	readers := 1
 	if h := q.Header.Get("X-Helpers"); h != "" {
 		readers += len(strings.Split(h, ","))
@@ -87,7 +87,7 @@
 	w.Header().Set("X-Weight-Versions", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id")) // 0 if there is none
-	for i := from + 1; i <= most/engineStride; i++ {
+	for i := from + 1; i <= events; i++ {
 		select {
 		case <-time.After(m.pass()):
 		case <-q.Context().Done():
@@ -218,21 +218,25 @@
 
 const (
 	stopGap = time.Second // between the SIGTERMs
-	stopAt  = 6 * time.Second
 	// About two fifths of the rate of motif queries of pechat-fleet, all of its dossiers and half of its
 	// archives, on a sixth of its servers.
-	motifEach     = 63290 * time.Microsecond
+	motifEach     = 57000 * time.Microsecond
 	dossierEach   = 348432 * time.Microsecond
 	archiveEach   = 2 * 840336 * time.Microsecond
 	sentUntil     = 3 * time.Second // after SIGTERM: what is cut in the last sixth doesn't count
 	engineCount   = 3
-	stopLength    = 16 * time.Second
-	dossierOutput = 21 * engineStride
-	archiveOutput = 17 * engineStride
+	stopLength    = 32 * time.Second
+	dossierOutput = 21 // events
+	archiveOutput = 17
+	// maxShare is the most tokens that a request allows over those that its answer has.
+	maxShare = 1.1
 )
 
-// motifOutputs are the lengths of the motif queries, by turns; the longest of pechat-fleet have 87 events.
-var motifOutputs = []int{35 * engineStride, 70 * engineStride}
+// stopAt is when the first entry is stopped, twice.
+var stopAt = []time.Duration{6 * time.Second, 22 * time.Second}
+
+// motifOutputs are the events of the motif queries, by turns; the longest of pechat-fleet have 87 events.
+var motifOutputs = []int{35, 70}
 
 // stopping stops all entries in turn while prompts come at a steady rate.
 func stopping(r *rig) (bool, string) {
@@ -247,18 +251,20 @@
 	for i := range 2 {
 		entries = append(entries, r.startEntry(fmt.Sprintf("frontend-%d", i), "plovdiv-a"))
 	}
-	terms := map[*entry]time.Duration{}
+	terms := map[*entry][]time.Duration{}
 	var mu sync.Mutex
 	begin := time.Now()
 	if r.trouble {
-		for i, e := range entries {
-			time.AfterFunc(stopAt+time.Duration(i)*stopGap, func() {
-				mu.Lock()
-				defer mu.Unlock()
-				terms[e] = r.now()
-				e.term()
-				go e.restart()
-			})
+		for _, at := range stopAt {
+			for i, e := range entries {
+				time.AfterFunc(at+time.Duration(i)*stopGap, func() {
+					mu.Lock()
+					defer mu.Unlock()
+					terms[e] = append(terms[e], r.now())
+					e.term()
+					go e.restart()
+				})
+			}
 		}
 	}
 	b := r.balance(entries)
@@ -271,8 +277,9 @@
 			for i := 0; time.Since(begin) < stopLength; i++ {
 				time.Sleep(time.Until(begin.Add(time.Duration(i) * each)))
 				wg.Go(func() {
+					events := outputs[i/len(entries)%len(outputs)]
 					a := r.stream(request{Entry: b.choose(i), ID: fmt.Sprintf("%s-%d", kind, i), Method: http.MethodPost, Path: "/" + kind + "/1", Key: guildKey, Limit: limit,
-						Headers: map[string]string{"X-Model": "m", "X-Token-Counts": fmt.Sprintf("%d,%d", tokens, outputs[i/len(entries)%len(outputs)]), "X-Prompt-Prefix": fmt.Sprintf("5c1e07a2:40,%x%04x:%d", kind[0], i, tokens-40)}, Body: []byte("prompt")})
+						Headers: map[string]string{"X-Model": "m", "X-Token-Counts": fmt.Sprintf("%d,%d", tokens, int(maxShare*float64(events*engineStride))), "X-Prompt-Prefix": fmt.Sprintf("5c1e07a2:40,%x%04x:%d", kind[0], i, tokens-40)}, Body: []byte(strconv.Itoa(events))})
 					mu.Lock()
 					defer mu.Unlock()
 					all = append(all, a)
@@ -295,17 +302,25 @@
 			r.note("server", map[string]any{"server": s.id, "most_running": s.model.most[0], "most_context": s.model.most[1]})
 		}
 	}
-	first := terms[entries[0]]
+	first := r.now()
+	if r.trouble {
+		first = terms[entries[0]][0]
+	}
 	statuses, before, cut, excused := map[int]int{}, map[int]int{}, 0, 0
 	for _, a := range all {
 		statuses[a.Status]++
-		if first == 0 || a.Got < first {
+		if a.Got < first {
 			before[a.Status]++
 		}
 		if a.Whole || a.Status == 0 || !ran[a.Request.ID] {
 			continue
 		}
-		at := terms[a.By]
+		at := time.Duration(0) // the last SIGTERM before the request was sent
+		for _, t := range terms[a.By] {
+			if t < a.Sent {
+				at = t
+			}
+		}
 		late := at > 0 && a.Sent > at+sentUntil && a.Got < at+grace+time.Second && a.Got-a.Sent < a.Request.Limit
 		if late {
 			cut++
