--- a/review/channels.go
+++ b/review/channels.go
@@ -35,7 +35,7 @@
 
 // channelsConfig returns a configuration of the services of pechat-fleet.
 func channelsConfig() map[string]any {
-	c := keysConfig(1, map[string][]string{"guild": {guildKey}})
+	c := keysConfig(1, guildKey)
 	c["routes"] = append(c["routes"].([]map[string]any),
 		map[string]any{
 			"name": "lookups", "host": host, "path_prefix": "/lookup/", "kind": "idempotent", "timeout_ms": 1500, "target_latency_ms": 300,
--- a/review/keys.go
+++ b/review/keys.go
@@ -8,23 +8,19 @@
 	"time"
 )
 
-// The tenants' keys, and one that no configuration holds.
+// The tenant's keys, and one that no configuration holds.
 const (
 	guildKey    = "key-of-the-guild"
-	workshopKey = "key-of-a-workshop"
+	secondKey   = "second-key-of-the-guild"
 	strangerKey = "key-of-nobody"
 )
 
-// keysConfig returns a configuration of one service behind a route that needs a key.
-func keysConfig(version int, keys map[string][]string) map[string]any {
-	var tenants []map[string]any
-	for _, name := range []string{"guild", "workshop"} {
-		list := keys[name]
-		if list == nil {
-			list = []string{}
-		}
-		tenants = append(tenants, map[string]any{"name": name, "api_keys": list, "priority": 1})
+// keysConfig returns a configuration of one service behind a route that needs a key, with one tenant.
+func keysConfig(version int, keys ...string) map[string]any {
+	if keys == nil {
+		keys = []string{}
 	}
+	tenants := []map[string]any{{"name": "guild", "api_keys": keys, "priority": 1}}
 	return map[string]any{
 		"version": version,
 		"routes": []map[string]any{{
@@ -37,19 +33,18 @@
 	}
 }
 
-// keys takes the keys of both tenants away, one after the other. Afterwards requests come with no key,
-// with the keys that were taken away, and with one that no configuration ever held. None may run.
+// keys takes both keys of the tenant away, one after the other. Afterwards requests come with no key, with
+// the keys that were taken away, and with one that no configuration ever held. None may run.
 func keys(r *rig) (bool, string) {
 	r.startStore()
-	full := map[string][]string{"guild": {guildKey}, "workshop": {workshopKey}}
-	r.configure(keysConfig(1, full))
+	r.configure(keysConfig(1, guildKey, secondKey))
 	for i, zone := range []string{"a", "b"} {
 		r.startServer(fmt.Sprintf("i-%d", i), "guild-orders", zone, 60*time.Millisecond)
 	}
 	entries := []*entry{r.startEntry("frontend-a", "a"), r.startEntry("frontend-b", "b")}
 	sent := map[string]string{} // keys by request
 	load := func(part string, length time.Duration) []answer {
-		list := []string{guildKey, workshopKey, strangerKey, ""}
+		list := []string{guildKey, secondKey, strangerKey, ""}
 		return r.every(100*time.Millisecond, length, func(i int) request {
 			id := fmt.Sprintf("%s-%d", part, i)
 			sent[id] = list[i/2%len(list)]
@@ -58,9 +53,9 @@
 	}
 	before := load("before", 4*time.Second)
 	if r.trouble {
-		r.configure(keysConfig(2, map[string][]string{"guild": {guildKey}}))
+		r.configure(keysConfig(2, guildKey))
 		time.Sleep(500 * time.Millisecond)
-		r.configure(keysConfig(3, nil))
+		r.configure(keysConfig(3))
 	}
 	confirmed := r.now()
 	time.Sleep(propagation + 500*time.Millisecond)
--- a/review/leaving.go
+++ b/review/leaving.go
@@ -17,7 +17,7 @@
 // leaving takes a server away while the store is down. All its answers say that it leaves.
 func leaving(r *rig) (bool, string) {
 	r.startStore()
-	r.configure(keysConfig(1, map[string][]string{"guild": {guildKey}}))
+	r.configure(keysConfig(1, guildKey))
 	for i, zone := range []string{"a", "b", "a"} {
 		r.startServer(fmt.Sprintf("i-%d", i), "guild-orders", zone, 200*time.Millisecond)
 	}
