Take no stream that a stopping entry can't end

Cause: where no other entry stays, the entry decided by an estimate of its own, before the stream had an engine. The wait for one, up to 35% of the time limit, was not in it, and passes were those of an engine without contexts: 46 ms in place of 90. Nothing was checked again at the placement or at the first event, and reads that came later made passes longer.

Ruled out: the flush at the end (all were cut at the stop itself) and plain requests (they get 502 there).

Change: such a stream has a time by which its longest answer must have ended. The planner places it only where that holds with all contexts, or refuses it; its pause limit, which entries report to each other, keeps later reads away. If the first event comes too late for the rest, the caller gets 502.

Failed before: TestLeavingEntryTakesNoStreamThatItWouldCut (200 in place of 503) and TestLateFirstEventWhileLeavingFails (200 in place of 502). TestBoundedStreamsEndInTime tests the planner's new field. The grace of TestStopLeavesNoRequestWithoutAnswer is the same 5 s as before, written without leavingMargin, which is longer now.

--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -29,6 +29,7 @@
 	errNoService     = errors.New("no such service")
 	errNoServer      = errors.New("no server is available")
 	errInvalidAnswer = errors.New("the answer is not valid")
+	errStops         = errors.New("the entry stops before the answer can end")
 )
 
 // call is a caller's request.
@@ -44,6 +45,7 @@
 	version    int64      // of the configuration
 	arrived    time.Time
 	deadline   time.Time
+	endsBy     time.Time       // when the longest answer must have ended since the entry stops; zero: no such limit
 	ctx        context.Context // ends at the deadline, or when the caller disconnects
 	cancel     context.CancelFunc
 	tried      map[string]bool
--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -141,7 +141,7 @@
 	written := min(timing.delivered*c.engine.Stride, c.req.MaxOutput)
 	return passes.Job{
 		ID: c.req.ID, Tokens: c.req.Prompt + written, MaxTokens: c.req.MaxOutput - written, ExpectedTokens: max(0, c.req.LikelyOutput-written), Bytes: len(c.callerReq.Body()),
-		Target: timing.target, Gap: c.route.Gap, Arrived: timing.since, Deadline: c.deadline, CallerLeavesAt: timing.callerLeavesAt, Begun: timing.delivered > 0, MayHaveRun: mayHaveRun, Tried: c.tried,
+		Target: timing.target, Gap: c.route.Gap, Arrived: timing.since, Deadline: c.deadline, CallerLeavesAt: timing.callerLeavesAt, EndsBy: c.endsBy, Begun: timing.delivered > 0, MayHaveRun: mayHaveRun, Tried: c.tried,
 	}
 }
 
--- a/internal/gateway/entry/handle.go
+++ b/internal/gateway/entry/handle.go
@@ -26,10 +26,11 @@
 	// restartTime is the time from the end of an entry until it serves again: half a second for the
 	// platform to restart it and a tenth of a second to read the store.
 	restartTime = 700 * time.Millisecond
-	// maxPlainTime is an upper bound of the usual time of a plain request. leavingMargin is reserved
-	// before a leaving entry stops.
-	maxPlainTime  = 1500 * time.Millisecond
-	leavingMargin = 500 * time.Millisecond
+	// maxPlainTime is an upper bound of the usual time of a plain request.
+	maxPlainTime = 1500 * time.Millisecond
+	// leavingMargin is reserved between the end of the longest answer to a stream and the stop of the
+	// entry, since a sound engine may be silent for a second.
+	leavingMargin = 1200 * time.Millisecond
 	// defaultTimeout applies if neither the caller nor the route sets a time limit.
 	defaultTimeout = 30 * time.Second
 )
@@ -55,7 +56,7 @@
 	if c == nil {
 		return
 	}
-	if s.refusing.Load() && !s.finishesInTime(c) {
+	if s.refusing.Load() && !s.takesLeaving(c) {
 		c.cancel()
 		after := s.retryAfter()
 		refuse(ctx, fasthttp.StatusServiceUnavailable, after)
@@ -100,21 +101,18 @@
 	return max(leavingRetryAfter, time.Until(servesAt.Add(restartTime)))
 }
 
-// finishesInTime reports whether a request ends before this leaving entry stops: whatever it takes if
-// another entry can serve it instead, else by what it is expected to take.
-func (s *Server) finishesInTime(c *call) bool {
+// takesLeaving reports whether this leaving entry takes a request: if another entry can serve it
+// instead, one that ends before it stops whatever it takes. Otherwise a plain one that is expected to;
+// the answer to a stream is bounded, and the planner refuses it where it can't be sure of its end.
+func (s *Server) takesLeaving(c *call) bool {
 	if staying, _ := s.exchange.Staying(); staying {
 		return c.deadline.Before(s.stopAt)
 	}
-	return c.finishesWithin(time.Until(s.stopAt))
-}
-
-// finishesWithin reports whether the request can be completed in the given time.
-func (c *call) finishesWithin(left time.Duration) bool {
 	if c.engine == nil {
-		return left > maxPlainTime
+		return time.Until(s.stopAt) > maxPlainTime
 	}
-	return left > leavingMargin+c.route.Target+c.engine.Write(c.req.MaxOutput, c.engine.Pass(c.engine.Slots, 0))
+	c.endsBy = s.stopAt.Add(-leavingMargin)
+	return true
 }
 
 // admit checks a request and returns its call, or nil if the request was answered with a
--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -538,6 +538,15 @@
 	return p != nil && p.Admits(j)
 }
 
+// EndsBy reports whether the longest answer to a prompt whose first event comes now ends by the given
+// time.
+func (s *scheduler) EndsBy(service string, t *passes.Ticket, by time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyReports()
+	return s.planners[service].EndsBy(t, by)
+}
+
 // ExpectsEngines reports whether a service has an engine that stays, whether it can be used now or
 // not, and is not in tried, or is in unsent.
 func (s *scheduler) ExpectsEngines(service string, tried map[string]bool, unsent []string) bool {
--- a/internal/gateway/entry/stop_test.go
+++ b/internal/gateway/entry/stop_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/server"
 )
 
@@ -173,7 +174,7 @@
 	}
 	early, earlyStream := ask("early")
 	env.await(func() bool { return len(list[0].Runs())+len(list[1].Runs()) == 2 })
-	env.entry.cfg.Grace = acceptWhileLeaving + maxPlainTime + leavingMargin
+	env.entry.cfg.Grace = acceptWhileLeaving + maxPlainTime + 500*time.Millisecond // before the route's timeout
 	stopped := make(chan error, 1)
 	go func() { stopped <- env.entry.Shutdown(t.Context()) }()
 	env.await(env.entry.refusing.Load)
@@ -185,3 +186,46 @@
 	is.NoErr(<-stopped)
 	is.Equal(len(list[0].Runs())+len(list[1].Runs()), 2)
 }
+
+// leave makes the entry refuse what it can't end within the given time.
+func (env *testEnv) leave(left time.Duration) {
+	env.entry.stopAt = time.Now().Add(left)
+	env.entry.refusing.Store(true)
+}
+
+// All entries leave, and an engine is full of long contexts. Streams that this entry could not finish
+// before it stopped were passed on, and cut in the middle.
+func TestLeavingEntryTakesNoStreamThatItWouldCut(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.configure()
+	engine := env.serve("engines", "i-1")
+	env.entry.sched.SetReport("127.0.0.1:1", passes.Report{Sends: []passes.Send{{
+		Engine: "i-1", Context: 400_000, Gap: 800 * time.Millisecond, At: time.Now(), Ends: time.Now().Add(time.Minute), Writing: true,
+	}}})
+	ask := env.request(http.MethodPost, "/ask/")
+	ask.Header.Set("X-Token-Counts", "1460,2000") // 44 passes of 90 ms, without contexts of 46 ms
+	env.leave(3500 * time.Millisecond)
+	is.Equal(env.do(ask).status, http.StatusServiceUnavailable)
+	is.Equal(len(engine.Runs()), 0)
+}
+
+// An engine of an entry that leaves as the last one sends its first event so late that the rest would be
+// cut. The caller got the head and some events of an answer that broke off; a failure tells it at once.
+func TestLateFirstEventWhileLeavingFails(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.configure()
+	engine := env.serve("engines", "i-1", server.Raw)
+	const left = 3500 * time.Millisecond
+	stop := time.Now().Add(left)
+	engine.SetRaw(func(w io.Writer, header string) {
+		time.Sleep(time.Until(stop.Add(-300 * time.Millisecond)))
+		_, _ = io.WriteString(w, okLine+header+"\r\nid: 1\ndata: 1\n\n") // the entry may have closed
+	})
+	ask := env.request(http.MethodPost, "/ask/")
+	ask.Header.Set("X-Token-Counts", "1460,800") // 18 passes of 43 ms
+	env.leave(left)
+	is.Equal(env.do(ask).status, http.StatusBadGateway)
+	is.Equal(len(engine.Runs()), 1)
+}
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -56,7 +56,11 @@
 func (c *call) serveStream(ctx *fasthttp.RequestCtx, finish func()) {
 	st := &stream{c: c, finish: finish}
 	if err := st.open(splitter{}, eventTiming{since: c.arrived, target: c.route.Target, callerLeavesAt: c.callerLeavesAt(c.arrived)}, nil); err != nil {
-		c.refuse(ctx, err, passes.RetryAfter(err))
+		after := passes.RetryAfter(err)
+		if !c.endsBy.IsZero() {
+			after = c.s.retryAfter()
+		}
+		c.refuse(ctx, err, after)
 		finish()
 		return
 	}
@@ -153,6 +157,11 @@
 			return heldOr(es.watch, fail("read", KindUnknown, err))
 		}
 	}
+	if !c.endsBy.IsZero() && !complete && es.timing.delivered == 0 && !c.s.sched.EndsBy(c.service, es.ticket, c.s.stopAt) {
+		c.s.log.Warn("A stream would be cut when this entry stops.", "id", c.req.ID, "upstream", es.engineName(), "left_ms", time.Until(c.s.stopAt).Milliseconds())
+		es.close(passes.Outcome{})
+		return fail("read", KindUnknown, errStops)
+	}
 	if st.engine != nil {
 		st.engine.fail("")
 	}
--- a/internal/prompt/passes/choose.go
+++ b/internal/prompt/passes/choose.go
@@ -290,7 +290,7 @@
 			continue
 		}
 		p.predict(&c, c.load.scaled(t.readAlone))
-		if c.firstEvent <= limit && p.endsBeforeDeadline(t, 0, c.pass, now) {
+		if c.firstEvent <= limit && p.endsBeforeDeadline(t, 0, c.pass, now) && p.keepsEnd(t, &c, c.firstEvent, now) {
 			c.extraOccupancy = p.extraOccupancy(t, c, now)
 			usable = append(usable, c)
 		}
@@ -486,7 +486,7 @@
 	if out.reserved != nil {
 		out.firstEvent += memoryReservationTime
 	}
-	return out, p.endsBeforeDeadline(t, out.firstEvent, out.pass, now)
+	return out, p.endsBeforeDeadline(t, out.firstEvent, out.pass, now) && p.keepsEnd(t, &writer, out.firstEvent, now)
 }
 
 // spreadMemory spreads the memory of a request over the set where no engine has room for
--- a/internal/prompt/passes/deadline.go
+++ b/internal/prompt/passes/deadline.go
@@ -18,11 +18,56 @@
 	timeLimit := t.job.Deadline.Sub(t.job.Arrived)
 	at := t.job.Arrived.Add(time.Duration(maxWaitShare * float64(timeLimit)))
 	if leaves := t.job.CallerLeavesAt.Add(-callerLeaveMargin); !t.job.CallerLeavesAt.IsZero() && (t.job.Begun || t.job.MayHaveRun || leaves.Before(at)) {
-		return leaves
+		at = leaves
+	}
+	if t.bounded() && t.placeBy.Before(at) {
+		return t.placeBy
 	}
 	return at
 }
 
+// bounded reports whether the answer must end by a time whatever its length. One that has begun is
+// always tried.
+func (t *Ticket) bounded() bool { return !t.job.EndsBy.IsZero() && !t.job.Begun }
+
+// passLimit returns the mean time of a pass with which the longest bounded answer ends in time if its
+// first event comes after first. It is 0 if the length isn't limited.
+func (p *Planner) passLimit(t *Ticket, first time.Duration, now time.Time) time.Duration {
+	n := p.figures.passes(t.job.MaxTokens)
+	if n == 0 {
+		return 0
+	}
+	return (t.job.EndsBy.Sub(now) - first) / time.Duration(n)
+}
+
+// keepsEnd reports whether a bounded answer ends in time at a candidate, beside the streams there.
+func (p *Planner) keepsEnd(t *Ticket, c *candidate, first time.Duration, now time.Time) bool {
+	if !t.bounded() {
+		return true
+	}
+	pass := p.figures.Pass(c.load.usedSlots+1, c.load.memoryTokens+t.job.memoryTokens()) + time.Duration(p.figures.Stride)*p.figures.PerHop
+	return c.load.scaled(pass) <= p.passLimit(t, first, now)
+}
+
+// streamPauseLimit returns the longest pause of a stream whose first event comes after first. One
+// that must end sooner has a shorter limit than its route, which no entry exceeds by further reads.
+func (p *Planner) streamPauseLimit(t *Ticket, first time.Duration, now time.Time) time.Duration {
+	limit := max(t.job.Gap, minPauseLimit)
+	if t.bounded() {
+		limit = min(limit, p.passLimit(t, first, now))
+	}
+	return limit
+}
+
+// EndsBy reports whether an answer of MaxTokens whose first event comes now ends by the given time at
+// the present load of the engine that writes it.
+func (p *Planner) EndsBy(t *Ticket, by time.Time) bool {
+	now := p.cfg.Now()
+	l := t.engines[0].load(now)
+	rest := time.Duration(max(0, p.figures.passes(t.job.MaxTokens)-1)) * l.pass
+	return !now.Add(rest).After(by)
+}
+
 // expire refuses requests that have waited for too long or can't be placed any more.
 func (p *Planner) expire(now time.Time) {
 	expired := p.waiting.TakeFunc(func(t *Ticket) bool { return now.After(t.waitUntil()) || p.unplaceable(t, now) })
@@ -66,6 +111,9 @@
 // checkDeadline refuses a request whose answer is not likely to end before its deadline
 // even on an idle engine. An answer that has begun is always tried.
 func (p *Planner) checkDeadline(t *Ticket, now time.Time) error {
+	if t.bounded() && (t.job.MaxTokens == 0 || now.After(t.placeBy)) {
+		return refuse("admit", KindTooLate, minRetryAfter, "an answer of %d tokens must end within %s", t.job.MaxTokens, round(t.job.EndsBy.Sub(now)))
+	}
 	takes := p.writeTime(t, p.figures.Pass(1, t.job.Tokens))
 	if left := t.job.Deadline.Sub(now); takes > left && !t.job.Begun {
 		return refuse("admit", KindTooLate, minRetryAfter, "an answer of %s is expected, and %s are left", round(takes), round(left))
--- a/internal/prompt/passes/figures.go
+++ b/internal/prompt/passes/figures.go
@@ -50,7 +50,12 @@
 
 // Write returns the time to write a number of tokens in passes of the given time.
 func (f *Figures) Write(tokens int, pass time.Duration) time.Duration {
-	return time.Duration(math.Ceil(float64(tokens)/float64(max(f.Stride, 1)))) * pass
+	return time.Duration(f.passes(tokens)) * pass
+}
+
+// passes returns the number of passes, and so of events, in which a number of tokens is written.
+func (f *Figures) passes(tokens int) int {
+	return int(math.Ceil(float64(tokens) / float64(max(f.Stride, 1))))
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -57,6 +57,7 @@
 	Arrived        time.Time
 	Deadline       time.Time
 	CallerLeavesAt time.Time       // when its caller leaves if no event comes; zero: at the deadline
+	EndsBy         time.Time       // when an answer of MaxTokens must have ended; zero: only the deadline counts
 	Begun          bool            // the answer has begun, so the request can't be refused any more
 	MayHaveRun     bool            // an engine may have run it, so a refusal can't state that none did
 	Tried          map[string]bool // names of engines to exclude
@@ -86,6 +87,7 @@
 type Ticket struct {
 	job                 Job
 	readAlone           time.Duration // time to read the prompt on one idle engine
+	placeBy             time.Time     // when no engine can keep the job's EndsBy any more; zero: no limit
 	state               state
 	err                 error
 	queueItem           *queue.Item[*Ticket]
@@ -264,7 +266,7 @@
 // returns an Error with a delay for RetryAfter.
 func (p *Planner) Submit(j Job) (*Ticket, error) {
 	now := p.cfg.Now()
-	t := &Ticket{job: j, readAlone: p.figures.Read(j.Tokens)}
+	t := p.newTicket(j)
 	if err := p.checkFeasible(t, now); err != nil {
 		p.counts.Refused++
 		return nil, err
@@ -288,6 +290,15 @@
 	return t, nil
 }
 
+// newTicket returns the ticket of a job that is neither placed nor queued.
+func (p *Planner) newTicket(j Job) *Ticket {
+	t := &Ticket{job: j, readAlone: p.figures.Read(j.Tokens)}
+	if t.bounded() {
+		t.placeBy = j.EndsBy.Add(-p.minPartRead(t) - p.figures.Write(j.MaxTokens, p.figures.Pass(1, j.Tokens)))
+	}
+	return t
+}
+
 // checkFeasible refuses a request that doesn't fit into the memory of all usable engines
 // together, or can't be answered before its deadline.
 func (p *Planner) checkFeasible(t *Ticket, now time.Time) error {
@@ -309,7 +320,7 @@
 // Admits reports whether Submit would place or queue a job. It changes nothing about the job.
 func (p *Planner) Admits(j Job) bool {
 	now := p.cfg.Now()
-	t := &Ticket{job: j, readAlone: p.figures.Read(j.Tokens)}
+	t := p.newTicket(j)
 	if p.checkFeasible(t, now) != nil {
 		return false
 	}
@@ -406,10 +417,10 @@
 	for i, e := range t.engines {
 		s := &Send{Engine: e.name, Read: c.partRead, At: now, Due: t.job.Arrived.Add(t.job.Target)}
 		if i == 0 {
-			s.Context, s.Gap = c.memoryTokens, max(t.job.Gap, minPauseLimit)
+			s.Context, s.Gap = c.memoryTokens, p.streamPauseLimit(t, c.firstEvent, now)
 			s.Weight = t.weight()
 			s.Ends = now.Add(c.firstEvent + p.writeTime(t, c.pass))
-			if t.late(now) {
+			if t.late(now) && !t.bounded() {
 				s.markLate(p.longestGap)
 			}
 		} else if c.reserved != nil {
@@ -437,7 +448,7 @@
 	}
 	now := p.cfg.Now()
 	t.firstAt = now
-	if t.late(now) {
+	if t.late(now) && !t.bounded() {
 		t.sends[0].markLate(p.longestGap)
 	}
 	ratio := now.Sub(t.placedAt).Seconds() / max(t.predictedFirstEvent.Seconds(), minPrediction.Seconds())
@@ -456,10 +467,14 @@
 	p.changed = true
 }
 
-// MarkLate records that a running stream is late, which raises its pause limit.
+// MarkLate records that a running stream is late, which raises its pause limit unless it must end
+// sooner.
 func (p *Planner) MarkLate(t *Ticket) {
-	if t.state == statePlaced {
-		p.suspect(t.engines[:1])
+	if t.state != statePlaced {
+		return
+	}
+	p.suspect(t.engines[:1])
+	if !t.bounded() {
 		t.sends[0].markLate(p.longestGap)
 		p.changed = true
 	}
--- a/internal/prompt/passes/planner_test.go
+++ b/internal/prompt/passes/planner_test.go
@@ -485,3 +485,47 @@
 		}
 	}
 }
+
+// An entry stops while engines are full of long contexts. It placed streams that it could not end in time,
+// by the passes of an engine without contexts and without the wait for one, and cut them.
+func TestBoundedStreamsEndInTime(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p := New(Settings{Now: func() time.Time { return now }, Rand: func() float64 { return 0 }}, UsersFigures())
+	p.SetEngines([]Engine{{Name: "a", Address: "a"}})
+	contexts := func(tokens int) {
+		p.SetReports(map[string]Report{"other": {ReceivedAt: now, Sends: []Send{{Engine: "a", Context: tokens, Gap: 800 * time.Millisecond, At: now, Ends: now.Add(time.Minute), Writing: true}}}})
+	}
+	job := Job{
+		Tokens: 5000, MaxTokens: 40 * 46, Target: 300 * time.Millisecond, Gap: 200 * time.Millisecond,
+		Arrived: now, Deadline: now.Add(10 * time.Second), EndsBy: now.Add(3 * time.Second),
+	}
+	contexts(400_000)
+	waiting, err := p.Submit(job)
+	if err != nil || waiting.Placed() {
+		t.Fatalf("placed where 40 passes take %s, or refused: %v", 40*UsersFigures().Pass(2, 405_000), err)
+	}
+	contexts(0)
+	placed, err := p.Submit(job)
+	if err != nil || !placed.Placed() {
+		t.Fatalf("not placed on an engine that ends it in time: %v", err)
+	}
+	limit := p.Sends()[0].Gap
+	if 40*limit > 3*time.Second {
+		t.Errorf("its pauses may take %s, 40 of them more than the 3 s that are left", limit)
+	}
+	p.MarkLate(placed)
+	if got := p.Sends()[0].Gap; got != limit {
+		t.Errorf("it may pause for %s once it is late, %s before", got, limit)
+	}
+	if !p.EndsBy(placed, now.Add(2*time.Second)) || p.EndsBy(placed, now.Add(time.Second)) {
+		t.Error("40 passes of 43 ms don't end between 1 and 2 s")
+	}
+	job.MaxTokens = 0
+	if _, err := p.Submit(job); err == nil {
+		t.Error("an answer of unknown length was admitted")
+	}
+	now = now.Add(1500 * time.Millisecond)
+	if p.Dispatch(); waiting.Placed() || waiting.Err() == nil {
+		t.Error("still waiting, or placed, when no engine ends it in time")
+	}
+}
