Keep routes closed once all keys are withdrawn

Cause: DecodeConfig dropped whether a configuration has tenants, and Table.Keyed took "no keys" for "no tenants".

Ruled out: entries that serve by an older configuration (they refuse a withdrawn key while another is left) and requests that were queued before.

--- a/internal/gateway/entry/refusal_test.go
+++ b/internal/gateway/entry/refusal_test.go
@@ -159,3 +159,27 @@
 	}()
 	return ln.Addr().String()
 }
+
+// All keys of all workspaces are withdrawn. Requests with a withdrawn key, with one that never was in
+// force, and with none were passed on; only public routes need none.
+func TestWithdrawnKeysOpenNoRoute(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.configure()
+	desk := env.serve("desk", "i-1")
+	ask := func(path, authorization string) int {
+		req := env.request(http.MethodGet, path)
+		req.Header.Set("Authorization", authorization)
+		return env.do(req).status
+	}
+	is.Equal(ask("/look/", "Token key-1"), http.StatusOK)
+	for _, tenants := range []any{[]any{map[string]any{"name": "guild", "api_keys": []any{}}}, []any{map[string]any{"name": "guild", "api_keys": []any{""}}}, []any{}} {
+		env.config["tenants"] = tenants
+		env.configure()
+		for _, authorization := range []string{"Token key-1", "Token key-0", "Token ", ""} {
+			is.Equal(ask("/look/", authorization), http.StatusUnauthorized)
+		}
+	}
+	is.Equal(len(desk.Runs()), 1)
+	is.Equal(ask("/open/", ""), http.StatusOK)
+}
--- a/internal/gateway/route/table.go
+++ b/internal/gateway/route/table.go
@@ -84,6 +84,7 @@
 	Version  int64
 	Routes   []*Route
 	Services []*Service
+	Keyed    bool              // requests need an API key, also where there is none
 	Keys     map[string]string // workspace names by API key
 	Limits   Limits
 }
@@ -93,13 +94,14 @@
 	version  int64
 	routes   map[string]map[string]*Route // by lower-case host, then path prefix
 	services map[string]*Service
+	keyed    bool
 	keys     map[string]string
 	limits   Limits
 }
 
 // NewTable returns a table with the contents of s.
 func NewTable(s Settings) *Table {
-	t := &Table{version: s.Version, routes: map[string]map[string]*Route{}, services: map[string]*Service{}, keys: s.Keys, limits: s.Limits}
+	t := &Table{version: s.Version, routes: map[string]map[string]*Route{}, services: map[string]*Service{}, keyed: s.Keyed, keys: s.Keys, limits: s.Limits}
 	for _, r := range s.Routes {
 		host := strings.ToLower(r.Host)
 		if t.routes[host] == nil {
@@ -119,8 +121,8 @@
 // Limits returns the limits on callers' requests.
 func (t *Table) Limits() Limits { return t.limits }
 
-// Keyed reports whether any API keys are configured; without them requests need none.
-func (t *Table) Keyed() bool { return len(t.keys) > 0 }
+// Keyed reports whether requests need an API key. They do where all keys have been withdrawn.
+func (t *Table) Keyed() bool { return t.keyed }
 
 // Workspace returns the workspace that an API key belongs to.
 func (t *Table) Workspace(key string) (name string, ok bool) {
--- a/internal/gateway/route/table_test.go
+++ b/internal/gateway/route/table_test.go
@@ -16,7 +16,7 @@
 			{Name: "deep", Host: "h.example", Prefix: "/a/b/"},
 			{Name: "other", Host: "o.example", Prefix: "/a/"},
 		},
-		Keys: map[string]string{"key": "guild"},
+		Keyed: true, Keys: map[string]string{"key": "guild"},
 	})
 }
 
@@ -63,6 +63,7 @@
 	is.True(!ok)
 	is.True(newTable().Keyed())
 	is.True(!NewTable(Settings{}).Keyed())
+	is.True(NewTable(Settings{Keyed: true}).Keyed())
 }
 
 // The longest pause is that of the routes to the service, whatever their share.
