Bound the memory of streams and answers together

Operators of a similar system saw a machine run out of memory when a server sent bytes without end; requests of all its clients ended.

Cause: each stream may hold an event of up to 1 MiB, and only plain answers had a common bound. Once these had taken it, usual answers of sound servers failed as well, of orders that had run, too.

Change: what a stream has received and its caller has not read comes from the same memory. The first 16 KiB of each answer are free, and beyond that no answer takes more than it leaves free. The garbage collector gets a soft limit of 0.7 of the process's memory.

Failed before: TestStreamsShareMemoryOfAnswers (the large event was kept) and TestUsualAnswersNeedNoFreeMemory (an empty answer in place of the whole one).

--- a/internal/command/cli/gateway.go
+++ b/internal/command/cli/gateway.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -17,6 +18,10 @@
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
+// goMemoryShare is the share of the process's memory up to which the garbage collector runs only as often
+// as usual: garbage of large answers must not make the process exceed its limit.
+const goMemoryShare = 0.7
+
 // Run runs an entry on the users' platform until SIGTERM or an interrupt. SIGHUP, which
 // announces changed settings, has no effect.
 func (o *GatewayOptions) Run(env *environment) error {
@@ -24,6 +29,9 @@
 	if err != nil {
 		return &codedError{code: exitUsage, err: fmt.Errorf("--boot: %w", err)}
 	}
+	if cfg.Memory > 0 {
+		debug.SetMemoryLimit(int64(goMemoryShare * float64(cfg.Memory)))
+	}
 	lines := ring.New(env.stdout)
 	defer lines.Close()
 	logger := log.NewWithOptions(lines, log.Options{
--- a/internal/gateway/entry/bodies.go
+++ b/internal/gateway/entry/bodies.go
@@ -2,18 +2,24 @@
 
 import (
 	"bytes"
+	"errors"
 	"sync/atomic"
 )
 
 const (
-	// bodyMemoryShare is the share of the process's memory that buffered answers may take
-	// together. The rest is for the callers' requests and the entry's state.
+	// bodyMemoryShare is the share of the process's memory that buffered answers and parts of
+	// streams may take together. The rest is for the callers' requests and the entry's state.
 	bodyMemoryShare = 0.25
 	// defaultBodyMemory applies if the settings name no limit of the process's memory.
 	defaultBodyMemory = 64 << 20
+	// freeAnswerBytes is what each answer may buffer in any case, so that servers that send without end
+	// take nothing from the usual answers of others. It is many times the size of an event.
+	freeAnswerBytes = 16 << 10
 )
 
-// bodyMemory bounds the memory of all answers that are buffered. It is safe for concurrent use.
+var errNoMemory = errors.New("no memory is left for it")
+
+// bodyMemory bounds the memory of all that is buffered of answers. It is safe for concurrent use.
 type bodyMemory struct {
 	most int64 // bytes
 	used atomic.Int64
@@ -27,10 +33,11 @@
 	return &bodyMemory{most: int64(bodyMemoryShare * float64(process))}
 }
 
-// take takes n bytes and reports whether they were free.
-func (m *bodyMemory) take(n int) bool {
-	if m.used.Add(int64(n)) > m.most {
-		m.used.Add(-int64(n))
+// take takes n further bytes for an answer that has taken held, and reports whether it may: no
+// answer takes more than it leaves free.
+func (m *bodyMemory) take(held, n int64) bool {
+	if used := m.used.Add(n); held+n > m.most-used {
+		m.free(n)
 		return false
 	}
 	return true
@@ -38,6 +45,25 @@
 
 func (m *bodyMemory) free(n int64) { m.used.Add(-n) }
 
+// answerMemory is what one answer has taken. It must be used in one goroutine at a time.
+type answerMemory struct {
+	of   *bodyMemory
+	held int64 // bytes
+}
+
+// hold makes the answer hold n bytes and reports whether it may; else it holds what it did.
+func (a *answerMemory) hold(n int) bool {
+	more := max(0, int64(n)-freeAnswerBytes) - a.held
+	if more > 0 && !a.of.take(a.held, more) {
+		return false
+	}
+	if more < 0 {
+		a.of.free(-more)
+	}
+	a.held += more
+	return true
+}
+
 // heldBody is a body whose memory is freed when the caller's connection closes it.
 type heldBody struct {
 	*bytes.Reader
--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -56,6 +56,8 @@
 	closed   bool
 	silent   *engineStream // the stream that this one is to relieve; nil if it is the first
 	backlog  []readResult  // received by goesOn and not consumed yet
+	memory   answerMemory  // of all that was received and that the caller has not read
+	waiting  int           // bytes of blocks passed on since the last event
 }
 
 // readResult is the result of one read from an engine.
@@ -99,7 +101,7 @@
 		watch.End(false)
 		return nil, platform.Answer{}, heldOr(watch, err)
 	}
-	es := &engineStream{c: c, ticket: t, timing: timing, watch: watch, cancel: cancel, silent: silent, splitter: after.resume(), reads: make(chan readResult, readQueueLen), stop: make(chan struct{})}
+	es := &engineStream{c: c, ticket: t, timing: timing, watch: watch, cancel: cancel, silent: silent, splitter: after.resume(), reads: make(chan readResult, readQueueLen), stop: make(chan struct{}), memory: answerMemory{of: c.s.bodies}}
 	name, address := t.Engine()
 	c.tried[name] = true
 	load := t.Decision()
@@ -216,9 +218,10 @@
 // silentGoesOn reports whether the engine that this one is to relieve has sent an event since.
 func (es *engineStream) silentGoesOn() bool { return es.silent != nil && es.silent.goesOn() }
 
-// goesOn reports whether a further event has arrived. It keeps what it receives for next.
+// goesOn reports whether a further event has arrived. It keeps what it receives for next, as long
+// as there is memory.
 func (es *engineStream) goesOn() bool {
-	for received := true; received; {
+	for received := true; received && es.hold(); {
 		select {
 		case r, ok := <-es.reads:
 			if received = ok; ok {
@@ -371,6 +374,15 @@
 	es.close(passes.Outcome{Failed: es.c.ctx.Err() == nil && !es.silentGoesOn() && !es.watch.Aborted(), FailedAddress: address})
 }
 
+// hold takes the memory of all that is buffered, and reports whether there is enough.
+func (es *engineStream) hold() bool {
+	n := cap(es.splitter.buf) + es.waiting
+	for _, r := range es.backlog {
+		n += len(r.data)
+	}
+	return es.memory.hold(n)
+}
+
 func (es *engineStream) consume(r readResult) (blocks []byte, events int, err error) {
 	defer func() {
 		if err != nil && !errors.Is(err, io.EOF) {
@@ -381,6 +393,11 @@
 	es.received = es.received || len(r.data) > 0
 	if es.events += events; events > 0 {
 		es.exchange.Progress()
+		es.waiting = 0 // the caller has read the blocks before this read
+	}
+	es.waiting += len(out)
+	if err == nil && !es.hold() {
+		err = fail("read", KindTooLarge, errNoMemory)
 	}
 	rest := es.splitter.remainder()
 	switch {
@@ -418,6 +435,8 @@
 		es.exchange.Close()
 	}
 	es.cancel()
+	es.splitter.buf, es.backlog = nil, nil
+	es.memory.hold(0)
 	es.watch.End(out.Answered && !es.splitter.anything)
 	es.c.s.sched.Done(es.c.service, es.ticket, out)
 	if es.lease != nil {
--- a/internal/gateway/entry/plain.go
+++ b/internal/gateway/entry/plain.go
@@ -36,15 +36,13 @@
 	upstream string
 	exchange *httpconn.Exchange // has the head; closed after the answer is relayed or dropped
 	body     []byte
-	memory   *bodyMemory
-	held     int64 // bytes taken from memory
+	memory   answerMemory
 }
 
 // release closes the exchange and frees the memory of the body.
 func (a *plainAnswer) release() {
 	a.exchange.Close()
-	a.memory.free(a.held)
-	a.held = 0
+	a.memory.hold(0)
 }
 
 func (a *plainAnswer) status() int { return a.exchange.Status() }
@@ -160,13 +158,11 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &plainAnswer{upstream: k.Name(), exchange: x, memory: c.s.bodies}
+	a := &plainAnswer{upstream: k.Name(), exchange: x, memory: answerMemory{of: c.s.bodies}}
+	size := 0
 	a.body, err = x.ReadAll(maxAnswerBytes, until, func(n int) bool {
-		ok := a.memory.take(n)
-		if ok {
-			a.held += int64(n)
-		}
-		return ok
+		size += n
+		return a.memory.hold(size)
 	})
 	if err != nil {
 		a.release()
--- a/internal/gateway/entry/unending_test.go
+++ b/internal/gateway/entry/unending_test.go
@@ -244,3 +244,43 @@
 	is.Equal(strings.Count(string(all), "HTTP/1.1 "), 1)
 	is.True(!strings.HasSuffix(string(all), "0\r\n\r\n")) // the last chunk of a complete answer
 }
+
+// Many engines send events without end. Each stream kept up to a megabyte and nothing bounded them
+// together, so that the process exceeded its memory. Now they share the memory for answers.
+func TestStreamsShareMemoryOfAnswers(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.configure()
+	env.entry.bodies.most = 1 << 18
+	a := env.serve("engines", "i-1", server.Raw)
+	a.SetRaw(func(w io.Writer, header string) { // an event within the size limit
+		_, _ = io.WriteString(w, okLine+header+"\r\ndata: "+strings.Repeat("x", 1<<19)+"\n\n")
+	})
+	got := make(chan reply, 1)
+	go func() { got <- env.do(env.request(http.MethodPost, "/ask/")) }()
+	env.await(func() bool { return len(a.Runs()) == 1 })
+	env.serve("engines", "i-2")
+	r := <-got
+	is.True(len(r.body) < 1<<18)
+	is.True(r.status == http.StatusBadGateway || r.body == server.Events(testEvents)) // as soon as the other one is known
+	env.await(func() bool { return env.entry.bodies.used.Load() == 0 })
+}
+
+// Servers that send without end have taken all memory for answers. The usual answers of sound
+// servers failed with them, of orders that had run, too.
+func TestUsualAnswersNeedNoFreeMemory(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.configure()
+	env.serve("desk", "i-1")
+	env.serve("engines", "i-2")
+	bodies := env.entry.bodies
+	for range 3 { // none takes more than it leaves free
+		is.True(bodies.take(0, bodies.most/4))
+	}
+	is.True(!bodies.take(bodies.most/4, bodies.most/4))
+	bodies.used.Store(bodies.most)
+	is.Equal(env.do(env.request(http.MethodPost, "/once/")).body, "plain answer")
+	is.Equal(env.do(env.request(http.MethodPost, "/ask/")).body, server.Events(testEvents))
+	is.Equal(bodies.used.Load(), bodies.most)
+}
