Close no connection under a request that was read

Cause: the connections were listed as idle and closed one after the other, without another look.

Ruled out: requests of which only a part was read don't count as idle.

Change: the entry makes the read in progress fail, under the connection's lock and only if it waits for a request. A request that was read all the same is served, and any other stays unread.

--- a/internal/gateway/entry/caller.go
+++ b/internal/gateway/entry/caller.go
@@ -27,6 +27,7 @@
 	waiting         bool      // blocked in Read between requests, with all answers written
 	served          bool      // at least one request arrived
 	answering       bool      // a request arrived whose answer may not be written yet
+	expired         bool      // the read in progress fails unless a request has arrived
 	onClose         func()
 }
 
@@ -47,11 +48,22 @@
 	return c.Conn.Close()
 }
 
-// idle reports whether the connection served a request and waits for the next one.
-func (c *callerConn) idle() bool {
+// expire ends an idle connection and reports whether it was idle. Only the reader closes it, so that a
+// request that arrives at the same time is either served or not read at all.
+func (c *callerConn) expire() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.waiting || !c.served {
+	if !c.idle() {
+		return false
+	}
+	c.expired = true
+	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
+	return true
+}
+
+// idle reports whether the connection served a request and waits for the next one. c.mu must be held.
+func (c *callerConn) idle() bool {
+	if !c.waiting || !c.served || c.expired {
 		return false
 	}
 	select {
@@ -96,6 +108,10 @@
 	if n > 0 && c.betweenRequests {
 		c.betweenRequests, c.started = false, time.Now()
 	}
+	if n > 0 && c.expired { // the request was faster
+		c.expired = false
+		_ = c.SetReadDeadline(time.Now().Add(readTimeout)) // if it fails, so does the next read
+	}
 	return n, err
 }
 
@@ -194,19 +210,16 @@
 	return n
 }
 
-// closeIdle closes the connections that wait for another request, so that callers reconnect to
+// closeIdle ends the connections that wait for another request, so that callers reconnect to
 // another entry, and returns their number.
 func (l *callerListener) closeIdle() int {
 	l.mu.Lock()
-	var list []*callerConn
+	defer l.mu.Unlock()
+	n := 0
 	for c := range l.conns {
-		if c.idle() {
-			list = append(list, c)
+		if c.expire() {
+			n++
 		}
 	}
-	l.mu.Unlock()
-	for _, c := range list {
-		_ = c.Close() // nothing is in transit on an idle connection
-	}
-	return len(list)
+	return n
 }
--- a/internal/gateway/entry/caller_test.go
+++ b/internal/gateway/entry/caller_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"errors"
 	"net"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +18,12 @@
 	conn *callerConn
 }
 
+func (k *keptConn) idle() bool {
+	k.conn.mu.Lock()
+	defer k.conn.mu.Unlock()
+	return k.conn.idle()
+}
+
 func withKeptConn(t *testing.T, f func(k *keptConn)) {
 	synctest.Test(t, func(t *testing.T) {
 		caller, served := net.Pipe()
@@ -57,22 +65,77 @@
 			synctest.Wait()
 		}
 		wait()
-		k.is.True(!k.conn.idle()) // it has not sent a request
+		k.is.True(!k.idle()) // it has not sent a request
 		go func() { _, _ = k.Write([]byte("refused at once")) }()
 		synctest.Wait()
-		k.is.True(!k.conn.idle()) // the request is being read
+		k.is.True(!k.idle()) // the request is being read
 		k.conn.beginRequest()
-		k.is.True(!k.conn.idle()) // the request is being handled
+		k.is.True(!k.idle()) // the request is being handled
 		wait()
-		k.is.True(k.conn.idle())
+		k.is.True(k.idle())
 		go func() { _, _ = k.Write([]byte("a stream")) }()
 		synctest.Wait()
 		k.conn.beginRequest()
 		k.conn.watch(func() {})
-		k.is.True(!k.conn.idle())
+		k.is.True(!k.idle())
 		k.conn.unwatch()
-		k.is.True(!k.conn.idle()) // the end of the answer is not written yet
+		k.is.True(!k.idle()) // the end of the answer is not written yet
 		wait()
-		k.is.True(k.conn.idle())
+		k.is.True(k.idle())
+	})
+}
+
+// lateConn is a connection on which bytes arrive as a deadline in the past is set.
+type lateConn struct {
+	net.Conn
+	arrive  func() // writes the bytes
+	arrived chan struct{}
+}
+
+func (c *lateConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.arrived != nil {
+		close(c.arrived)
+		c.arrived = nil
+	}
+	return n, err
+}
+
+func (c *lateConn) SetReadDeadline(at time.Time) error {
+	if arrived := c.arrived; arrived != nil && at.Before(time.Now()) {
+		go c.arrive()
+		<-arrived
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+// A request arrives while an idle connection is closed. It was read, passed on and run, and its caller
+// got no answer.
+func TestRequestOnExpiringConnectionIsRead(t *testing.T) {
+	withKeptConn(t, func(k *keptConn) {
+		k.request("the first")
+		k.conn.Conn = &lateConn{Conn: k.conn.Conn, arrive: func() { _, _ = k.Write([]byte("in two parts")) }, arrived: make(chan struct{})}
+		parts := make(chan string, 2)
+		go func() {
+			for range cap(parts) {
+				buf := make([]byte, 7)
+				n, err := k.conn.Read(buf)
+				k.is.NoErr(err)
+				parts <- string(buf[:n])
+			}
+		}()
+		synctest.Wait()
+		k.is.True(k.conn.expire())
+		k.is.Equal(<-parts+<-parts, "in two parts")
+		k.conn.beginRequest()
+		gone := make(chan error)
+		go func() {
+			_, err := k.conn.Read(make([]byte, 1))
+			gone <- err
+		}()
+		synctest.Wait()
+		k.is.True(k.conn.expire())
+		k.is.True(!k.conn.expire())
+		k.is.True(errors.Is(<-gone, os.ErrDeadlineExceeded))
 	})
 }
--- a/internal/gateway/entry/stop_test.go
+++ b/internal/gateway/entry/stop_test.go
@@ -229,3 +229,53 @@
 	is.Equal(env.do(ask).status, http.StatusBadGateway)
 	is.Equal(len(engine.Runs()), 1)
 }
+
+// An entry that stops closes its idle connections while orders arrive on them. Those that were read after
+// the connections had been listed ran, and their connections were closed without an answer.
+func TestStopClosesNoConnectionUnderARequest(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.configure()
+	desk := env.serve("desk", "i-1")
+	const callers = 200
+	var conns [callers]net.Conn
+	var readers [callers]*bufio.Reader
+	send := func(i int, id string) {
+		req := env.request(http.MethodPost, "/once/")
+		req.Header.Set("X-Attempt-Id", id)
+		_ = req.Write(conns[i]) // a failure shows as a missing answer
+	}
+	answered := func(i int) bool {
+		res, err := http.ReadResponse(readers[i], nil)
+		if err != nil {
+			return false
+		}
+		body, err := io.ReadAll(res.Body)
+		return err == nil && string(body) == "plain answer"
+	}
+	for i := range conns {
+		c, err := net.Dial("tcp", env.entry.callersLn.Addr().String())
+		is.NoErr(err)
+		defer func() { _ = c.Close() }()
+		conns[i], readers[i] = c, bufio.NewReader(c)
+		send(i, fmt.Sprint("first-", i))
+		is.True(answered(i))
+	}
+	var sending sync.WaitGroup
+	sending.Go(func() {
+		for i := range conns {
+			send(i, fmt.Sprint("second-", i))
+		}
+	})
+	env.entry.callersLn.closeIdle()
+	sending.Wait()
+	whole := map[string]bool{}
+	for i := range conns {
+		whole[fmt.Sprint("second-", i)] = answered(i)
+	}
+	for _, r := range desk.Runs()[callers:] {
+		if !whole[r.ID] {
+			t.Errorf("%s ran, and its caller got no answer", r.ID)
+		}
+	}
+}
