Notice the end of an engine's time while bytes keep coming

An engine that sends comments or parts of an event as fast as they are read kept its prompt longer than the time for its first event, so that no other engine was asked.

Cause: the time was noticed only if no read was at hand for a millisecond.

Change: once the time has passed, what has arrived is looked through for an event or the end of the answer, and without one the engine is silent.

Failed before: TestFastCommentsDoNotHideSilence, 5 of 5; after 0 of 20.

--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -218,19 +218,24 @@
 // silentGoesOn reports whether the engine that this one is to relieve has sent an event since.
 func (es *engineStream) silentGoesOn() bool { return es.silent != nil && es.silent.goesOn() }
 
-// goesOn reports whether a further event has arrived. It keeps what it receives for next, as long
-// as there is memory.
-func (es *engineStream) goesOn() bool {
-	for received := true; received && es.hold(); {
+// receive moves what has arrived to the backlog, as long as there is memory.
+func (es *engineStream) receive() {
+	for es.hold() {
 		select {
 		case r, ok := <-es.reads:
-			if received = ok; ok {
-				es.backlog = append(es.backlog, r)
+			if !ok {
+				return
 			}
+			es.backlog = append(es.backlog, r)
 		default:
-			received = false
+			return
 		}
 	}
+}
+
+// goesOn reports whether a further event has arrived. It keeps what it receives for next.
+func (es *engineStream) goesOn() bool {
+	es.receive()
 	probe := es.splitter
 	probe.buf = slices.Clone(probe.buf)
 	for _, r := range es.backlog {
@@ -241,6 +246,11 @@
 	return false
 }
 
+// ended reports whether the backlog has the end of the answer.
+func (es *engineStream) ended() bool {
+	return len(es.backlog) > 0 && es.backlog[len(es.backlog)-1].err != nil
+}
+
 // firstEventTimeout limits the wait for the first event by its prediction if another attempt is
 // allowed after this one. The last attempt is waited for as long as the caller waits.
 func (es *engineStream) firstEventTimeout(another bool) time.Duration {
@@ -301,12 +311,16 @@
 }
 
 // next returns the complete blocks of the next read, and the number of events among them. It
-// returns errSilent, and leaves the stream open, at the given time, or sooner if a needed engine
-// is unreachable. io.EOF means that the answer is complete.
+// returns errSilent, and leaves the stream open, at the given time unless an event or the end of the
+// answer has arrived, or sooner if a needed engine is unreachable. io.EOF means that the answer is
+// complete.
 func (es *engineStream) next(until time.Time) (blocks []byte, events int, err error) {
 	if es.err != nil {
 		return nil, 0, es.err
 	}
+	if !time.Now().Before(until) && !es.goesOn() && !es.ended() {
+		return nil, 0, errSilent // also while bytes that are no event keep coming
+	}
 	if len(es.backlog) > 0 {
 		r := es.backlog[0]
 		es.backlog = es.backlog[1:]
--- a/internal/gateway/entry/unending_test.go
+++ b/internal/gateway/entry/unending_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -9,9 +10,12 @@
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/gateway/route"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/server"
+	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
 const (
@@ -284,3 +288,34 @@
 	is.Equal(env.do(env.request(http.MethodPost, "/ask/")).body, server.Events(testEvents))
 	is.Equal(bodies.used.Load(), bodies.most)
 }
+
+// An engine sends comments as fast as they are read. The time by which an event must have come was
+// noticed only in a pause between two reads, so that no other engine was asked in time.
+func TestFastCommentsDoNotHideSilence(t *testing.T) {
+	is := is.New(t)
+	s := &Server{bodies: newBodyMemory(0), sched: newScheduler("a", platform.RetryBound{}, log.New(io.Discard))}
+	es := &engineStream{
+		c: &call{s: s, ctx: t.Context(), route: &route.Route{Gap: time.Hour}}, started: true,
+		reads: make(chan readResult, readQueueLen), memory: answerMemory{of: s.bodies},
+	}
+	const reads = 500_000
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		defer close(es.reads)
+		for range reads {
+			select {
+			case es.reads <- readResult{data: []byte(": x\n\n")}:
+			case <-stop:
+				return
+			}
+		}
+	}()
+	var err error
+	for until := time.Now().Add(20 * time.Millisecond); err == nil; {
+		past := !time.Now().Before(until)
+		_, _, err = es.next(until)
+		is.True(!past || errors.Is(err, errSilent))
+	}
+	is.True(errors.Is(err, errSilent))
+}
