--- a/internal/gateway/entry/stop_test.go
+++ b/internal/gateway/entry/stop_test.go
@@ -256,7 +256,7 @@
 	for i := range conns {
 		c, err := net.Dial("tcp", env.entry.callersLn.Addr().String())
 		is.NoErr(err)
-		defer func() { _ = c.Close() }()
+		t.Cleanup(func() { _ = c.Close() })
 		conns[i], readers[i] = c, bufio.NewReader(c)
 		send(i, fmt.Sprint("first-", i))
 		is.True(answered(i))
