--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -57,7 +57,7 @@
 	silent   *engineStream // the stream that this one is to relieve; nil if it is the first
 	backlog  []readResult  // received by goesOn and not consumed yet
 	memory   answerMemory  // of all that was received and that the caller has not read
-	waiting  int           // bytes of blocks passed on since the last event
+	unread   int           // bytes of blocks that the caller may not have read
 }
 
 // readResult is the result of one read from an engine.
@@ -390,7 +390,7 @@
 
 // hold takes the memory of all that is buffered, and reports whether there is enough.
 func (es *engineStream) hold() bool {
-	n := cap(es.splitter.buf) + es.waiting
+	n := cap(es.splitter.buf) + es.unread
 	for _, r := range es.backlog {
 		n += len(r.data)
 	}
@@ -407,9 +407,9 @@
 	es.received = es.received || len(r.data) > 0
 	if es.events += events; events > 0 {
 		es.exchange.Progress()
-		es.waiting = 0 // the caller has read the blocks before this read
+		es.unread = 0 // the caller has read the blocks before this read
 	}
-	es.waiting += len(out)
+	es.unread += len(out)
 	if err == nil && !es.hold() {
 		err = fail("read", KindTooLarge, errNoMemory)
 	}
--- a/internal/gateway/entry/handle.go
+++ b/internal/gateway/entry/handle.go
@@ -56,7 +56,7 @@
 	if c == nil {
 		return
 	}
-	if s.refusing.Load() && !s.takesLeaving(c) {
+	if s.refusing.Load() && !s.acceptsWhileLeaving(c) {
 		c.cancel()
 		after := s.retryAfter()
 		refuse(ctx, fasthttp.StatusServiceUnavailable, after)
@@ -101,10 +101,10 @@
 	return max(leavingRetryAfter, time.Until(servesAt.Add(restartTime)))
 }
 
-// takesLeaving reports whether this leaving entry takes a request: if another entry can serve it
-// instead, one that ends before it stops whatever it takes. Otherwise a plain one that is expected to;
-// the answer to a stream is bounded, and the planner refuses it where it can't be sure of its end.
-func (s *Server) takesLeaving(c *call) bool {
+// acceptsWhileLeaving reports whether this leaving entry accepts a request. If another entry can serve it
+// instead, its deadline must be before the stop. Otherwise a plain request must be expected to end, and
+// a stream gets a time to end by, with which the planner places or refuses it.
+func (s *Server) acceptsWhileLeaving(c *call) bool {
 	if staying, _ := s.exchange.Staying(); staying {
 		return c.deadline.Before(s.stopAt)
 	}
--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -538,13 +538,13 @@
 	return p != nil && p.Admits(j)
 }
 
-// EndsBy reports whether the longest answer to a prompt whose first event comes now ends by the given
+// EndsInTime reports whether the longest answer to a prompt whose first event comes now ends by the given
 // time.
-func (s *scheduler) EndsBy(service string, t *passes.Ticket, by time.Time) bool {
+func (s *scheduler) EndsInTime(service string, t *passes.Ticket, by time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyReports()
-	return s.planners[service].EndsBy(t, by)
+	return s.planners[service].EndsInTime(t, by)
 }
 
 // ExpectsEngines reports whether a service has an engine that stays, whether it can be used now or
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -157,7 +157,7 @@
 			return heldOr(es.watch, fail("read", KindUnknown, err))
 		}
 	}
-	if !c.endsBy.IsZero() && !complete && es.timing.delivered == 0 && !c.s.sched.EndsBy(c.service, es.ticket, c.s.stopAt) {
+	if !c.endsBy.IsZero() && !complete && es.timing.delivered == 0 && !c.s.sched.EndsInTime(c.service, es.ticket, c.s.stopAt) {
 		c.s.log.Warn("A stream would be cut when this entry stops.", "id", c.req.ID, "upstream", es.engineName(), "left_ms", time.Until(c.s.stopAt).Milliseconds())
 		es.close(passes.Outcome{})
 		return fail("read", KindUnknown, errStops)
--- a/internal/prompt/passes/deadline.go
+++ b/internal/prompt/passes/deadline.go
@@ -59,9 +59,9 @@
 	return limit
 }
 
-// EndsBy reports whether an answer of MaxTokens whose first event comes now ends by the given time at
+// EndsInTime reports whether an answer of MaxTokens whose first event comes now ends by the given time at
 // the present load of the engine that writes it.
-func (p *Planner) EndsBy(t *Ticket, by time.Time) bool {
+func (p *Planner) EndsInTime(t *Ticket, by time.Time) bool {
 	now := p.cfg.Now()
 	l := t.engines[0].load(now)
 	rest := time.Duration(max(0, p.figures.passes(t.job.MaxTokens)-1)) * l.pass
--- a/internal/prompt/passes/planner_test.go
+++ b/internal/prompt/passes/planner_test.go
@@ -517,7 +517,7 @@
 	if got := p.Sends()[0].Gap; got != limit {
 		t.Errorf("it may pause for %s once it is late, %s before", got, limit)
 	}
-	if !p.EndsBy(placed, now.Add(2*time.Second)) || p.EndsBy(placed, now.Add(time.Second)) {
+	if !p.EndsInTime(placed, now.Add(2*time.Second)) || p.EndsInTime(placed, now.Add(time.Second)) {
 		t.Error("40 passes of 43 ms don't end between 1 and 2 s")
 	}
 	job.MaxTokens = 0
