Check in one place whether a late stream keeps its pause limit

assign, FirstEvent and MarkLate each asked whether the stream has a time to end by, before they raised its pause limit. One method does it now; what the planner decides and reports stays as it is.

--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -420,8 +420,8 @@
 			s.Context, s.Gap = c.memoryTokens, p.streamPauseLimit(t, c.firstEvent, now)
 			s.Weight = t.weight()
 			s.Ends = now.Add(c.firstEvent + p.writeTime(t, c.pass))
-			if t.late(now) && !t.bounded() {
-				s.markLate(p.longestGap)
+			if t.late(now) {
+				p.markLate(t, s)
 			}
 		} else if c.reserved != nil {
 			s.Context = c.reserved[i-1]
@@ -448,8 +448,8 @@
 	}
 	now := p.cfg.Now()
 	t.firstAt = now
-	if t.late(now) && !t.bounded() {
-		t.sends[0].markLate(p.longestGap)
+	if t.late(now) {
+		p.markLate(t, t.sends[0])
 	}
 	ratio := now.Sub(t.placedAt).Seconds() / max(t.predictedFirstEvent.Seconds(), minPrediction.Seconds())
 	if t.overdue(now) {
@@ -474,8 +474,14 @@
 		return
 	}
 	p.suspect(t.engines[:1])
+	p.markLate(t, t.sends[0])
+}
+
+// markLate marks the send of a late stream to its writing engine, unless the stream must end sooner:
+// then its pause limit stays.
+func (p *Planner) markLate(t *Ticket, s *Send) {
 	if !t.bounded() {
-		t.sends[0].markLate(p.longestGap)
+		s.markLate(p.longestGap)
 		p.changed = true
 	}
 }
