--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -41,6 +41,8 @@
 	service    string
 	engine     *passes.Figures // of the service; nil for a plain service
 	workspace  string
+	owner      *route.Workspace // nil if the request has no known key
+	homes      route.Homes
 	digest     segment.ID // of the request without its attempt
 	version    int64      // of the configuration
 	arrived    time.Time
@@ -69,9 +71,9 @@
 	platform.EncodeAttempt(&req.Header, &c.callerReq.Header, a)
 	req.SetBodyRaw(c.callerReq.Body())
 	sentAt := time.Now()
-	x, err := httpconn.Do(ctx, c.s.upstreams, address, req, httpconn.Limits{Header: limit, Read: limit, Buffer: maxAnswerHeadBytes, Bytes: bytes})
+	x, err := httpconn.Do(ctx, c.s.work, address, req, httpconn.Limits{Header: limit, Read: limit, Buffer: maxAnswerHeadBytes, Bytes: bytes})
 	if fault.Is(err, httpconn.KindUnsent) {
-		if c.ctx.Err() == nil {
+		if c.ctx.Err() == nil && !errors.Is(err, errEvacuated) {
 			c.s.reach.ReportFailure(address)
 		}
 		return nil, platform.Answer{}, fail("send", KindUnsent, err)
--- a/internal/gateway/entry/detour.go
+++ b/internal/gateway/entry/detour.go
@@ -41,19 +41,15 @@
 }
 
 // tunnelsTo reports whether other entries may connect to an address through this one: an upstream is
-// registered there, and the entry is not about to end.
+// registered there and not evacuated, and the entry is not about to end.
 func (s *Server) tunnelsTo(address string) bool {
 	_, ok := s.sched.UpstreamDomain(address)
-	return ok && !s.stopping.Load()
+	return ok && !s.stopping.Load() && !s.sched.Evacuated(address)
 }
 
-// detour connects to an upstream through another entry. Leaving ones are the last resort.
+// detour connects to an upstream through another entry.
 func (s *Server) detour(ctx context.Context, address string) (net.Conn, error) {
-	domain, _ := s.sched.UpstreamDomain(address)
-	staying, leaving := s.exchange.Connected()
-	s.sortDetours(staying, domain)
-	s.sortDetours(leaving, domain)
-	list := slices.Concat(staying, leaving)
+	list := s.detours(ctx, address)
 	err, refusals := error(fail("detour", KindUnsent, errNoEntry)), 0
 	for _, o := range list[:min(len(list), maxDetours)] {
 		var c net.Conn
@@ -70,6 +66,16 @@
 	return nil, err
 }
 
+// detours returns the entries to connect to an upstream through, the best ones first. Leaving ones are
+// the last resort.
+func (s *Server) detours(ctx context.Context, address string) []sends.Peer {
+	domain, _ := s.sched.UpstreamDomain(address)
+	staying, leaving := s.exchange.Connected()
+	s.sortDetours(staying, domain)
+	s.sortDetours(leaving, domain)
+	return slices.DeleteFunc(slices.Concat(staying, leaving), func(o sends.Peer) bool { return !s.mayDetour(ctx, o) })
+}
+
 // dialThrough connects to an upstream through an entry.
 func (s *Server) dialThrough(ctx context.Context, o sends.Peer, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, detourTimeout)
--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -117,7 +117,7 @@
 	}
 	watch.Sent()
 	x, ans, err := es.attempt(ctx, address, platform.Attempt{
-		Instance: name, Helpers: helpers, Urgency: c.route.Priority, LastEvent: after.lastID,
+		Instance: name, Helpers: helpers, Urgency: c.urgency(), LastEvent: after.lastID,
 	}, c.mayAskAnother(c.sends+1, c.maybeRan+1))
 	if fault.Is(err, KindUnsent) {
 		c.unsent = append(c.unsent, name)
@@ -130,7 +130,7 @@
 		es.checkCrash(err, false)
 		err = heldOr(watch, err)
 		c.s.log.Warn("An engine did not answer.", "id", c.req.ID, "upstream", name, "segments", c.req.Segments.String(), "status", ans.Status, "fault", ans.Fault, "err", err)
-		es.fail(ans.Fault)
+		es.failUnless(errors.Is(err, errEvacuated), ans.Fault)
 		return nil, ans, err
 	}
 	es.exchange, es.splitter.anything = x, ans.Status >= fasthttp.StatusMultipleChoices
@@ -143,7 +143,7 @@
 	written := min(timing.delivered*c.engine.Stride, c.req.MaxOutput)
 	return passes.Job{
 		ID: c.req.ID, Tokens: c.req.Prompt + written, MaxTokens: c.req.MaxOutput - written, ExpectedTokens: max(0, c.req.LikelyOutput-written), Bytes: len(c.callerReq.Body()),
-		Target: timing.target, Gap: c.route.Gap, Arrived: timing.since, Deadline: c.deadline, CallerLeavesAt: timing.callerLeavesAt, EndsBy: c.endsBy, Begun: timing.delivered > 0, MayHaveRun: mayHaveRun, Tried: c.tried,
+		Target: timing.target, Gap: c.route.Gap, Arrived: timing.since, Deadline: c.deadline, CallerLeavesAt: timing.callerLeavesAt, EndsBy: c.endsBy, Allows: c.s.sched.allows(c.homes), Begun: timing.delivered > 0, MayHaveRun: mayHaveRun, Tried: c.tried,
 	}
 }
 
@@ -261,13 +261,16 @@
 }
 
 // reserve reserves memory at the helpers that need some, and returns all helpers in the form
-// that an attempt sends.
+// that an attempt sends. It fails if an engine was evacuated since it was chosen.
 func (es *engineStream) reserve(list []passes.Helper) ([]string, error) {
 	var (
 		out           []string
 		withoutMemory []string
 		reservations  []platform.Reservation
 	)
+	if es.needsEvacuated() {
+		return nil, fail("reserve", KindLease, errEvacuated)
+	}
 	for i, h := range list {
 		if h.Tokens == 0 {
 			withoutMemory = append(withoutMemory, h.Address)
@@ -388,6 +391,15 @@
 	es.close(passes.Outcome{Failed: es.c.ctx.Err() == nil && !es.silentGoesOn() && !es.watch.Aborted(), FailedAddress: address})
 }
 
+// failUnless is fail, or closes the stream without a failure of an engine if spared is set.
+func (es *engineStream) failUnless(spared bool, address string) {
+	if spared {
+		es.close(passes.Outcome{})
+		return
+	}
+	es.fail(address)
+}
+
 // hold takes the memory of all that is buffered, and reports whether there is enough.
 func (es *engineStream) hold() bool {
 	n := cap(es.splitter.buf) + es.unread
--- a/internal/gateway/entry/entry_test.go
+++ b/internal/gateway/entry/entry_test.go
@@ -99,7 +99,8 @@
 func startEntryOn(t *testing.T, vm, domain, store string, peerPort int, network *netio.Network) *Server {
 	t.Helper()
 	s, err := newServer(platform.Settings{
-		VM: vm, FailureDomain: domain, IP: "127.0.0.1", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0",
+		Regions: map[string]string{"a": "r-1", "b": "r-2"},
+		VM:      vm, FailureDomain: domain, IP: "127.0.0.1", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0",
 		PeerPort: peerPort, Store: store, Grace: 8 * time.Second, Heartbeat: time.Second,
 		Retries: platform.RetryBound{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	}, network, time.Millisecond, log.New(io.Discard), func() int64 { return 0 })
--- a/internal/gateway/entry/handle.go
+++ b/internal/gateway/entry/handle.go
@@ -145,16 +145,17 @@
 		s.log.Warn("Refused.", "id", req.ID, "status", fasthttp.StatusNotFound, "why", "no route", "version", t.Version())
 		return nil
 	}
-	workspace, known := t.Workspace(req.Key)
-	if t.Keyed() && !r.Public && !known {
+	owner := t.Workspace(req.Key)
+	if t.Keyed() && !r.Public && owner == nil {
 		ctx.SetStatusCode(fasthttp.StatusUnauthorized)
 		s.log.Warn("Refused.", "id", req.ID, "status", fasthttp.StatusUnauthorized, "why", "key not known", "version", t.Version())
 		return nil
 	}
 	c := &call{
-		s: s, callerReq: cloneRequest(&ctx.Request), req: req, route: r, service: r.Service(req.ID), workspace: workspace, version: t.Version(),
+		s: s, callerReq: cloneRequest(&ctx.Request), req: req, route: r, service: r.Service(req.ID), version: t.Version(),
 		arrived: arrived, tried: map[string]bool{},
 	}
+	c.setOwner(owner)
 	c.digest = c.makeDigest()
 	if svc := t.Service(c.service); svc != nil {
 		c.engine = svc.Engine
@@ -167,7 +168,7 @@
 		timeout = min(timeout, r.Timeout)
 	}
 	c.deadline = c.arrived.Add(timeout - answerMargin)
-	c.ctx, c.cancel = context.WithDeadline(s.calls, c.deadline)
+	c.ctx, c.cancel = context.WithDeadline(withHomes(s.calls, c.homes), c.deadline)
 	s.sched.CountRequest(c.service)
 	return c
 }
--- a/internal/gateway/entry/lease.go
+++ b/internal/gateway/entry/lease.go
@@ -33,7 +33,8 @@
 	id           string // of the request
 	writer       string // address of the engine that generates the answer
 	reservations []platform.Reservation
-	writerActive atomic.Bool // the writer sent data since the last renewal
+	calls        context.Context // of the calls that release memory
+	writerActive atomic.Bool     // the writer sent data since the last renewal
 	stop         context.CancelFunc
 	done         chan struct{}
 }
@@ -43,14 +44,21 @@
 	errs := make([]error, len(reservations))
 	var wg sync.WaitGroup
 	for i, r := range reservations {
-		wg.Go(func() { errs[i] = s.engines.Reserve(ctx, r, leaseTTL, orderTimeout) })
+		wg.Go(func() { errs[i] = s.workEngines.Reserve(ctx, r, leaseTTL, orderTimeout) })
 	}
 	wg.Wait()
 	s.leases.Add(1)
-	renewCtx, cancel := context.WithCancel(context.Background())
-	l := &memoryLease{s: s, id: id, writer: writer, reservations: reservations, stop: cancel, done: make(chan struct{})}
+	calls := context.WithoutCancel(ctx)
+	renewCtx, cancel := context.WithCancel(calls)
+	l := &memoryLease{s: s, id: id, writer: writer, reservations: reservations, calls: calls, stop: cancel, done: make(chan struct{})}
 	if err := errors.Join(errs...); err != nil {
 		close(l.done)
+		l.reservations = nil
+		for i, r := range reservations {
+			if !errors.Is(errs[i], errEvacuated) { // that engine got nothing, and gets nothing new
+				l.reservations = append(l.reservations, r)
+			}
+		}
 		l.release()
 		s.log.Warn("Could not reserve memory at the engines.", "id", id, "engines", len(reservations), "err", err)
 		return nil, fail("reserve", KindLease, err)
@@ -143,7 +151,7 @@
 
 func (l *memoryLease) releaseOne(r platform.Reservation) {
 	for range maxReleaseAttempts {
-		err := l.s.engines.Release(context.Background(), r, orderTimeout)
+		err := l.s.engines.Release(l.calls, r, orderTimeout)
 		if err == nil {
 			return
 		}
--- a/internal/gateway/entry/observe.go
+++ b/internal/gateway/entry/observe.go
@@ -12,6 +12,7 @@
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
+	"github.com/dogwoodmill/dogwoodmill/internal/gateway/evacuation"
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/follow"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
@@ -88,18 +89,19 @@
 
 // State is the state dump. It contains no keys, prompts or answers.
 type State struct {
-	VM            string   `json:"vm"`
-	FailureDomain string   `json:"failureDomain"`
-	Leaving       bool     `json:"leaving"`
-	Busy          int64    `json:"busy"`
-	Streams       int64    `json:"streams"`
-	Reservations  int64    `json:"reservations"` // prompts with a memory lease
-	Version       int64    `json:"version"`      // of the configuration; 0 if there is none
-	Upstreams     int      `json:"upstreams"`
-	Unreachable   []string `json:"cut"`     // addresses that can't be connected to
-	Detours       []string `json:"detours"` // addresses that are reached through other entries
-	Tunnels       int      `json:"tunnels"` // connections that other entries have through this one
-	Entries       []string `json:"entries"` // addresses of the other entries
+	VM            string             `json:"vm"`
+	FailureDomain string             `json:"failureDomain"`
+	Leaving       bool               `json:"leaving"`
+	Busy          int64              `json:"busy"`
+	Streams       int64              `json:"streams"`
+	Reservations  int64              `json:"reservations"` // prompts with a memory lease
+	Version       int64              `json:"version"`      // of the configuration; 0 if there is none
+	Upstreams     int                `json:"upstreams"`
+	Evacuated     []evacuation.State `json:"evacuated"` // failure domains
+	Unreachable   []string           `json:"cut"`       // addresses that can't be connected to
+	Detours       []string           `json:"detours"`   // addresses that are reached through other entries
+	Tunnels       int                `json:"tunnels"`   // connections that other entries have through this one
+	Entries       []string           `json:"entries"`   // addresses of the other entries
 	// Held are the segments on which engines crash, in hexadecimal.
 	Held      string `json:"heldSegments"`
 	Leads     bool   `json:"leads"` // whether it reads the store on behalf of others
@@ -139,7 +141,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st.Services, st.RetriesLeft = map[string]ServiceState{}, map[string]float64{}
-	st.Upstreams = s.dir.Len()
+	st.Upstreams, st.Evacuated = s.dir.Len(), s.evacuations.State()
 	if s.table != nil {
 		st.Version = s.table.Version()
 		for name := range s.table.Services() {
@@ -242,6 +244,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	scope.Gauge("upstreams").Update(float64(s.dir.Len()))
+	scope.Gauge("domains_evacuated").Update(float64(s.evacuations.Len()))
 	if s.table == nil {
 		return
 	}
--- a/internal/gateway/entry/pace.go
+++ b/internal/gateway/entry/pace.go
@@ -14,7 +14,7 @@
 // queryPace queries an engine's speed in the background.
 func (s *Server) queryPace(service string, e passes.Engine) {
 	s.tasks.Go(func() {
-		r, err := s.engines.Report(context.Background(), e.Name, e.Address, reportTimeout)
+		r, err := s.workEngines.Report(context.Background(), e.Name, e.Address, reportTimeout)
 		if err != nil {
 			s.log.Info("An engine did not report its speed.", "upstream", e.Name, "err", err)
 			return
--- a/internal/gateway/entry/plain.go
+++ b/internal/gateway/entry/plain.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -93,7 +94,7 @@
 	if watch == nil {
 		return nil, fail("admit", KindHeld, fmt.Errorf("servers crash on request %s", held))
 	}
-	k := c.s.sched.Pick(c.service, c.tried)
+	k := c.s.sched.Pick(c.service, c.tried, c.homes)
 	if k == nil {
 		watch.End(false)
 		return nil, fail("pick", KindRefused, errNoServer)
@@ -133,13 +134,17 @@
 // takePlainRetry reports whether the request may be sent to another server. It takes nothing
 // from the retry budget if there is no other server.
 func (c *call) takePlainRetry(err error) bool {
-	return c.s.sched.HasUntried(c.service, c.tried) && c.takeRetry(err)
+	return c.s.sched.HasUntried(c.service, c.tried, c.homes) && c.takeRetry(err)
 }
 
 // endPlain relays fallback, a server's 5xx answer, or refuses if it is nil.
 func (c *call) endPlain(ctx *fasthttp.RequestCtx, fallback *plainAnswer, err error) {
 	if fallback == nil {
-		c.refuse(ctx, err, plainRetryAfter)
+		after := plainRetryAfter
+		if c.s.sched.LacksUpstreams(c.service, c.homes) {
+			after = noUpstreamRetryAfter
+		}
+		c.refuse(ctx, err, after)
 		return
 	}
 	c.s.log.Info("No other server answered better; relaying a failure.", "id", c.req.ID, "err", err)
@@ -154,7 +159,7 @@
 		defer stop()
 	}
 	until := time.Now().Add(limit)
-	x, _, err := c.attempt(ctx, k.Address(), platform.Attempt{Instance: k.Name(), Urgency: c.route.Priority}, limit, maxAnswerWireBytes)
+	x, _, err := c.attempt(ctx, k.Address(), platform.Attempt{Instance: k.Name(), Urgency: c.urgency()}, limit, maxAnswerWireBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -186,7 +191,7 @@
 				return
 			case <-t.C:
 			}
-			if c.hasRetry() && c.s.sched.HasReachable(c.service, c.tried) {
+			if c.hasRetry() && c.s.sched.HasReachable(c.service, c.tried, c.homes) {
 				abort()
 				return
 			}
@@ -205,6 +210,8 @@
 		return plain.Failed
 	case err == nil:
 		return plain.Answered
+	case errors.Is(err, errEvacuated):
+		return plain.CallerLeft // it says nothing about the server
 	case c.callerGone.Load() || watch.Aborted():
 		return plain.CallerLeft
 	default:
--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/directory"
+	"github.com/dogwoodmill/dogwoodmill/internal/gateway/evacuation"
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/route"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/retry"
@@ -48,24 +49,30 @@
 	throttle      *throttle.Throttle
 	// domainOf returns the failure domain of the entry at an address, or "" if it is unknown.
 	domainOf func(address string) string
-
-	mu             sync.Mutex
-	table          *route.Table
-	dir            *directory.Directory
-	unreadable     unreadable
-	planners       map[string]*passes.Planner // by service
-	pools          map[string]*plain.Pool     // by service
-	budget         *retry.Budget              // by service
-	reports        map[string]passes.Report   // by address of the entry
-	reportsPending bool                       // reports changed since the planners got them
-	ready          chan struct{}              // closed once requests can be served
-	tickScheduled  bool
-	settleAt       time.Time // when a timer settles what the directory has deferred; zero: none is set
-	restoredEnd    uint64    // offset up to which the upstreams' records may be of the store's copy
+	regions  map[string]string // by failure domain
+	// takenBack is called, with mu held, when the evacuation of a failure domain was taken back, before
+	// its upstreams may get requests again.
+	takenBack func(domain string, at time.Time)
+
+	mu              sync.Mutex
+	table           *route.Table
+	dir             *directory.Directory
+	unreadable      unreadable
+	planners        map[string]*passes.Planner // by service
+	pools           map[string]*plain.Pool     // by service
+	budget          *retry.Budget              // by service
+	reports         map[string]passes.Report   // by address of the entry
+	reportsPending  bool                       // reports changed since the planners got them
+	ready           chan struct{}              // closed once requests can be served
+	tickScheduled   bool
+	settleAt        time.Time // when a timer settles what the directory has deferred; zero: none is set
+	restoredEnd     uint64    // offset up to which the upstreams' records may be of the store's copy
+	evacuations     *evacuation.Set
+	evacuationTimer bool // a timer settles the evacuations that a restored store lacks
 }
 
 func newScheduler(domain string, bound platform.RetryBound, logger *log.Logger) *scheduler {
-	return &scheduler{
+	s := &scheduler{
 		domain: domain, retryBound: bound, log: logger, now: time.Now, reportChanged: func() {}, entryCount: func() int { return 1 },
 		unreachable: func(string) bool { return false }, domainOf: func(string) string { return "" }, queryPace: func(string, passes.Engine) {},
 		dir: directory.New(), unreadable: unreadable{}, planners: map[string]*passes.Planner{}, pools: map[string]*plain.Pool{},
@@ -74,7 +81,10 @@
 		throttle: throttle.New(throttle.Settings{
 			Now: time.Now, Members: func() throttle.Members { return throttle.Members{Live: []string{""}} }, Changed: func() {}, Log: logger,
 		}),
+		takenBack: func(string, time.Time) {},
 	}
+	s.evacuations = evacuation.New(func() time.Time { return s.now() })
+	return s
 }
 
 // throttled reports whether an upstream takes no further request from this entry now.
@@ -247,7 +257,7 @@
 	for name, svc := range s.table.Services() {
 		servers := s.dir.Servers(name)
 		if svc.Engine == nil {
-			s.pool(name).SetServers(plainServers(servers))
+			s.pool(name).SetServers(s.plainServers(servers))
 			continue
 		}
 		p := s.planners[name]
@@ -256,7 +266,7 @@
 			s.planners[name] = p
 		}
 		p.Configure(svc.Engine, s.table.LongestGap(name))
-		p.SetEngines(engines(servers))
+		p.SetEngines(s.engines(servers))
 		s.reportsPending = true
 	}
 	select {
@@ -330,18 +340,18 @@
 	return p
 }
 
-func plainServers(list []directory.Server) []plain.Server {
+func (s *scheduler) plainServers(list []directory.Server) []plain.Server {
 	out := make([]plain.Server, 0, len(list))
-	for _, s := range list {
-		out = append(out, plain.Server{Name: s.ID, Domain: s.Domain, Address: s.Address, Slots: s.Slots, Born: s.Born, Leaving: s.Leaving})
+	for _, d := range list {
+		out = append(out, plain.Server{Name: d.ID, Domain: d.Domain, Address: d.Address, Slots: d.Slots, Born: d.Born, Leaving: d.Leaving || s.evacuations.Has(d.Domain)})
 	}
 	return out
 }
 
-func engines(list []directory.Server) []passes.Engine {
+func (s *scheduler) engines(list []directory.Server) []passes.Engine {
 	out := make([]passes.Engine, 0, len(list))
-	for _, s := range list {
-		out = append(out, passes.Engine{Name: s.ID, Domain: s.Domain, Address: s.Address, Born: s.Born, Leaving: s.Leaving})
+	for _, d := range list {
+		out = append(out, passes.Engine{Name: d.ID, Domain: d.Domain, Address: d.Address, Born: d.Born, Leaving: d.Leaving, Evacuated: s.evacuations.Has(d.Domain)})
 	}
 	return out
 }
@@ -504,30 +514,30 @@
 	return u.Domain, ok
 }
 
-// Pick selects a server of a plain service that is not in tried, or returns nil.
-func (s *scheduler) Pick(service string, tried map[string]bool) *plain.Pick {
+// Pick selects a server of a plain service in the home regions that is not in tried, or returns nil.
+func (s *scheduler) Pick(service string, tried map[string]bool, homes route.Homes) *plain.Pick {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p := s.pools[service]; p != nil {
-		return p.Choose(tried)
+		return p.Choose(s.excluding(service, tried, homes))
 	}
 	return nil
 }
 
-// HasUntried reports whether a plain service has a server that is not in tried.
-func (s *scheduler) HasUntried(service string, tried map[string]bool) bool {
+// HasUntried reports whether a plain service has a server in the home regions that is not in tried.
+func (s *scheduler) HasUntried(service string, tried map[string]bool, homes route.Homes) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pools[service]
-	return p != nil && p.HasUntried(tried)
+	return p != nil && p.HasUntried(s.excluding(service, tried, homes))
 }
 
 // HasReachable is HasUntried without the servers that are known to be unreachable.
-func (s *scheduler) HasReachable(service string, tried map[string]bool) bool {
+func (s *scheduler) HasReachable(service string, tried map[string]bool, homes route.Homes) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pools[service]
-	return p != nil && p.HasReachable(tried)
+	return p != nil && p.HasReachable(s.excluding(service, tried, homes))
 }
 
 // Admits reports whether Place would place or queue a job now.
@@ -547,13 +557,15 @@
 	return s.planners[service].EndsInTime(t, by)
 }
 
-// ExpectsEngines reports whether a service has an engine that stays, whether it can be used now or
-// not, and is not in tried, or is in unsent.
-func (s *scheduler) ExpectsEngines(service string, tried map[string]bool, unsent []string) bool {
+// ExpectsEngines reports whether a service has an engine in the home regions that stays, whether it
+// can be used now or not, and is not in tried, or is in unsent.
+func (s *scheduler) ExpectsEngines(service string, tried map[string]bool, unsent []string, homes route.Homes) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.planners[service]
-	return p != nil && p.Stays(func(name string) bool { return !tried[name] || slices.Contains(unsent, name) })
+	return p != nil && p.Stays(func(name, domain string) bool {
+		return (!tried[name] || slices.Contains(unsent, name)) && homes.Allow(s.regions[domain])
+	})
 }
 
 // DonePick records the outcome of a pick.
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -82,8 +82,10 @@
 	log          *log.Logger
 	sched        *scheduler
 	store        *platform.Store
-	direct       *netio.Network // to upstreams and entries
-	upstreams    *netio.Network // to upstreams, through other entries if need be
+	direct       *netio.Network    // to upstreams and entries
+	upstreams    *netio.Network    // to upstreams, through other entries if need be
+	work         *netio.Network    // upstreams, for what is new; fails for evacuated ones
+	workEngines  *platform.Engines // over work
 	tunnels      *tunnel.Server
 	engines      *platform.Engines
 	reach        *reach.Prober
@@ -142,9 +144,12 @@
 	s.reach = reach.New(reach.Settings{
 		Network: s.direct, Detour: s.detour, Siblings: s.sched.Siblings, Services: s.sched.Services, Changed: s.sched.ReachabilityChanged, Log: logger.WithPrefix("reach"),
 	})
-	s.upstreams = netio.New(s.reach.Dial, nil) // nothing listens
+	s.upstreams = netio.New(s.dialUpstream, nil) // nothing listens
 	s.engines = platform.NewEngines(s.upstreams)
+	s.work = netio.New(s.dialForWork, nil)
+	s.workEngines = platform.NewEngines(s.work)
 	s.tunnels = tunnel.NewServer(tunnel.Settings{Network: s.direct, Known: s.tunnelsTo, Most: maxTunnels, Log: logger.WithPrefix("tunnel")})
+	s.sched.regions = cfg.Regions
 	s.sched.unreachable, s.sched.queryPace = s.reach.IsUnreachable, s.queryPace
 	s.quarantine = quarantine.New(quarantine.Settings{
 		Now: time.Now, Rand: rand.Float64, Entries: s.entryCount, Changed: s.reportChanged, Log: logger.WithPrefix("quarantine"),
@@ -198,7 +203,7 @@
 	logger := s.log.WithPrefix("store")
 	seams := s.countStoreCalls(follow.Seams{Newest: s.store.Newest, Read: s.store.Read, Leads: s.readsStore, Entries: s.entryCount, Ask: s.askEntry})
 	config, servers, entries := seams, seams, seams
-	config.Apply = s.applyConfig
+	config.Apply, config.Restored = s.applyConfig, s.sched.EvacuationsRestored
 	entries.Apply, entries.Restored = s.applyEntries, s.entriesRestored
 	servers.Apply, servers.Restored, servers.Reached = s.sched.ApplyServers, s.sched.ServersRestored, s.sched.StoreReached
 	list := []*follow.Follower{
@@ -278,7 +283,8 @@
 	}
 }
 
-func (s *Server) applyConfig(records []platform.Keyed, _ bool) {
+func (s *Server) applyConfig(records []platform.Keyed, snapshot bool) {
+	s.sched.ApplyEvacuations(decodeEvacuations(records), snapshot) // before a configuration with which requests are placed
 	for _, r := range records {
 		if r.Key != platform.ConfigKey || r.Value == nil {
 			continue
--- a/internal/gateway/entry/stream.go
+++ b/internal/gateway/entry/stream.go
@@ -116,7 +116,7 @@
 func (c *call) expectsEngines(err error, timing eventTiming) bool {
 	lacking := fault.Is(err, passes.KindNoEngine) || fault.Is(err, passes.KindTooLarge)
 	return lacking && c.maybeRan > 0 && c.ctx.Err() == nil && time.Now().Add(takeoverRetryDelay).Before(timing.callerLeavesAt) &&
-		c.s.sched.ExpectsEngines(c.service, c.tried, c.unsent)
+		c.s.sched.ExpectsEngines(c.service, c.tried, c.unsent, c.homes)
 }
 
 // isRefusal reports whether err is a refusal, so that another attempt finds no engine either.
--- a/internal/gateway/route/table.go
+++ b/internal/gateway/route/table.go
@@ -43,6 +43,7 @@
 	Attempts int           // maximum number of upstreams that one request is sent to
 	Priority int           // 0 is the highest
 	Public   bool          // needs no API key
+	Homes    []string      // regions that its requests may run in; empty: all
 }
 
 // Service returns the name of the service for a request id, or "" if no share has a
@@ -84,8 +85,8 @@
 	Version  int64
 	Routes   []*Route
 	Services []*Service
-	Keyed    bool              // requests need an API key, also where there is none
-	Keys     map[string]string // workspace names by API key
+	Keyed    bool                  // requests need an API key, also where there is none
+	Keys     map[string]*Workspace // by API key
 	Limits   Limits
 }
 
@@ -95,7 +96,7 @@
 	routes   map[string]map[string]*Route // by lower-case host, then path prefix
 	services map[string]*Service
 	keyed    bool
-	keys     map[string]string
+	keys     map[string]*Workspace
 	limits   Limits
 }
 
@@ -124,11 +125,8 @@
 // Keyed reports whether requests need an API key. They do where all keys have been withdrawn.
 func (t *Table) Keyed() bool { return t.keyed }
 
-// Workspace returns the workspace that an API key belongs to.
-func (t *Table) Workspace(key string) (name string, ok bool) {
-	name, ok = t.keys[key]
-	return name, ok
-}
+// Workspace returns the workspace that an API key belongs to, or nil.
+func (t *Table) Workspace(key string) *Workspace { return t.keys[key] }
 
 // Service returns the service with the name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
--- a/internal/gateway/route/table_test.go
+++ b/internal/gateway/route/table_test.go
@@ -16,7 +16,7 @@
 			{Name: "deep", Host: "h.example", Prefix: "/a/b/"},
 			{Name: "other", Host: "o.example", Prefix: "/a/"},
 		},
-		Keyed: true, Keys: map[string]string{"key": "guild"},
+		Keyed: true, Keys: map[string]*Workspace{"key": {Name: "guild"}},
 	})
 }
 
@@ -56,11 +56,8 @@
 
 func TestWorkspaceForKey(t *testing.T) {
 	is := is.New(t)
-	name, ok := newTable().Workspace("key")
-	is.True(ok)
-	is.Equal(name, "guild")
-	_, ok = newTable().Workspace("other")
-	is.True(!ok)
+	is.Equal(newTable().Workspace("key").Name, "guild")
+	is.True(newTable().Workspace("other") == nil)
 	is.True(newTable().Keyed())
 	is.True(!NewTable(Settings{}).Keyed())
 	is.True(NewTable(Settings{Keyed: true}).Keyed())
@@ -79,3 +76,29 @@
 	is.Equal(table.LongestGap("z"), time.Duration(0))
 	is.Equal(table.LongestGap("none"), time.Duration(0))
 }
+
+// A list that is missing or empty sets no limit, and both lists apply where both name regions.
+func TestHomes(t *testing.T) {
+	for _, c := range []struct {
+		route, workspace []string
+		allowed          string
+	}{
+		{nil, nil, "r-1 r-2 none "},
+		{[]string{}, []string{"r-1"}, "r-1 "},
+		{[]string{"r-2"}, nil, "r-2 "},
+		{[]string{"r-1", "r-2"}, []string{"r-2", "r-3"}, "r-2 "},
+		{[]string{"r-1"}, []string{"r-2"}, ""},
+		{[]string{""}, nil, ""},
+	} {
+		homes, allowed := NewHomes(c.route, c.workspace), ""
+		for _, region := range []string{"r-1", "r-2"} {
+			if homes.Allow(region) {
+				allowed += region + " "
+			}
+		}
+		if homes.Allow("") {
+			allowed += "none "
+		}
+		is.New(t).Equal(allowed, c.allowed)
+	}
+}
--- a/internal/prompt/passes/choose.go
+++ b/internal/prompt/passes/choose.go
@@ -139,9 +139,12 @@
 
 // choose chooses engines for a request among the candidates that were not tried, which it returns.
 func (p *Planner) choose(t *Ticket, candidates []candidate, now time.Time) (c choice, untried []candidate, ok bool) {
+	if t.job.Allows != nil && len(p.engines) > maxCandidates {
+		candidates = p.candidatesIn(t.job.Allows, now) // the others may all be elsewhere
+	}
 	untried = make([]candidate, 0, len(candidates))
 	for _, c := range candidates {
-		if !t.job.Tried[c.engine.name] && c.load.helping < p.figures.Slots {
+		if !t.job.excludes(c.engine) && c.load.helping < p.figures.Slots {
 			untried = append(untried, c)
 		}
 	}
@@ -170,7 +173,10 @@
 // candidates returns the usable engines with their predicted load, at most maxCandidates.
 // In a larger fleet it takes engines of its own failure domain first, from a random
 // position on.
-func (p *Planner) candidates(now time.Time) []candidate {
+func (p *Planner) candidates(now time.Time) []candidate { return p.candidatesIn(nil, now) }
+
+// candidatesIn is candidates in the failure domains for which allows returns true. nil: in all.
+func (p *Planner) candidatesIn(allows func(domain string) bool, now time.Time) []candidate {
 	p.recheckReports(now)
 	out := make([]candidate, 0, min(len(p.engines), maxCandidates))
 	n := len(p.engines)
@@ -184,7 +190,7 @@
 	for _, own := range []bool{true, false} {
 		for i := range n {
 			e := p.engines[(from+i)%n]
-			if large && (e.domain == p.cfg.Domain) != own || !p.usable(e, now) {
+			if large && (e.domain == p.cfg.Domain) != own || allows != nil && !allows(e.domain) || !p.usable(e, now) {
 				continue
 			}
 			if out = append(out, p.newCandidate(e, now)); len(out) == maxCandidates {
--- a/internal/prompt/passes/deadline.go
+++ b/internal/prompt/passes/deadline.go
@@ -68,8 +68,35 @@
 	return !now.Add(rest).After(by)
 }
 
+// evacuated reports whether all engines that stay and that a request may run on are evacuated.
+func (p *Planner) evacuated(t *Ticket) bool {
+	found := false
+	for _, e := range p.engines {
+		switch {
+		case e.leaving || t.job.excludes(e):
+		case !e.evacuated:
+			return false
+		default:
+			found = true
+		}
+	}
+	return found
+}
+
+// refuseEvacuated refuses the waiting requests that no engine may take after an evacuation.
+func (p *Planner) refuseEvacuated(now time.Time) {
+	for _, t := range p.waiting.TakeFunc(p.evacuated) {
+		p.changed = true
+		p.counts.Expired++
+		t.state, t.queueItem = stateDone, nil
+		t.err = refuse("wait", KindNoEngine, time.Second, "waited %s; the engines are evacuated", round(now.Sub(t.job.Arrived)))
+		t.notify()
+	}
+}
+
 // expire refuses requests that have waited for too long or can't be placed any more.
 func (p *Planner) expire(now time.Time) {
+	p.refuseEvacuated(now)
 	expired := p.waiting.TakeFunc(func(t *Ticket) bool { return now.After(t.waitUntil()) || p.unplaceable(t, now) })
 	for _, t := range expired {
 		p.changed = true
--- a/internal/prompt/passes/engine.go
+++ b/internal/prompt/passes/engine.go
@@ -43,6 +43,7 @@
 	address          string
 	born             int64
 	leaving          bool
+	evacuated        bool
 	figures          *Figures
 	circuit          *circuit.Breaker
 	observedSlowdown estimate.Moving
--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -43,6 +43,9 @@
 	Address string // host:port
 	Born    int64  // identifies a start of the engine's process
 	Leaving bool
+	// Evacuated is set if nothing new goes to the engine's failure domain. The engine stays, and may
+	// be used again.
+	Evacuated bool
 }
 
 // Job is a prompt to place.
@@ -62,6 +65,13 @@
 	MayHaveRun     bool            // an engine may have run it, so a refusal can't state that none did
 	Tried          map[string]bool // names of engines to exclude
 	Notify         func()          // called once when a ticket that waited is placed or refused
+	// Allows reports whether the request may run in a failure domain. nil: in all.
+	Allows func(domain string) bool
+}
+
+// excludes reports whether the request may not run on an engine.
+func (j *Job) excludes(e *engine) bool {
+	return j.Tried[e.name] || j.Allows != nil && !j.Allows(e.domain)
 }
 
 func (j *Job) memoryTokens() int { return j.Tokens + j.MaxTokens }
@@ -249,7 +259,7 @@
 				observedSlowdown: estimate.NewMoving(slowdownWindowSamples),
 			}
 		}
-		e.domain, e.leaving = c.Domain, c.Leaving // name and address are not written: other goroutines read them through tickets
+		e.domain, e.leaving, e.evacuated = c.Domain, c.Leaving, c.Evacuated // name and address are not written: other goroutines read them through tickets
 		names[c.Name] = e
 	}
 	p.byName = names
@@ -304,7 +314,7 @@
 func (p *Planner) checkFeasible(t *Ticket, now time.Time) error {
 	usable, memoryPerEngine := 0, int((1-reservedMemoryShare)*float64(p.figures.Memory))
 	for _, e := range p.engines {
-		if t.job.Tried[e.name] || !p.usable(e, now) {
+		if t.job.excludes(e) || !p.usable(e, now) {
 			continue
 		}
 		if usable++; t.job.memoryTokens() <= usable*memoryPerEngine {
@@ -332,14 +342,14 @@
 }
 
 // Stays reports whether an engine for which match returns true is not leaving. It may be unusable at
-// the moment.
-func (p *Planner) Stays(match func(name string) bool) bool {
-	return slices.ContainsFunc(p.engines, func(e *engine) bool { return !e.leaving && match(e.name) })
+// the moment, also because it is evacuated.
+func (p *Planner) Stays(match func(name, domain string) bool) bool {
+	return slices.ContainsFunc(p.engines, func(e *engine) bool { return !e.leaving && match(e.name, e.domain) })
 }
 
 func (p *Planner) usable(e *engine, now time.Time) bool {
 	e.observedSlowdown.Fade(now, slowdownTTL, 1)
-	return !e.leaving && e.circuit.Allows(now) && (p.cfg.Cut == nil || !p.cfg.Cut(e.address))
+	return !e.leaving && !e.evacuated && e.circuit.Allows(now) && (p.cfg.Cut == nil || !p.cfg.Cut(e.address))
 }
 
 // backlog returns the time that the engines need for the queued reads before a ticket.
@@ -540,15 +550,16 @@
 
 // EngineState is the state of an engine in the state dump.
 type EngineState struct {
-	Name    string  `json:"name"`
-	Circuit string  `json:"circuit"`
-	Leaving bool    `json:"leaving"`
-	Slow    float64 `json:"slow"`
-	Writers int     `json:"writers"`
-	Helping int     `json:"helping"`
-	Memory  int     `json:"memoryTokens"`
-	PassMS  int64   `json:"passMs"`
-	ReadsMS int64   `json:"readsMs"`
+	Name      string  `json:"name"`
+	Circuit   string  `json:"circuit"`
+	Leaving   bool    `json:"leaving"`
+	Evacuated bool    `json:"evacuated"`
+	Slow      float64 `json:"slow"`
+	Writers   int     `json:"writers"`
+	Helping   int     `json:"helping"`
+	Memory    int     `json:"memoryTokens"`
+	PassMS    int64   `json:"passMs"`
+	ReadsMS   int64   `json:"readsMs"`
 }
 
 // Engines returns the predicted state of the engines, sorted by name.
@@ -558,7 +569,7 @@
 	for _, e := range p.engines {
 		l := e.load(now)
 		out = append(out, EngineState{
-			Name: e.name, Circuit: string(e.circuit.State()), Leaving: e.leaving, Slow: e.slowdown(now),
+			Name: e.name, Circuit: string(e.circuit.State()), Leaving: e.leaving, Evacuated: e.evacuated, Slow: e.slowdown(now),
 			Writers: l.usedSlots, Helping: l.helping, Memory: l.memoryTokens,
 			PassMS: l.pass.Milliseconds(), ReadsMS: l.readBacklog.Milliseconds(),
 		})
