--- a/internal/gateway/entry/evacuation.go
+++ b/internal/gateway/entry/evacuation.go
@@ -139,13 +139,20 @@
 	c.owner, c.workspace, c.homes = w, w.Name, route.NewHomes(c.route.Homes, w.Homes)
 }
 
-// urgency returns the priority of the request, 0 for the highest: that of its workspace, or else of
-// its route.
+const (
+	// routePriorities is how many priorities of routes are told apart within one of workspaces.
+	routePriorities = 3
+	// leastUrgent is the largest urgency that engines know.
+	leastUrgent = 9
+)
+
+// urgency returns the rank of the request, 0 for the first. The priority of its workspace goes before
+// that of its route, which decides among requests of workspaces with the same one.
 func (c *call) urgency() int {
-	if c.owner != nil && c.owner.Priority != nil {
-		return *c.owner.Priority
+	if c.owner == nil || c.owner.Priority == nil {
+		return c.route.Priority
 	}
-	return c.route.Priority
+	return min(leastUrgent, routePriorities**c.owner.Priority+min(c.route.Priority, routePriorities-1))
 }
 
 // homesKey is the key of a context's route.Homes.
