--- a/internal/command/experiment/plan.go
+++ b/internal/command/experiment/plan.go
@@ -184,7 +184,7 @@
 		switch f.Kind {
 		case fleet.Freeze:
 			most = p.Entries.Count
-		case fleet.Part:
+		case fleet.Part, fleet.Lose:
 			most = p.Domains
 		case fleet.Slow:
 			if f.Factor <= 0 {
@@ -192,7 +192,7 @@
 			}
 		case fleet.Crash, fleet.Cut, fleet.Deaf, fleet.Near:
 		default:
-			return fail("check", KindFile, "faults[%d].kind: %q is not one of crash, cut, deaf, freeze, near, part, slow", i, f.Kind)
+			return fail("check", KindFile, "faults[%d].kind: %q is not one of crash, cut, deaf, freeze, lose, near, part, slow", i, f.Kind)
 		}
 		if f.First < 0 || f.Count < 0 || f.First+f.Count > most || f.At < 0 || f.For < 0 {
 			return fail("check", KindFile, "faults[%d]: first and count exceed the %d that exist, or a value is negative", i, most)
--- a/internal/standin/fleet/entry.go
+++ b/internal/standin/fleet/entry.go
@@ -95,10 +95,16 @@
 func (e *entry) plan(r *request) {
 	k := r.cfg()
 	e.deliverReports()
-	t, err := e.planner.Submit(passes.Job{
-		Tokens: r.tokens, MaxTokens: r.maxTokens(), ExpectedTokens: r.expectedEvents * e.fleet.cfg.Figures.Stride, Target: k.Target, Gap: k.Gap,
-		Arrived: r.arrivedAt, Deadline: r.deadline(), Notify: func() { e.notified(r) },
-	})
+	job := passes.Job{
+		ID: fmt.Sprint(r.id), Tokens: r.tokens, MaxTokens: r.maxTokens(), ExpectedTokens: r.expectedEvents * e.fleet.cfg.Figures.Stride, Target: k.Target, Gap: k.Gap,
+		Arrived: r.arrivedAt, Deadline: r.deadline(), Tried: r.tried, Notify: func() { e.notified(r) },
+	}
+	if r.received > 0 {
+		written := r.received * e.fleet.cfg.Figures.Stride
+		job.Tokens, job.MaxTokens, job.ExpectedTokens = job.Tokens+written, job.MaxTokens-written, max(0, job.ExpectedTokens-written)
+		job.Arrived, job.Target, job.Begun, job.MayHaveRun = r.lastEventAt, k.Gap, true, true
+	}
+	t, err := e.planner.Submit(job)
 	if err != nil {
 		r.retryOrRefuse(passes.RetryAfter(err))
 		return
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -68,6 +68,13 @@
 	Worth     float64
 	Owed      float64  // worth if every request had been answered on time
 	Answers   []Answer // in the order of their ends
+	Resumed   []Resumption
+}
+
+// Resumption is a stream that broke off and was resumed at another engine.
+type Resumption struct {
+	Tokens int           // of the prompt
+	Pause  time.Duration // between the events before and after; 0: none came after
 }
 
 // Answer is the outcome of one request.
@@ -97,6 +104,7 @@
 	r.Worth += o.Worth
 	r.Owed += o.Owed
 	r.Answers = append(r.Answers, o.Answers...)
+	r.Resumed = append(r.Resumed, o.Resumed...)
 }
 
 // New returns a fleet that has not run yet.
@@ -117,7 +125,7 @@
 			Name: fmt.Sprintf("engine-%04d", i), Figures: &actual, Queue: cfg.Queue, Lag: reportLag, Stall: stallDelay, MaxHold: maxHoldTime,
 		}, engineClock))
 		f.byName[f.engines[i].Name()] = f.engines[i]
-		f.domains[f.engines[i]] = f.domain(i, cfg.Engines)
+		f.domains[f.engines[i]] = f.engineDomain(i)
 	}
 	for i := range cfg.Entries {
 		f.entries = append(f.entries, newEntry(f, i))
@@ -134,7 +142,7 @@
 func (f *Fleet) plannerEngines() []passes.Engine {
 	var out []passes.Engine
 	for i, e := range f.engines {
-		out = append(out, passes.Engine{Name: e.Name(), Address: e.Name(), Domain: fmt.Sprint(f.domain(i, len(f.engines)))})
+		out = append(out, passes.Engine{Name: e.Name(), Address: e.Name(), Domain: fmt.Sprint(f.engineDomain(i))})
 	}
 	return out
 }
@@ -142,6 +150,14 @@
 // domain returns the failure domain of the i-th of n. Domains are contiguous ranges.
 func (f *Fleet) domain(i, n int) int { return i * max(1, f.cfg.Domains) / n }
 
+// engineDomain returns the failure domain of the i-th engine.
+func (f *Fleet) engineDomain(i int) int {
+	if f.cfg.Mixed {
+		return i % max(1, f.cfg.Domains)
+	}
+	return f.domain(i, f.cfg.Engines)
+}
+
 // Run runs the load and the faults to their end and returns the results by kind.
 func (f *Fleet) Run() []Result {
 	f.startedAt = f.now()
@@ -206,6 +222,12 @@
 			f.entries[i].freeze(on)
 		case Part:
 			f.partitioned[i] = on
+		case Lose:
+			for _, e := range f.engines {
+				if f.domains[e] == i {
+					setLive(e, !on)
+				}
+			}
 		case Deaf, Near:
 		}
 	}
--- a/internal/standin/fleet/request.go
+++ b/internal/standin/fleet/request.go
@@ -23,10 +23,12 @@
 	ticket          *passes.Ticket // of the planner; nil with other policies
 	engineRequest   *passengine.Request
 	engine          *passengine.Engine
-	received        int           // events received
-	lastEventAt     time.Time     // of the last event
-	firstEventAfter time.Duration // from the first attempt to the first event
-	longestPause    time.Duration // longest so far
+	received        int             // events received
+	lastEventAt     time.Time       // of the last event
+	firstEventAfter time.Duration   // from the first attempt to the first event
+	longestPause    time.Duration   // longest so far
+	tried           map[string]bool // engines that failed with it, where its kind is resumed
+	broken          bool            // no event has come since it broke off
 	ended           bool
 }
 
@@ -49,7 +51,7 @@
 	f := r.fleet
 	entry := r.entry
 	run := &passengine.Request{
-		ID: fmt.Sprint(r.id), Prompt: r.tokens, Output: r.output(),
+		ID: fmt.Sprint(r.id), Prompt: r.tokens, Output: r.output(), Received: r.received * f.cfg.Figures.Stride,
 		Event: func(last bool) { entry.runOrDefer(func() { r.event(last) }) },
 		Cut:   func() { entry.runOrDefer(func() { r.fail(true) }) },
 	}
@@ -83,6 +85,10 @@
 		r.firstEventAfter = now.Sub(r.issuedAt)
 		r.entry.firstEvent(r)
 	} else {
+		if r.broken {
+			r.resumed(now.Sub(r.lastEventAt))
+			r.entry.firstEvent(r)
+		}
 		previous := r.longestPause
 		r.longestPause = max(r.longestPause, now.Sub(r.lastEventAt))
 		if r.longestPause > r.cfg().Gap && previous <= r.cfg().Gap {
@@ -121,6 +127,9 @@
 // end records the outcome of the request.
 func (r *request) end(a Answer) {
 	r.ended = true
+	if r.broken {
+		r.resumed(0)
+	}
 	r.entry.removeRunning(r)
 	a.Tokens, a.First, a.Pause, a.Owed = r.tokens, r.firstEventAfter, r.longestPause, r.cfg().worth(r.tokens)
 	r.fleet.lastEnd = r.fleet.now()
@@ -135,6 +144,10 @@
 	if r.ended {
 		return
 	}
+	if r.cfg().Resumes && r.fleet.now().Before(r.deadline()) {
+		r.goOnElsewhere()
+		return
+	}
 	if ran {
 		r.lost(true)
 		return
@@ -144,6 +157,25 @@
 	r.retryOrRefuse(defaultRetryDelay)
 }
 
+// goOnElsewhere places a request again whose engine failed.
+func (r *request) goOnElsewhere() {
+	if r.tried == nil {
+		r.tried = map[string]bool{}
+	}
+	r.tried[r.engine.Name()] = true
+	r.broken = r.received > 0
+	r.entry.removeRunning(r)
+	r.entry.done(r, passes.Outcome{Failed: true})
+	r.entry.submit(r)
+}
+
+// resumed records how a stream that broke off went on.
+func (r *request) resumed(pause time.Duration) {
+	r.broken = false
+	res := r.result()
+	res.Resumed = append(res.Resumed, Resumption{Tokens: r.tokens, Pause: pause})
+}
+
 // lost ends a request that was cut off.
 func (r *request) lost(failed bool) {
 	r.end(Answer{})
--- a/internal/standin/fleet/settings.go
+++ b/internal/standin/fleet/settings.go
@@ -25,6 +25,7 @@
 	Late     float64       // worth of a late answer, to a prompt of mean length
 	Returns  int           // retries of a caller after refusals
 	Storms   bool          // callers retry at once and ignore the retry delay
+	Resumes  bool          // entries of Planned go on at another engine when one fails
 }
 
 const (
@@ -98,6 +99,7 @@
 	Deaf   FaultKind = "deaf"   // entries get no reports from each other
 	Near   FaultKind = "near"   // entries get no reports from those of other failure domains
 	Freeze FaultKind = "freeze" // entries are suspended and resume at the end of the fault
+	Lose   FaultKind = "lose"   // all engines of failure domains die and restart at the end of the fault
 	Part   FaultKind = "part"   // failure domains, with their entries and engines, are partitioned from all others
 )
 
@@ -135,6 +137,7 @@
 	Engines int
 	Entries int
 	Domains int
+	Mixed   bool // the failure domains of the engines alternate in the order of their names
 	Figures passes.Figures
 	Queue   int           // longest queue of an engine, in requests
 	Lag     time.Duration // delay of reports between entries
