--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -108,7 +108,7 @@
 	c.s.log.Info("Placed.", "id", c.req.ID, "digest", c.digest, "workspace", c.workspace, "segments", c.req.Segments.String(), "tokens", c.req.Prompt, "upstream", name, "detour", c.s.reach.HasDetour(address), "helpers", len(t.Helpers()),
 		"predicted_ms", t.Predicted().Milliseconds(), "waited_ms", time.Since(c.arrived).Milliseconds(), "read_ms", t.Read().Milliseconds(),
 		"streams", load.Streams, "ahead_ms", load.Reads.Milliseconds(), "pass_ms", load.Pass.Milliseconds(),
-		"memory", load.Memory, "usable", load.Usable, "others", fmt.Sprint(load.Others))
+		"memory", load.Memory, "usable", load.Usable, "shared", load.Shared, "others", fmt.Sprint(load.Others))
 	helpers, err := es.reserve(t.Helpers())
 	if err != nil {
 		delete(c.tried, name) // it was not sent
--- a/internal/prompt/passes/choose.go
+++ b/internal/prompt/passes/choose.go
@@ -100,6 +100,7 @@
 	partRead     time.Duration // of each engine
 	firstEvent   time.Duration // predicted time to the first event
 	pass         time.Duration // predicted pass time of the writer with the request
+	shared       int           // streams that broke off together, where the engine is this one's share; else 0
 	decision     Decision
 }
 
@@ -118,16 +119,22 @@
 // place assigns engines to a request and updates their candidates. It reports false where
 // no engines fit, or where requests of other entries go first.
 func (p *Planner) place(t *Ticket, candidates []candidate, now time.Time) bool {
+	if now.Before(p.startsAt(t)) {
+		return false
+	}
 	c, untried, ok := p.choose(t, candidates, now)
 	if !ok {
 		t.turn = turn{}
 		return false
 	}
-	if t.queueItem != nil && !p.hasTurn(t, now) {
+	if p.giveUpShare(t, c, now) || t.queueItem != nil && !p.hasTurn(t, now) {
 		return false
 	}
 	writerLoad := untried[slices.IndexFunc(untried, func(o candidate) bool { return o.engine == c.writer })].load
-	c.decision = Decision{Streams: writerLoad.usedSlots, Reads: writerLoad.readBacklog, Pass: writerLoad.pass, Memory: writerLoad.memoryTokens, Usable: len(untried), Others: others(untried, c)}
+	c.decision = Decision{Streams: writerLoad.usedSlots, Reads: writerLoad.readBacklog, Pass: writerLoad.pass, Memory: writerLoad.memoryTokens, Usable: len(untried), Others: others(untried, c), Shared: c.shared}
+	if c.shared > 0 {
+		p.counts.Spread++
+	}
 	p.assign(t, c, now)
 	for i := range candidates {
 		if e := candidates[i].engine; e == c.writer || slices.Contains(c.helpers, e) {
@@ -138,6 +145,7 @@
 }
 
 // choose chooses engines for a request among the candidates that were not tried, which it returns.
+// Those of failure domains that seem to have ended come last.
 func (p *Planner) choose(t *Ticket, candidates []candidate, now time.Time) (c choice, untried []candidate, ok bool) {
 	untried = make([]candidate, 0, len(candidates))
 	for _, c := range candidates {
@@ -145,12 +153,24 @@
 			untried = append(untried, c)
 		}
 	}
-	if c, ok = p.chooseHarmless(t, untried, now); !ok {
-		c, ok = p.chooseByGain(t, untried, now)
+	rest := p.withoutLost(t, untried, now)
+	if c, ok = p.spread(t, rest, now); ok {
+		return c, untried, true
+	}
+	if c, ok = p.chooseAmong(t, rest, now); !ok && len(rest) < len(untried) {
+		c, ok = p.chooseAmong(t, untried, now)
 	}
 	return c, untried, ok
 }
 
+// chooseAmong chooses engines where no stream exceeds its pause limit, or else by gain.
+func (p *Planner) chooseAmong(t *Ticket, list []candidate, now time.Time) (choice, bool) {
+	if c, ok := p.chooseHarmless(t, list, now); ok {
+		return c, true
+	}
+	return p.chooseByGain(t, list, now)
+}
+
 // others returns the engines with the largest read budgets that were not chosen.
 func others(list []candidate, chosen choice) []Other {
 	var out []Other
@@ -341,7 +361,7 @@
 // same view would all choose the same engine before their reports reach each other. It grows
 // with the sends of other entries that are not known yet.
 func (p *Planner) topCount() int {
-	unknown := p.otherEntriesRate * reportDelay.Seconds()
+	unknown := p.otherEntriesRate*reportDelay.Seconds() + float64(p.unknownResumptions(p.cfg.Now()))
 	return 1 + int(choicesPerUnknownSend*unknown)
 }
 
--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -109,6 +109,7 @@
 	Memory  int // tokens in use
 	Usable  int // number of engines to choose from
 	Others  []Other
+	Shared  int // streams that broke off together and among which engines are shared out; 0: none
 }
 
 // Other is an engine that was not chosen.
@@ -205,6 +206,8 @@
 	firstEventRatio    estimate.Moving        // actual time to the first event over the predicted one
 	changed            bool                   // own sends, paces or the queue changed since the last call of Sends
 	counts             Counts
+	losses             map[string]*loss // by failure domain
+	shares             map[string]share // of own streams that broke off, by ID of the request
 }
 
 // Counts are totals of the decisions of a Planner.
@@ -214,13 +217,15 @@
 	Refused int `json:"refused"`
 	Expired int `json:"expired"` // refused while waiting
 	Helped  int `json:"helped"`  // placed on more than one engine
+	Losses  int `json:"losses"`  // failures of engines with own streams; those of a domain at one time count once
+	Spread  int `json:"spread"`  // resumed at the engine that all entries' broken streams leave to it
 }
 
 // New returns a planner without engines.
 func New(cfg Settings, figures *Figures) *Planner {
 	b := queue.NewBounds(maxWaiting, maxWaitingBytes)
 	return &Planner{
-		cfg: cfg, figures: figures, longestGap: defaultLongestGap, byName: map[string]*engine{}, staleReasons: map[string]StaleReason{}, bounds: b,
+		cfg: cfg, figures: figures, longestGap: defaultLongestGap, byName: map[string]*engine{}, staleReasons: map[string]StaleReason{}, bounds: b, losses: map[string]*loss{}, shares: map[string]share{},
 		waiting: queue.New[*Ticket](b), firstEventRatio: estimate.NewMoving(firstEventRatioWindowSamples),
 	}
 }
@@ -457,6 +462,7 @@
 	}
 	for i, e := range t.engines {
 		t.sends[i].Writing = true
+		p.answered(e, t.placedAt)
 		e.circuit.Succeeded(now)
 		e.observedSlowdown.AddAt(now, ratio/max(p.firstEventRatio.Mean(ratio), 1))
 		if i > 0 && t.sends[i].Context == 0 {
@@ -510,6 +516,9 @@
 
 func (p *Planner) release(t *Ticket, out Outcome) {
 	now := p.cfg.Now()
+	if out.Failed && !t.firstAt.IsZero() && (out.FailedAddress == "" || out.FailedAddress == t.engines[0].address) {
+		p.recordLoss(t, now)
+	}
 	for i, e := range t.engines {
 		e.remove(t.sends[i])
 		switch {
