--- a/internal/gateway/entry/lease.go
+++ b/internal/gateway/entry/lease.go
@@ -49,7 +49,7 @@
 	wg.Wait()
 	s.leases.Add(1)
 	calls := context.WithoutCancel(ctx)
-	renewCtx, cancel := context.WithCancel(calls)
+	renewCtx, cancel := context.WithCancel(ctx) // nothing is renewed for a caller that left, also while an answer can't be written
 	l := &memoryLease{s: s, id: id, writer: writer, reservations: reservations, calls: calls, stop: cancel, done: make(chan struct{})}
 	if err := errors.Join(errs...); err != nil {
 		close(l.done)
--- a/internal/gateway/entry/lease_test.go
+++ b/internal/gateway/entry/lease_test.go
@@ -97,3 +97,19 @@
 	t.Helper()
 	return net.JoinHostPort("127.0.0.1", strconv.Itoa(ports.Free(t, 1)[0]))
 }
+
+// The caller leaves, or its time is up, while its answer can't be written: the memory was renewed until
+// the write failed, which may be never.
+func TestMemoryLeaseEndsWithItsCaller(t *testing.T) {
+	env := newTestEnv(t)
+	env.configure()
+	helper := env.serve("engines", "i-helper")
+	ctx, leave := context.WithCancel(t.Context())
+	lease, err := env.entry.reserve(ctx, "left", helper.Addr(), []platform.Reservation{{ID: "left", Instance: "i-helper", Address: helper.Addr(), Tokens: 1000}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	leave()
+	<-lease.done // the renewal ended by itself
+	lease.release()
+}
