--- a/internal/gateway/entry/caller.go
+++ b/internal/gateway/entry/caller.go
@@ -21,12 +21,15 @@
 	onGone          func() // called when the caller disconnects
 	ahead           chan struct{}
 	buf             []byte
+	bufAt           time.Time // arrival of buf
+	readAt          time.Time // arrival of what Read returned last
 	err             error
 	started         time.Time // arrival of the first bytes of the current request
 	betweenRequests bool      // the next bytes start a request
 	waiting         bool      // blocked in Read between requests, with all answers written
 	served          bool      // at least one request arrived
 	answering       bool      // a request arrived whose answer may not be written yet
+	polling         bool      // pollHangup runs
 	expired         bool      // the read in progress fails unless a request has arrived
 	onClose         func()
 }
@@ -86,10 +89,11 @@
 	var (
 		n   int
 		err error
+		at  time.Time // arrival of bytes that were read ahead
 	)
 	if ahead != nil {
 		<-ahead
-		n = copy(p, c.buf)
+		n, at = copy(p, c.buf), c.bufAt
 		if c.buf = c.buf[n:]; len(c.buf) == 0 {
 			if n == 0 {
 				err = c.err
@@ -101,12 +105,16 @@
 	}
 	if n == 0 && err == nil {
 		n, err = c.Conn.Read(p)
+		at = time.Now()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting = false
+	if n > 0 {
+		c.readAt = at
+	}
 	if n > 0 && c.betweenRequests {
-		c.betweenRequests, c.started = false, time.Now()
+		c.betweenRequests, c.started = false, at
 	}
 	if n > 0 && c.expired { // the request was faster
 		c.expired = false
@@ -121,7 +129,12 @@
 	defer c.mu.Unlock()
 	c.onGone = onGone
 	if c.ahead != nil {
-		return // bytes of the next request are buffered already
+		select {
+		case <-c.ahead: // bytes of the next request are buffered already
+			c.startPoll()
+		default: // the read ahead goes on
+		}
+		return
 	}
 	// Clears the deadline of the last read. If that fails, the read ahead ends at that deadline.
 	_ = c.SetReadDeadline(time.Time{})
@@ -139,11 +152,20 @@
 func (c *callerConn) readAhead(done chan struct{}) {
 	buf := make([]byte, readAheadBytes)
 	n, err := c.Conn.Read(buf)
-	c.buf, c.err = buf[:n], err
+	c.buf, c.bufAt, c.err = buf[:n], time.Now(), err
 	close(done)
-	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
-		return
+	switch {
+	case err == nil:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.startPoll()
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		c.gone()
 	}
+}
+
+// gone calls onGone, once.
+func (c *callerConn) gone() {
 	c.mu.Lock()
 	onGone := c.onGone
 	c.onGone = nil
@@ -153,15 +175,41 @@
 	}
 }
 
-// beginRequest returns the arrival time of the first bytes of the request that was read last, or
-// the current time if they came together with the previous request. The next bytes start another
+// startPoll starts pollHangup unless it runs. c.mu must be held.
+func (c *callerConn) startPoll() {
+	if !c.polling && c.onGone != nil {
+		c.polling = true
+		go c.pollHangup()
+	}
+}
+
+// pollHangup calls onGone once the caller disconnects, until the connection isn't watched any more. It
+// reads nothing: the caller may send any number of bytes ahead.
+func (c *callerConn) pollHangup() {
+	for {
+		c.mu.Lock()
+		if c.onGone == nil {
+			c.polling = false
+			c.mu.Unlock()
+			return
+		}
+		c.mu.Unlock()
+		if hungUp(c.Conn) {
+			c.gone()
+		}
+		time.Sleep(hangupPollInterval)
+	}
+}
+
+// beginRequest returns the arrival time of the first bytes of the request that was read last: its
+// caller's time runs from then on, also while a previous request is served. The next bytes start another
 // request.
 func (c *callerConn) beginRequest() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	at := c.started
 	if at.IsZero() {
-		at = time.Now()
+		at = c.readAt // they came together with the previous request
 	}
 	c.started, c.betweenRequests, c.served, c.answering = time.Time{}, true, true, true
 	return at
--- a/internal/gateway/entry/caller_test.go
+++ b/internal/gateway/entry/caller_test.go
@@ -58,6 +58,25 @@
 	})
 }
 
+// A request that arrives while the previous one is served was sent to an upstream with more time than
+// its caller had left.
+func TestArrivalTimesOfRequestsReadAhead(t *testing.T) {
+	withKeptConn(t, func(k *keptConn) {
+		k.request("the first")
+		k.conn.watch(func() {})
+		go func() { _, _ = k.Write([]byte("two requests")) }()
+		time.Sleep(time.Second)
+		k.conn.unwatch()
+		buf := make([]byte, 64)
+		n, err := k.conn.Read(buf)
+		k.is.NoErr(err)
+		k.is.Equal(string(buf[:n]), "two requests")
+		k.is.Equal(time.Since(k.conn.beginRequest()), time.Second)
+		time.Sleep(time.Second)
+		k.is.Equal(time.Since(k.conn.beginRequest()), 2*time.Second) // it arrived together with the previous one
+	})
+}
+
 func TestIdleConnections(t *testing.T) {
 	withKeptConn(t, func(k *keptConn) {
 		wait := func() {
--- a/internal/gateway/entry/evacuation_test.go
+++ b/internal/gateway/entry/evacuation_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -11,7 +10,6 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
-	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/route"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/sends"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/tunnel"
@@ -257,35 +255,17 @@
 // The domain is evacuated while the entry connects to the upstream that it has chosen. The upstream
 // must get nothing, and the caller a refusal.
 func TestEvacuationWhileConnecting(t *testing.T) {
-	for _, path := range []string{"/ask/", "/once/"} {
+	for path, service := range map[string]string{"/ask/": "engines", "/once/": "desk"} {
 		t.Run(path, func(t *testing.T) {
 			is := is.New(t)
-			env := newTestEnv(t)
-			_ = env.entry.Shutdown(cancelledContext())
-			tcp, address := netio.TCP(), make(chan string, 1)
-			dialling, evacuated := make(chan struct{}), make(chan struct{})
-			env.entry = startEntryOn(t, "vm-1", "a", env.store.Addr(), env.entry.cfg.PeerPort, netio.New(func(ctx context.Context, addr string) (net.Conn, error) {
-				conn, err := tcp.Dial(ctx, addr)
-				select {
-				case upstream := <-address:
-					if upstream != addr {
-						address <- upstream
-						break
-					}
-					close(dialling)
-					<-evacuated
-				default:
-				}
-				return conn, err
-			}, tcp.Listen))
-			env.configure()
-			upstream := env.serveIn("a", map[bool]string{true: "engines", false: "desk"}[path == "/ask/"], "i-a")
-			address <- upstream.Addr()
+			env, h := newHeldEnv(t)
+			upstream := env.serveIn("a", service, "i-a")
+			h.address <- upstream.Addr()
 			got := make(chan reply, 1)
 			go func() { got <- env.do(env.request(http.MethodPost, path)) }()
-			<-dialling
+			<-h.dialled
 			env.evacuate(true, "a")
-			close(evacuated)
+			close(h.proceed)
 			r := <-got
 			is.Equal(r.status, http.StatusServiceUnavailable)
 			is.Equal(r.header.Get("Retry-After"), "1.000")
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -63,8 +63,9 @@
 	pace    float64
 	deadly  func(*Run) bool // requests on which the server crashes; nil: none
 	crashed bool
-	limit   string // named in answers; "": none
-	reports int    // load reports served
+	choose  func() Script // replaces the scripts; nil: none
+	limit   string        // named in answers; "": none
+	reports int           // load reports served
 	scripts []Script
 	runs    []*Run
 	conns   map[net.Conn]bool
@@ -114,6 +115,13 @@
 	s.scripts, s.runs = scripts, nil
 }
 
+// SetChoice sets a function that names the script of each request in place of the scripts.
+func (s *Server) SetChoice(choose func() Script) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.choose = choose
+}
+
 // SetPace sets the pace in load reports: how many times longer than declared a request takes.
 func (s *Server) SetPace(pace float64) {
 	s.mu.Lock()
@@ -219,6 +227,9 @@
 func (s *Server) nextScript() Script {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.choose != nil {
+		return s.choose()
+	}
 	if len(s.scripts) == 0 {
 		return Whole
 	}
--- a/internal/upstream/httpconn/conn.go
+++ b/internal/upstream/httpconn/conn.go
@@ -37,6 +37,9 @@
 	// Bytes is the most that is received, header and framing included, until the next call of
 	// Progress. A server in trouble may send without end. 0 means no limit.
 	Bytes int64
+	// Connected is called once the connection is there, before any of the request is sent. It may
+	// change the request. nil: nothing is called.
+	Connected func()
 }
 
 // Exchange is a request and its response.
@@ -50,13 +53,20 @@
 }
 
 // Do connects to addr on the network and sends the request. The caller must close the
-// exchange. Ending ctx aborts it. An error is of KindUnsent if the connection failed and
+// exchange. Ending ctx aborts it, and nothing is sent if it has ended by then. An error is of KindUnsent if the connection failed and
 // of KindNoAnswer if the request may have reached the server.
 func Do(ctx context.Context, network *netio.Network, addr string, req *fasthttp.Request, limits Limits) (*Exchange, error) {
 	dialled, err := network.Dial(ctx, addr)
 	if err != nil {
 		return nil, fail("dial", KindUnsent, err)
 	}
+	if err := ctx.Err(); err != nil {
+		_ = dialled.Close() // unused
+		return nil, fail("dial", KindUnsent, err)
+	}
+	if limits.Connected != nil {
+		limits.Connected()
+	}
 	conn := newBoundedConn(dialled, limits.Bytes)
 	x := &Exchange{conn: conn, limits: limits, resp: fasthttp.AcquireResponse(), writeDone: make(chan struct{})}
 	x.stop = context.AfterFunc(ctx, func() { _ = conn.Close() }) // unblocks reads and writes
