--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PKGS   = ./...
 FUZZ_TIME ?= 5m
 # Wire names of the users' platform: only platform/, the stand-ins and tests may contain them.
-WIRE_NAMES = 'X-(Attempt-Id|Length-Hint|Deadline-Milliseconds|Token-Counts|Tenant|Expect-Instance|Helpers|Not-Executed|Response-Seal|Request-Urgency|Instance-Id|Model|Prompt-Prefix)|At-Server|Store-Era|Server-Limit|/dogwoodmill/(log-|order|report|readiness)|keyed\.|node_name|target_latency_ms|path_prefix|kv_cache_tokens|token_count'
+WIRE_NAMES = 'X-(Attempt-Id|Length-Hint|Deadline-Milliseconds|Token-Counts|Tenant|Expect-Instance|Helpers|Not-Executed|Response-Seal|Request-Urgency|Instance-Id|Model|Prompt-Prefix)|At-Server|Store-Era|Server-Limit|X-Cold-Milliseconds|cold_(start_s|per_s|remaining_ms|overrun|slack)|/dogwoodmill/(log-|order|report|readiness)|keyed\.|node_name|target_latency_ms|path_prefix|kv_cache_tokens|token_count'
 
 # Known failing tests, listed in KNOWN-RED.txt. check and race skip them.
 RED  = $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|' -)
--- a/internal/gateway/directory/directory.go
+++ b/internal/gateway/directory/directory.go
@@ -34,6 +34,10 @@
 	Slots   int    // requests that it runs concurrently
 	Leaving bool   // it is draining
 	Born    int64  // start time in Unix milliseconds; 0 if not given
+	// Cold is how long the upstream is still cold, from the time of the record, if ColdKnown. It
+	// changes with each record and does not count as a change of the upstream.
+	Cold      time.Duration
+	ColdKnown bool
 }
 
 // Directory is the set of known upstreams. It is not safe for concurrent use.
@@ -94,6 +98,7 @@
 	delete(d.doubted, s.ID)
 	delete(d.gone, s.ID)
 	d.servers[s.ID] = s
+	old.Cold, old.ColdKnown = s.Cold, s.ColdKnown
 	return !ok || wasRemoved || old != s
 }
 
--- a/internal/gateway/route/table.go
+++ b/internal/gateway/route/table.go
@@ -69,6 +69,8 @@
 	Name        string
 	Connections int             // that each upstream accepts, over all callers
 	Engine      *passes.Figures // nil for a plain HTTP service
+	ColdTime    time.Duration   // for which an upstream is cold after its start
+	ColdRate    float64         // requests a second that a cold upstream takes from all entries; 0: not limited
 }
 
 // Limits bound what a caller may send. A field of zero sets no limit.
