--- a/internal/prompt/passes/choose.go
+++ b/internal/prompt/passes/choose.go
@@ -113,6 +113,7 @@
 	firstEvent     time.Duration // time to the request's first event
 	extraOccupancy time.Duration // how much later it is free of streams with the request
 	throttled      bool          // it takes no further request now, only reads
+	cold           bool
 }
 
 // place assigns engines to a request and updates their candidates. It reports false where
@@ -201,6 +202,7 @@
 func (p *Planner) newCandidate(e *engine, now time.Time) candidate {
 	l, margin := e.load(now), p.pauseMargin()
 	c := candidate{engine: e, load: l, throttled: p.cfg.Throttled != nil && p.cfg.Throttled(e.name), readStart: l.pass/2 + l.readBacklog, readBudget: p.maxIdleRead() - l.passReads}
+	c.cold = p.cfg.Cold != nil && p.cfg.Cold(e.name)
 	if l.pauseLimit != noLimit {
 		c.readBudget = time.Duration(float64(l.pauseLimit-margin-l.pass)/readOverrunFactor) - l.passReads
 	}
@@ -371,8 +373,14 @@
 }
 
 // chooseSplit splits the read of a prompt over the fewest engines whose first event comes
-// within earlyStopShare of the time left, or else over as many as bring it earliest.
+// within earlyStopShare of the time left, or else over as many as bring it earliest. Cold engines
+// take part only if the others don't suffice.
 func (p *Planner) chooseSplit(t *Ticket, list []candidate, now time.Time) (choice, bool) {
+	if warm := slices.DeleteFunc(slices.Clone(list), func(c candidate) bool { return c.cold }); len(warm) < len(list) {
+		if c, ok := p.chooseSplit(t, warm, now); ok {
+			return c, true
+		}
+	}
 	list = slices.Clone(list)
 	p.sortByBudget(list)
 	left := float64(t.firstEventTimeLeft(now))
@@ -443,13 +451,16 @@
 }
 
 // sortByBudget sorts engines by read budget, longest first, and those of about the same
-// budget at random.
+// budget at random. Cold ones are last.
 func (p *Planner) sortByBudget(candidates []candidate) {
 	for i := range candidates {
 		j := i + int(p.cfg.Rand()*float64(len(candidates)-i))
 		candidates[i], candidates[j] = candidates[j], candidates[i]
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		if a.cold != b.cold {
+			return map[bool]int{false: -1, true: 1}[a.cold]
+		}
 		return cmp.Compare(b.readBudget/budgetResolution, a.readBudget/budgetResolution)
 	})
 }
--- a/internal/prompt/passes/planner.go
+++ b/internal/prompt/passes/planner.go
@@ -180,6 +180,9 @@
 	// for the engine that a request is sent to. It may be nil.
 	Throttled func(name string) bool
 	Sent      func(name string)
+	// Cold reports whether an engine has started lately, so that it reads and reserves memory for other
+	// engines only where nothing else fits. nil: none has.
+	Cold func(name string) bool
 	// OnStaleChange is called when the report of an entry becomes stale, for a reason, or current
 	// again, with "". It may be nil.
 	OnStaleChange func(entry string, why StaleReason)
