--- a/internal/upstream/reach/prober.go
+++ b/internal/upstream/reach/prober.go
@@ -48,7 +48,10 @@
 	Services func() [][]string
 	// Changed is called after each probe.
 	Changed func()
-	Log     *log.Logger
+	// Reconnected is called for an upstream that could not be connected to, neither directly nor through
+	// another entry, before it counts as reachable. It may be nil.
+	Reconnected func(address string)
+	Log         *log.Logger
 }
 
 // outage is the time during which an upstream can't be connected to.
@@ -157,6 +160,9 @@
 
 // markUp marks an upstream as reachable.
 func (p *Prober) markUp(address string) {
+	if p.IsUnreachable(address) {
+		p.reconnected(address)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	o := p.outages[address]
@@ -167,6 +173,13 @@
 	p.cfg.Log.Info("Upstream is reachable again.", "address", address, "after_ms", time.Since(o.since).Milliseconds(), "detour", o.detour)
 }
 
+// reconnected reports an upstream that is about to count as reachable. p.mu must not be held.
+func (p *Prober) reconnected(address string) {
+	if p.cfg.Reconnected != nil {
+		p.cfg.Reconnected(address)
+	}
+}
+
 // setDetour records whether an unreachable upstream is reached through another entry.
 func (p *Prober) setDetour(address string, found bool) {
 	p.mu.Lock()
@@ -262,13 +275,15 @@
 	for _, address := range slices.Concat(p.cfg.Services()...) {
 		known[address] = true
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	for _, address := range down {
-		o := p.outages[address]
-		if o != nil && time.Since(o.since) > forgetAfter && !(o.detour && known[address]) {
-			delete(p.outages, address)
+		o, still := p.outage(address)
+		if !still || time.Since(o.since) <= forgetAfter || o.detour && known[address] {
+			continue
 		}
+		p.reconnected(address) // it may be reachable, which nothing will tell
+		p.mu.Lock()
+		delete(p.outages, address)
+		p.mu.Unlock()
 	}
 }
 
--- a/internal/upstream/reach/prober_test.go
+++ b/internal/upstream/reach/prober_test.go
@@ -74,6 +74,48 @@
 	})
 }
 
+// What an upstream did while it could not be connected to is unknown, as is the state of one that is
+// forgotten. Each must be reported before it counts as reachable.
+func TestReconnectedUpstreamIsReportedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var mu sync.Mutex
+		down, reported := true, map[string]bool{}
+		var p *Prober
+		p = New(Settings{
+			Network: netio.New(func(_ context.Context, address string) (net.Conn, error) {
+				mu.Lock()
+				defer mu.Unlock()
+				if down || address == "lost" {
+					return nil, errUnreachable
+				}
+				a, _ := net.Pipe()
+				return a, nil
+			}, nil),
+			Siblings: func(string) []string { return nil }, Services: func() [][]string { return nil }, Changed: func() {}, Log: log.New(io.Discard),
+			Reconnected: func(address string) {
+				mu.Lock()
+				defer mu.Unlock()
+				reported[address] = p.IsUnreachable(address)
+			},
+		})
+		defer p.Close()
+		p.ReportFailure("one")
+		p.ReportFailure("lost")
+		time.Sleep(2 * probeInterval)
+		mu.Lock()
+		is.Equal(len(reported), 0)
+		down = false
+		mu.Unlock()
+		time.Sleep(2 * probeInterval)
+		is.True(!p.IsUnreachable("one"))
+		time.Sleep(forgetAfter)
+		mu.Lock()
+		defer mu.Unlock()
+		is.Equal(reported, map[string]bool{"one": true, "lost": true})
+	})
+}
+
 // An entry that connects to none of a service's upstreams may be cut off itself. It must find those that
 // another entry reaches, without a request, and return to its own connections; and ask no other entry
 // while one upstream of the service takes its connections.
