--- a/internal/upstream/warmup/warmup.go
+++ b/internal/upstream/warmup/warmup.go
@@ -59,6 +59,7 @@
 type upstream struct {
 	until    time.Time
 	rate     float64   // requests a second from all entries
+	owners   []string  // unknown while the list of entries is
 	share    float64   // of it that this entry may send
 	startsAt time.Time // when this entry may begin to send
 	tokens   float64
@@ -96,14 +97,14 @@
 		u = &upstream{filledAt: now, startsAt: now}
 		q.upstreams[name] = u
 		if q.entries == nil {
-			u.tokens = -float64(q.hash(name, q.cfg.Self)%1024) / 1024 // entries that start together don't send together
+			u.tokens = -float64(hash(name, q.cfg.Self)%1024) / 1024 // entries that start together don't send together
 		} else if at := q.changedAt.Add(handoverDelay); at.After(now) {
 			u.startsAt = at
 		}
 	}
-	q.fill(u, now)
+	u.fill(now)
 	u.until, u.rate = until, rate
-	u.share = q.share(name, rate)
+	q.chooseOwners(name, u)
 	q.cfg.Log.Info("An upstream is cold.", "upstream", name, "for_ms", until.Sub(now).Milliseconds(), "per_second", rate, "share", u.share)
 }
 
@@ -139,12 +140,12 @@
 	if u == nil {
 		return true
 	}
-	return u.hasGrant(now) || q.hasToken(u, now)
+	return u.hasGrant(now) || u.hasToken(now)
 }
 
-// hasToken reports whether this entry is an owner and has a request of its share left. q.mu must be held.
-func (q *Limiter) hasToken(u *upstream, now time.Time) bool {
-	q.fill(u, now)
+// hasToken reports whether this entry is an owner and has a request of its share left.
+func (u *upstream) hasToken(now time.Time) bool {
+	u.fill(now)
 	return u.share > 0 && u.tokens >= 1
 }
 
@@ -160,7 +161,7 @@
 	defer q.mu.Unlock()
 	now := q.cfg.Now()
 	u := q.cold(name, now)
-	if u == nil || q.entries == nil || !q.hasToken(u, now) {
+	if u == nil || q.entries == nil || !u.hasToken(now) {
 		return false
 	}
 	u.tokens--
@@ -185,11 +186,7 @@
 	if u == nil || q.entries == nil {
 		return nil, false
 	}
-	n, _ := q.divide(max(minRate, u.rate))
-	list := slices.SortedFunc(slices.Values(q.entries), func(a, b string) int {
-		return cmp.Or(cmp.Compare(q.hash(name, a), q.hash(name, b)), cmp.Compare(a, b))
-	})
-	others = slices.DeleteFunc(list[:min(n, len(list))], func(entry string) bool { return entry == q.cfg.Self })
+	others = slices.DeleteFunc(slices.Clone(u.owners), func(entry string) bool { return entry == q.cfg.Self })
 	return others, u.share > 0
 }
 
@@ -218,8 +215,8 @@
 
 func (u *upstream) capacity() float64 { return 1 + u.share*burstTime.Seconds() }
 
-// fill adds what this entry may send since the last call. q.mu must be held.
-func (q *Limiter) fill(u *upstream, now time.Time) {
+// fill adds what this entry may send since the last call.
+func (u *upstream) fill(now time.Time) {
 	if from := later(u.filledAt, u.startsAt); now.After(from) {
 		u.tokens = min(u.capacity(), u.tokens+u.share*now.Sub(from).Seconds())
 		u.filledAt = now
@@ -245,9 +242,9 @@
 	now, known := q.cfg.Now(), q.entries != nil
 	q.entries, q.changedAt = append([]string{}, list...), now // never nil
 	for name, u := range q.upstreams {
-		q.fill(u, now)
+		u.fill(now)
 		owned := known && u.share > 0
-		u.share = q.share(name, u.rate)
+		q.chooseOwners(name, u)
 		if u.share > 0 && !owned {
 			u.tokens, u.startsAt = 0, now.Add(handoverDelay)
 		}
@@ -255,26 +252,35 @@
 	}
 }
 
-// share returns the part of an upstream's rate that this entry may send. q.mu must be held.
-func (q *Limiter) share(name string, rate float64) float64 {
-	rate = max(minRate, rate)
+// chooseOwners chooses the owners of an upstream, and sets this entry's share of its rate. q.mu must be
+// held.
+func (q *Limiter) chooseOwners(name string, u *upstream) {
+	rate := max(minRate, u.rate)
 	if q.entries == nil {
-		return rate / minUnknownEntries
+		u.owners, u.share = nil, rate/minUnknownEntries
+		return
+	}
+	count, share := q.divide(rate)
+	type ranked struct {
+		entry string
+		hash  uint64
 	}
-	owners, share := q.divide(rate)
-	own := q.hash(name, q.cfg.Self)
-	before, listed := 0, false
-	for _, entry := range q.entries {
-		if entry == q.cfg.Self {
-			listed = true
-		} else if cmp.Or(cmp.Compare(q.hash(name, entry), own), cmp.Compare(entry, q.cfg.Self)) < 0 {
-			before++
+	var best []ranked
+	for _, entry := range q.entries { // sorted, so that all entries order equal hashes alike
+		r := ranked{entry, hash(name, entry)}
+		at, _ := slices.BinarySearchFunc(best, r, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.hash, b.hash), -1) })
+		if at < count {
+			best = slices.Insert(best, at, r)
+			best = best[:min(len(best), count)]
 		}
 	}
-	if !listed || before >= owners {
-		return 0
+	u.owners, u.share = nil, 0
+	for _, r := range best {
+		u.owners = append(u.owners, r.entry)
+	}
+	if slices.Contains(u.owners, q.cfg.Self) {
+		u.share = share
 	}
-	return share
 }
 
 // divide returns the number of owners of an upstream with a rate, and the share of each. Each owner
@@ -297,7 +303,14 @@
 	return owners, best / float64(owners)
 }
 
-func (q *Limiter) hash(upstream, entry string) uint64 { return xxh3.HashString(upstream + " " + entry) }
+func hash(upstream, entry string) uint64 { return xxh3.HashString(upstream + " " + entry) }
+
+// Len returns the number of upstreams that are limited, with those whose cold time has just passed.
+func (q *Limiter) Len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.upstreams)
+}
 
 // State returns the cold upstreams by name.
 func (q *Limiter) State() map[string]Upstream {
--- a/internal/upstream/warmup/warmup_test.go
+++ b/internal/upstream/warmup/warmup_test.go
@@ -40,7 +40,6 @@
 		f.names = append(f.names, fmt.Sprint("vm-", i))
 		f.entries = append(f.entries, nil)
 		f.start(i)
-		f.entries[i].SetEntries(f.names)
 	}
 	for _, q := range f.entries {
 		q.SetEntries(f.names)
@@ -81,15 +80,23 @@
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(tick) {
 		for _, q := range f.entries {
 			for _, name := range f.upstreams {
-				for q.Allows(name) {
-					q.Take(name)
-					f.sent[name] = append(f.sent[name], time.Now())
+				for f.send(q, name) > 0 {
 				}
 			}
 		}
 	}
 }
 
+// send lets an entry send one request if it may, and returns how many it sent.
+func (f *fleet) send(q *Limiter, name string) int {
+	if !q.Allows(name) {
+		return 0
+	}
+	q.Take(name)
+	f.sent[name] = append(f.sent[name], time.Now())
+	return 1
+}
+
 // most returns the most requests that an upstream got in any second.
 func (f *fleet) most() int {
 	most := 0
@@ -230,18 +237,14 @@
 				q := f.entries[i]
 				others, own := q.Owners(name)
 				is.Equal(len(others), map[bool]int{true: 3, false: 4}[own])
+				if own {
+					continue
+				}
 				for k, owner := range others {
-					if own || !f.entries[slices.Index(f.names, owner)].Grant(name) {
-						continue
+					if f.entries[slices.Index(f.names, owner)].Grant(name) {
+						q.Granted(name, time.Now())
+						time.AfterFunc(delays[(i+k)%len(delays)], func() { served[i] += f.send(q, name) })
 					}
-					q.Granted(name, time.Now())
-					time.AfterFunc(delays[(i+k)%len(delays)], func() {
-						if q.Allows(name) {
-							q.Take(name)
-							f.sent[name] = append(f.sent[name], time.Now())
-							served[i]++
-						}
-					})
 				}
 			}
 			time.Sleep(10 * time.Millisecond)
