--- a/internal/upstream/warmup/warmup_test.go
+++ b/internal/upstream/warmup/warmup_test.go
@@ -80,7 +80,8 @@
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(tick) {
 		for _, q := range f.entries {
 			for _, name := range f.upstreams {
-				for f.send(q, name) > 0 {
+				for n := 1; n > 0; {
+					n = f.send(q, name)
 				}
 			}
 		}
