--- a/internal/gateway/directory/directory.go
+++ b/internal/gateway/directory/directory.go
@@ -229,6 +229,18 @@
 	return slices.Collect(maps.Values(lists))
 }
 
+// Get returns the upstream with the id, and whether it is known.
+func (d *Directory) Get(id string) (Server, bool) {
+	s, ok := d.servers[id]
+	return s, ok
+}
+
+// Lists reports whether the upstream with the id is known, or only a restored store lists it.
+func (d *Directory) Lists(id string) bool {
+	_, doubted := d.doubted[id]
+	return doubted || d.Has(id)
+}
+
 // Has reports whether the upstream with the id is known.
 func (d *Directory) Has(id string) bool {
 	_, ok := d.servers[id]
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -74,6 +74,7 @@
 		if c.ctx.Err() == nil {
 			c.s.reach.ReportFailure(address)
 		}
+		c.s.sched.warmup.Return(a.Instance)
 		return nil, platform.Answer{}, fail("send", KindUnsent, err)
 	}
 	c.sends++
@@ -91,6 +92,12 @@
 	if ans.Limit > 0 || !ans.NotRun {
 		c.s.sched.throttle.Heard(a.Instance, sentAt, ans.Limit)
 	}
+	switch {
+	case ans.Status == fasthttp.StatusMisdirectedRequest: // not counted, and of another upstream
+		c.s.sched.warmup.Return(a.Instance)
+	case ans.ColdKnown:
+		c.s.sched.HeardCold(a.Instance, ans.Cold)
+	}
 	if ans.NotRun {
 		x.Close()
 		return nil, ans, fail("send", KindNotRun, fmt.Errorf("status %d", ans.Status))
--- a/internal/gateway/entry/detour.go
+++ b/internal/gateway/entry/detour.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/grant"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/sends"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/tunnel"
 )
@@ -37,6 +38,10 @@
 		s.tunnels.Serve(ctx)
 		return
 	}
+	if string(ctx.Path()) == grant.Path {
+		grant.Serve(ctx, s.log, s.sched.warmup.Grant)
+		return
+	}
 	ctx.SetStatusCode(fasthttp.StatusNotFound)
 }
 
--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -112,6 +112,7 @@
 	helpers, err := es.reserve(t.Helpers())
 	if err != nil {
 		delete(c.tried, name) // it was not sent
+		c.s.sched.warmup.Return(name)
 		es.close(passes.Outcome{})
 		return nil, platform.Answer{}, err
 	}
--- a/internal/gateway/entry/entry_test.go
+++ b/internal/gateway/entry/entry_test.go
@@ -102,6 +102,7 @@
 		VM: vm, FailureDomain: domain, IP: "127.0.0.1", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0",
 		PeerPort: peerPort, Store: store, Grace: 8 * time.Second, Heartbeat: time.Second,
 		Retries: platform.RetryBound{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+		Cold:    platform.ColdBound{Overrun: 1.5, Slack: 5},
 	}, network, time.Millisecond, log.New(io.Discard), func() int64 { return 0 })
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/entry/observe.go
+++ b/internal/gateway/entry/observe.go
@@ -15,6 +15,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/follow"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/warmup"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
@@ -105,11 +106,12 @@
 	Leads     bool   `json:"leads"` // whether it reads the store on behalf of others
 	ToldBytes uint64 `json:"toldBytes"`
 	// ToldDomainBytes are those of ToldBytes that went to other failure domains.
-	ToldDomainBytes uint64                  `json:"toldDomainBytes"`
-	Topics          []TopicState            `json:"topics"`
-	Limits          map[string]float64      `json:"limits"` // requests a second that upstreams take from all entries
-	Services        map[string]ServiceState `json:"services"`
-	RetriesLeft     map[string]float64      `json:"retriesLeft"` // by service
+	ToldDomainBytes uint64                     `json:"toldDomainBytes"`
+	Topics          []TopicState               `json:"topics"`
+	Limits          map[string]float64         `json:"limits"` // requests a second that upstreams take from all entries
+	Cold            map[string]warmup.Upstream `json:"cold"`   // cold upstreams
+	Services        map[string]ServiceState    `json:"services"`
+	RetriesLeft     map[string]float64         `json:"retriesLeft"` // by service
 }
 
 // State returns the state dump.
@@ -130,6 +132,7 @@
 		}
 	}
 	st.Limits = s.sched.throttle.Limits()
+	st.Cold = s.sched.warmup.State()
 	s.sched.fill(&st)
 	return st
 }
@@ -220,6 +223,7 @@
 		scope.Gauge("tunnels_opened").Update(float64(s.tunnels.Opened()))
 		scope.Gauge("segments_held").Update(float64(len(s.quarantine.HeldSegments())))
 		scope.Gauge("upstreams_limited").Update(float64(len(s.sched.throttle.Limits())))
+		scope.Gauge("upstreams_cold").Update(float64(len(s.sched.warmup.State())))
 		told := s.exchange.Sent()
 		scope.Gauge("buffered_answer_bytes").Update(float64(s.bodies.used.Load()))
 		scope.Gauge("told_bytes").Update(float64(told.Bytes))
--- a/internal/gateway/entry/pace.go
+++ b/internal/gateway/entry/pace.go
@@ -20,6 +20,9 @@
 			return
 		}
 		s.log.Info("An engine reported its speed.", "upstream", e.Name, "pace", r.Pace)
+		if r.ColdKnown {
+			s.sched.HeardCold(e.Name, r.Cold)
+		}
 		s.sched.SetPace(service, passes.Pace{Engine: e.Name, Factor: r.Pace, At: time.Now()})
 	})
 }
--- a/internal/gateway/entry/plain.go
+++ b/internal/gateway/entry/plain.go
@@ -93,7 +93,7 @@
 	if watch == nil {
 		return nil, fail("admit", KindHeld, fmt.Errorf("servers crash on request %s", held))
 	}
-	k := c.s.sched.Pick(c.service, c.tried)
+	k := c.pick()
 	if k == nil {
 		watch.End(false)
 		return nil, fail("pick", KindRefused, errNoServer)
--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -16,6 +16,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/retry"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/plain"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/throttle"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/warmup"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
@@ -46,6 +47,8 @@
 	unreachable   func(address string) bool             // whether connections to the address fail
 	queryPace     func(service string, e passes.Engine) // queries the engine's speed; the result goes to SetPace
 	throttle      *throttle.Throttle
+	warmup        *warmup.Limiter
+	requestGrant  func(upstream string, done func()) // asks the owners of a cold upstream for a request
 	// domainOf returns the failure domain of the entry at an address, or "" if it is unknown.
 	domainOf func(address string) string
 
@@ -60,8 +63,11 @@
 	reportsPending bool                       // reports changed since the planners got them
 	ready          chan struct{}              // closed once requests can be served
 	tickScheduled  bool
-	settleAt       time.Time // when a timer settles what the directory has deferred; zero: none is set
-	restoredEnd    uint64    // offset up to which the upstreams' records may be of the store's copy
+	settleAt       time.Time                     // when a timer settles what the directory has deferred; zero: none is set
+	restoredEnd    uint64                        // offset up to which the upstreams' records may be of the store's copy
+	servers        map[string][]directory.Server // by service
+	asking         bool                          // an owner of a cold upstream is being asked for a request
+	cold           map[string]coldRecord         // of the upstreams, by id
 }
 
 func newScheduler(domain string, bound platform.RetryBound, logger *log.Logger) *scheduler {
@@ -74,11 +80,21 @@
 		throttle: throttle.New(throttle.Settings{
 			Now: time.Now, Members: func() throttle.Members { return throttle.Members{Live: []string{""}} }, Changed: func() {}, Log: logger,
 		}),
+		warmup: warmup.New(warmup.Settings{Now: time.Now, Log: logger}), cold: map[string]coldRecord{}, servers: map[string][]directory.Server{},
+		requestGrant: func(_ string, done func()) { done() },
 	}
 }
 
 // throttled reports whether an upstream takes no further request from this entry now.
-func (s *scheduler) throttled(name string) bool { return !s.throttle.Allows(name) }
+func (s *scheduler) throttled(name string) bool {
+	return !s.throttle.Allows(name) || !s.warmup.Allows(name)
+}
+
+// sent records that a request is sent to an upstream.
+func (s *scheduler) sent(name string) {
+	s.throttle.Take(name)
+	s.warmup.Take(name)
+}
 
 // Table returns the configuration, or nil if there is none yet.
 func (s *scheduler) Table() *route.Table {
@@ -182,7 +198,14 @@
 		return s.removeServer(r.Key, now, "unreadable")
 	}
 	delete(s.unreadable, r.Key)
-	if r.Offset < s.restoredEnd && !s.dir.PutCopied(srv, now) || r.Offset >= s.restoredEnd && !s.dir.Put(srv) {
+	changed := false
+	if r.Offset < s.restoredEnd {
+		changed = s.dir.PutCopied(srv, now)
+	} else {
+		changed = s.dir.Put(srv)
+	}
+	s.noteCold(r, srv, now)
+	if !changed {
 		return false
 	}
 	s.log.Info("The record of an upstream changed.", "upstream", srv.ID, "service", srv.Service, "address", srv.Address,
@@ -241,18 +264,20 @@
 // configure passes the upstreams to the planners and pools of their services. s.mu must be held.
 func (s *scheduler) configure() {
 	s.throttle.Forget(s.dir.Has)
+	s.configureCold()
 	if s.table == nil {
 		return
 	}
 	for name, svc := range s.table.Services() {
 		servers := s.dir.Servers(name)
+		s.servers[name] = servers
 		if svc.Engine == nil {
 			s.pool(name).SetServers(plainServers(servers))
 			continue
 		}
 		p := s.planners[name]
 		if p == nil {
-			p = passes.New(passes.Settings{Service: name, Domain: s.domain, Now: s.now, Rand: rand.Float64, Entries: s.entryCount, Cut: s.unreachable, OnStaleChange: s.logStaleChange, Throttled: s.throttled, Sent: s.throttle.Take}, svc.Engine)
+			p = passes.New(passes.Settings{Service: name, Domain: s.domain, Now: s.now, Rand: rand.Float64, Entries: s.entryCount, Cut: s.unreachable, OnStaleChange: s.logStaleChange, Throttled: s.throttled, Sent: s.sent, Cold: s.warmup.IsCold}, svc.Engine)
 			s.planners[name] = p
 		}
 		p.Configure(svc.Engine, s.table.LongestGap(name))
@@ -307,7 +332,9 @@
 	for service, p := range s.planners {
 		changed = changed || p.Changed()
 		for _, e := range p.Suspects() {
-			s.queryPace(service, e)
+			if !s.warmup.IsCold(e.Name) { // a query counts as a request there
+				s.queryPace(service, e)
+			}
 		}
 	}
 	s.mu.Unlock()
@@ -324,7 +351,7 @@
 func (s *scheduler) pool(name string) *plain.Pool {
 	p := s.pools[name]
 	if p == nil {
-		p = plain.New(plain.Settings{Domain: s.domain, Now: s.now, Rand: rand.Float64, Unreachable: s.unreachable, Throttled: s.throttled, Sent: s.throttle.Take})
+		p = plain.New(plain.Settings{Domain: s.domain, Now: s.now, Rand: rand.Float64, Unreachable: s.unreachable, Throttled: s.throttled, Sent: s.sent})
 		s.pools[name] = p
 	}
 	return p
@@ -427,6 +454,7 @@
 	s.tickScheduled = false
 	s.mu.Unlock()
 	s.dispatch()
+	s.askForWaiting()
 }
 
 // ReachabilityChanged dispatches again after the set of reachable upstreams changed.
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -27,6 +27,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/reach"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/throttle"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/warmup"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
@@ -140,7 +141,7 @@
 		crashChecks: make(chan crashCheck, maxCrashChecks),
 	}
 	s.reach = reach.New(reach.Settings{
-		Network: s.direct, Detour: s.detour, Siblings: s.sched.Siblings, Services: s.sched.Services, Changed: s.sched.ReachabilityChanged, Log: logger.WithPrefix("reach"),
+		Network: s.direct, Detour: s.detour, Siblings: s.sched.Siblings, Services: s.sched.Services, Changed: s.sched.ReachabilityChanged, Reconnected: s.sched.Reconnected, Log: logger.WithPrefix("reach"),
 	})
 	s.upstreams = netio.New(s.reach.Dial, nil) // nothing listens
 	s.engines = platform.NewEngines(s.upstreams)
@@ -152,6 +153,10 @@
 	s.sched.throttle = throttle.New(throttle.Settings{
 		Now: time.Now, Members: s.members, Changed: s.reportChanged, Log: logger.WithPrefix("throttle"),
 	})
+	s.sched.warmup = warmup.New(warmup.Settings{
+		Self: cfg.VM, Overrun: cfg.Cold.Overrun, Slack: cfg.Cold.Slack, Now: time.Now, Log: logger.WithPrefix("warmup"),
+	})
+	s.sched.requestGrant = s.requestGrant
 	own := net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.PeerPort))
 	s.own = platform.Entry{Address: own, Domain: cfg.FailureDomain}
 	conn, err := net.ListenPacket("udp", own)
@@ -322,6 +327,11 @@
 		s.restored = false
 		s.keepUnlisted(before)
 	}
+	var list []string
+	for vm := range s.known() {
+		list = append(list, vm)
+	}
+	s.sched.warmup.SetEntries(list)
 }
 
 // entriesRestored records that the next records are those of a store that was restored.
