--- a/internal/gateway/entry/evacuation.go
+++ b/internal/gateway/entry/evacuation.go
@@ -56,7 +56,7 @@
 	}
 	for _, domain := range c.TakenBack {
 		s.log.Warn("The evacuation of a failure domain was taken back.", "domain", domain, "why", why)
-		s.takenBack(domain, s.now()) // before configure, which may place requests there
+		s.evacuationEnded(domain) // before configure, which may place requests there
 	}
 	if c.Any() {
 		s.configure()
--- a/internal/gateway/entry/evacuation_test.go
+++ b/internal/gateway/entry/evacuation_test.go
@@ -79,15 +79,15 @@
 			env.requireRefused(path)
 			is.Equal(len(env.entry.State().Evacuated), 3)
 			is.True(path == "/ask/" || env.entry.sched.Pick(service, nil, nil) == nil) // not chosen, and not only not sent to
-			var back []string
-			env.check(func(sched *scheduler) bool {
-				sched.takenBack = func(domain string, _ time.Time) { back = append(back, domain) }
-				return true
-			})
+			env.check(func(sched *scheduler) bool { is.True(sched.cold["i-a"].since.IsZero()); return true })
 			env.evacuate(false, "a")
 			is.Equal(env.do(env.request(http.MethodPost, path)).status, http.StatusOK)
 			is.Equal(len(a.Runs()), 1)
-			env.check(func(*scheduler) bool { is.Equal(back, []string{"a"}); return true })
+			env.check(func(sched *scheduler) bool { // upstreams of a domain that is taken back may be cold
+				is.True(!sched.cold["i-a"].since.IsZero())
+				is.True(sched.cold["i-b"].since.IsZero())
+				return true
+			})
 		})
 	}
 }
