--- a/internal/proof/crowd/crowd_test.go
+++ b/internal/proof/crowd/crowd_test.go
@@ -73,7 +73,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer func() { _ = conn.Close() }()
+		t.Cleanup(func() { _ = conn.Close() })
 		conns[i] = conn
 		wg.Go(func() { makeCaller(i).send(conn) })
 	}
@@ -163,7 +163,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer func() { _ = conn.Close() }()
+		t.Cleanup(func() { _ = conn.Close() })
 		_ = conn.SetDeadline(time.Now().Add(awaitTimeout)) // if this fails, so does the write
 		if _, err := io.WriteString(conn, "GET /none HTTP/1.1\r\nHost: h.example\r\n\r\n"); err != nil {
 			continue // closed by the entry
