--- a/internal/gateway/entry/caller.go
+++ b/internal/gateway/entry/caller.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,6 +13,13 @@
 // of the next request arrives while one is served.
 const readAheadBytes = 2 << 10
 
+const (
+	// discardTimeout and maxDiscardBytes bound what is read after the answer to a body that was not
+	// read to its end.
+	discardTimeout  = 300 * time.Millisecond
+	maxDiscardBytes = 256 << 10
+)
+
 // callerConn is a caller's connection that is also read while a request is served, to detect at
 // once that the caller disconnected. Bytes that arrive meanwhile are returned by the next Read.
 type callerConn struct {
@@ -29,6 +37,7 @@
 	answering       bool      // a request arrived whose answer may not be written yet
 	expired         bool      // the read in progress fails unless a request has arrived
 	onClose         func()
+	unread          atomic.Bool // the caller may still send a body that is not read
 }
 
 func newCallerConn(c net.Conn, onClose func()) *callerConn {
@@ -42,12 +51,38 @@
 	return c.answering
 }
 
-// Close closes the connection.
+// Close closes the connection. If the caller may still send a body that is not read, it lets the answer
+// arrive first.
 func (c *callerConn) Close() error {
 	c.onClose()
+	if c.unread.Load() {
+		c.discard()
+	}
 	return c.Conn.Close()
 }
 
+// endRead ends the read in progress and each later one until another deadline is set.
+func (c *callerConn) endRead() {
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
+}
+
+// discard reads and drops a bounded part of what the caller still sends. A connection that is closed
+// with unread bytes is reset, and the caller could lose the answer.
+func (c *callerConn) discard() {
+	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = t.CloseWrite() // if this fails, so does the read
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	buf := make([]byte, readAheadBytes)
+	for n := 0; n < maxDiscardBytes; {
+		k, err := c.Conn.Read(buf)
+		if err != nil {
+			return
+		}
+		n += k
+	}
+}
+
 // expire ends an idle connection and reports whether it was idle. Only the reader closes it, so that a
 // request that arrives at the same time is either served or not read at all.
 func (c *callerConn) expire() bool {
--- a/internal/gateway/entry/handle.go
+++ b/internal/gateway/entry/handle.go
@@ -37,9 +37,10 @@
 
 // handle serves a caller's request.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	conn, _ := ctx.Conn().(*callerConn) // nil in tests without a connection
+	body, err := s.readBody(ctx, conn)
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	conn, _ := ctx.Conn().(*callerConn) // nil in tests without a connection
 	arrived := time.Now()
 	if conn != nil {
 		arrived = conn.beginRequest()
@@ -47,17 +48,29 @@
 	if s.leaving.Load() {
 		ctx.SetConnectionClose()
 	}
+	if err != nil {
+		s.refuseBody(ctx, conn, err)
+		return
+	}
+	s.serve(ctx, conn, body, arrived)
+}
+
+// serve serves a request whose body has arrived.
+func (s *Server) serve(ctx *fasthttp.RequestCtx, conn *callerConn, body *requestBody, arrived time.Time) {
 	if s.stopping.Load() {
+		body.release()
 		refuse(ctx, fasthttp.StatusServiceUnavailable, s.retryAfter())
 		s.log.Warn("Refused.", "id", platform.DecodeRequest(&ctx.Request.Header).ID, "why", "stopping")
 		return
 	}
-	c := s.admit(ctx, arrived)
+	c := s.admit(ctx, body.content, arrived)
 	if c == nil {
+		body.release()
 		return
 	}
 	if s.refusing.Load() && !s.acceptsWhileLeaving(c) {
 		c.cancel()
+		body.release()
 		after := s.retryAfter()
 		refuse(ctx, fasthttp.StatusServiceUnavailable, after)
 		s.log.Warn("Refused.", "id", c.req.ID, "why", "leaving", "left_ms", time.Until(s.stopAt).Milliseconds(), "after_ms", after.Milliseconds())
@@ -74,6 +87,7 @@
 			conn.unwatch()
 		}
 		c.cancel()
+		body.release()
 	}
 	if c.engine != nil {
 		s.streams.Add(1)
@@ -117,7 +131,7 @@
 
 // admit checks a request and returns its call, or nil if the request was answered with a
 // refusal.
-func (s *Server) admit(ctx *fasthttp.RequestCtx, arrived time.Time) *call {
+func (s *Server) admit(ctx *fasthttp.RequestCtx, body []byte, arrived time.Time) *call {
 	h := &ctx.Request.Header
 	req := platform.DecodeRequest(h)
 	status := 0
@@ -131,7 +145,7 @@
 		refuse(ctx, fasthttp.StatusServiceUnavailable, noConfigRetryAfter)
 		s.log.Warn("Refused.", "id", req.ID, "why", "no configuration is known")
 		return nil
-	case t.Limits().BodyBytes > 0 && len(ctx.Request.Body()) > t.Limits().BodyBytes:
+	case t.Limits().BodyBytes > 0 && len(body) > t.Limits().BodyBytes:
 		status = fasthttp.StatusRequestEntityTooLarge
 	}
 	if status != 0 {
@@ -152,7 +166,7 @@
 		return nil
 	}
 	c := &call{
-		s: s, callerReq: cloneRequest(&ctx.Request), req: req, route: r, service: r.Service(req.ID), workspace: workspace, version: t.Version(),
+		s: s, callerReq: cloneRequest(h, body), req: req, route: r, service: r.Service(req.ID), workspace: workspace, version: t.Version(),
 		arrived: arrived, tried: map[string]bool{},
 	}
 	c.digest = c.makeDigest()
@@ -185,10 +199,12 @@
 	return segment.ID(h.Sum64())
 }
 
-// cloneRequest returns a copy that outlives the handler, because a stream may be sent again.
-func cloneRequest(req *fasthttp.Request) *fasthttp.Request {
+// cloneRequest returns a request that outlives the handler, because a stream may be sent again.
+// The body is not copied.
+func cloneRequest(h *fasthttp.RequestHeader, body []byte) *fasthttp.Request {
 	out := &fasthttp.Request{}
-	req.CopyTo(out)
+	h.CopyTo(&out.Header)
+	out.SetBodyRaw(body)
 	return out
 }
 
--- a/internal/gateway/entry/observe.go
+++ b/internal/gateway/entry/observe.go
@@ -13,6 +13,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/follow"
+	"github.com/dogwoodmill/dogwoodmill/internal/gateway/intake"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
 	"github.com/dogwoodmill/dogwoodmill/platform"
@@ -110,6 +111,7 @@
 	Limits          map[string]float64      `json:"limits"` // requests a second that upstreams take from all entries
 	Services        map[string]ServiceState `json:"services"`
 	RetriesLeft     map[string]float64      `json:"retriesLeft"` // by service
+	Intake          intake.State            `json:"requestBodies"`
 }
 
 // State returns the state dump.
@@ -129,7 +131,7 @@
 			st.Topics = append(st.Topics, TopicState{Topic: f.Topic(), Position: next, Healthy: healthy, Hint: hint, HintEntry: entry})
 		}
 	}
-	st.Limits = s.sched.throttle.Limits()
+	st.Limits, st.Intake = s.sched.throttle.Limits(), s.intake.State()
 	s.sched.fill(&st)
 	return st
 }
@@ -222,6 +224,10 @@
 		scope.Gauge("upstreams_limited").Update(float64(len(s.sched.throttle.Limits())))
 		told := s.exchange.Sent()
 		scope.Gauge("buffered_answer_bytes").Update(float64(s.bodies.used.Load()))
+		in := s.intake.State()
+		scope.Gauge("request_body_bytes").Update(float64(in.Used))
+		scope.Gauge("request_bodies_unfinished").Update(float64(in.Unfinished))
+		scope.Gauge("request_memory_short").Update(boolGauge(in.Short))
 		scope.Gauge("told_bytes").Update(float64(told.Bytes))
 		scope.Gauge("told_domain_bytes").Update(float64(told.DomainBytes))
 		scope.Gauge("log_lines_dropped").Update(float64(s.droppedLines()))
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -21,6 +21,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/follow"
+	"github.com/dogwoodmill/dogwoodmill/internal/gateway/intake"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/records"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/sends"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/tunnel"
@@ -49,8 +50,6 @@
 	// announce new offsets. Calls are priced, and one of four entries nearly always reaches the
 	// store.
 	storeReaders = 4
-	// maxBodyBytes is the size limit of a request body. The configuration sets a lower one.
-	maxBodyBytes = 8 << 20
 	// maxHeadBytes is the size limit of a request head.
 	maxHeadBytes = 32 << 10
 	// readTimeout limits the time to read a request, idleTimeout the time between requests.
@@ -88,7 +87,8 @@
 	engines      *platform.Engines
 	reach        *reach.Prober
 	metrics      *metrics.Metrics
-	bodies       *bodyMemory
+	bodies       *bodyMemory    // of answers
+	intake       *intake.Memory // of requests
 	records      *records.Server
 	exchange     *sends.Exchange
 	followers    atomic.Pointer[[]*follow.Follower] // in the order of the positions in entries' messages
@@ -139,6 +139,7 @@
 		droppedLines: dropped, started: time.Now(), metrics: metrics.New(cfg.VM), bodies: newBodyMemory(cfg.Memory), entries: map[string]platform.Entry{}, unlisted: map[string]platform.Entry{}, unreadable: unreadable{}, lost: make(chan struct{}, 1),
 		crashChecks: make(chan crashCheck, maxCrashChecks),
 	}
+	s.intake = s.newIntake()
 	s.reach = reach.New(reach.Settings{
 		Network: s.direct, Detour: s.detour, Siblings: s.sched.Siblings, Services: s.sched.Services, Changed: s.sched.ReachabilityChanged, Log: logger.WithPrefix("reach"),
 	})
@@ -186,7 +187,8 @@
 	go s.crashLoop()
 	s.callers = &fasthttp.Server{
 		Handler: s.handle, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		ReadBufferSize: maxHeadBytes, MaxRequestBodySize: maxBodyBytes, DisablePreParseMultipartForm: true,
+		ReadBufferSize: maxHeadBytes, DisablePreParseMultipartForm: true,
+		StreamRequestBody: true, MaxRequestBodySize: prefetchBytes, HeaderReceived: s.headerReceived,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, Logger: httpLogger{logger},
 	}
 	s.ready = &fasthttp.Server{Handler: s.serveReady, NoDefaultServerHeader: true, Logger: httpLogger{logger}}
