--- a/internal/gateway/entry/caller.go
+++ b/internal/gateway/entry/caller.go
@@ -6,7 +6,10 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/dogwoodmill/dogwoodmill/internal/gateway/route"
 )
 
 // readAheadBytes is the size of the read ahead buffer of a caller's connection. Only the start
@@ -18,6 +21,14 @@
 	// read to its end.
 	discardTimeout  = 300 * time.Millisecond
 	maxDiscardBytes = 256 << 10
+	// fileDescriptors are kept for files, and callerDescriptorShare is the callers' share of the others.
+	// Each request may need a connection to an upstream.
+	fileDescriptors       = 200
+	callerDescriptorShare = 0.5
+	// minConnections may be open in any case.
+	minConnections = 16
+	// acceptRetryDelay is the delay after an accept that failed.
+	acceptRetryDelay = 10 * time.Millisecond
 )
 
 // callerConn is a caller's connection that is also read while a request is served, to detect at
@@ -37,7 +48,10 @@
 	answering       bool      // a request arrived whose answer may not be written yet
 	expired         bool      // the read in progress fails unless a request has arrived
 	onClose         func()
-	unread          atomic.Bool // the caller may still send a body that is not read
+	limits          func() route.Limits // nil: none
+	idleSince       time.Time           // when Read began to wait between requests
+	headPending     bool                // the next deadline that the HTTP library sets is that of a head
+	unread          atomic.Bool         // the caller may still send a body that is not read
 }
 
 func newCallerConn(c net.Conn, onClose func()) *callerConn {
@@ -61,6 +75,51 @@
 	return c.Conn.Close()
 }
 
+// headerTimeout returns the time limit of a request's head.
+func (c *callerConn) headerTimeout() time.Duration {
+	if c.limits != nil {
+		if d := c.limits().Header; d > 0 {
+			return min(d, readTimeout)
+		}
+	}
+	return readTimeout
+}
+
+// idleTimeout returns the time limit between requests.
+func (c *callerConn) idleTimeout() time.Duration {
+	if c.limits != nil {
+		if d := c.limits().Idle; d > 0 {
+			return d
+		}
+	}
+	return idleTimeout
+}
+
+// SetReadDeadline sets the deadline at which the HTTP library ends a read. The limits of the configuration
+// replace its own ones between requests and for a request's head.
+func (c *callerConn) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case at.IsZero():
+	case c.betweenRequests:
+		at = time.Now().Add(c.idleTimeout())
+	case c.headPending:
+		c.headPending = false
+		at = c.started.Add(c.headerTimeout())
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+// applyLimits applies changed limits to a connection that waits for a request.
+func (c *callerConn) applyLimits() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting && !c.expired {
+		_ = c.Conn.SetReadDeadline(c.idleSince.Add(c.idleTimeout())) // fails if the connection is closed
+	}
+}
+
 // endRead ends the read in progress and each later one until another deadline is set.
 func (c *callerConn) endRead() {
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
@@ -92,13 +151,36 @@
 		return false
 	}
 	c.expired = true
-	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
+	return true
+}
+
+// waitsSince returns since when the connection waits for a request, and whether it does. It may not have
+// served one yet.
+func (c *callerConn) waitsSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleSince, c.waitsForRequest()
+}
+
+// expireWaiting ends a connection that waits for a request and reports whether it did.
+func (c *callerConn) expireWaiting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.waitsForRequest() {
+		return false
+	}
+	c.expired = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
 	return true
 }
 
 // idle reports whether the connection served a request and waits for the next one. c.mu must be held.
-func (c *callerConn) idle() bool {
-	if !c.waiting || !c.served || c.expired {
+func (c *callerConn) idle() bool { return c.served && c.waitsForRequest() }
+
+// waitsForRequest reports whether the connection waits for a request. c.mu must be held.
+func (c *callerConn) waitsForRequest() bool {
+	if !c.waiting || c.expired {
 		return false
 	}
 	select {
@@ -114,6 +196,9 @@
 	c.mu.Lock()
 	ahead := c.ahead
 	c.waiting = c.betweenRequests
+	if c.waiting {
+		c.idleSince = time.Now()
+	}
 	if c.betweenRequests { // all answers are written before the next request is read
 		c.answering = false
 	}
@@ -141,11 +226,12 @@
 	defer c.mu.Unlock()
 	c.waiting = false
 	if n > 0 && c.betweenRequests {
-		c.betweenRequests, c.started = false, time.Now()
+		c.betweenRequests, c.started, c.headPending = false, time.Now(), c.served
+		_ = c.Conn.SetReadDeadline(c.started.Add(c.headerTimeout())) // if it fails, so does the next read
 	}
 	if n > 0 && c.expired { // the request was faster
 		c.expired = false
-		_ = c.SetReadDeadline(time.Now().Add(readTimeout)) // if it fails, so does the next read
+		_ = c.Conn.SetReadDeadline(time.Now().Add(c.headerTimeout())) // if it fails, so does the next read
 	}
 	return n, err
 }
@@ -159,7 +245,7 @@
 		return // bytes of the next request are buffered already
 	}
 	// Clears the deadline of the last read. If that fails, the read ahead ends at that deadline.
-	_ = c.SetReadDeadline(time.Time{})
+	_ = c.Conn.SetReadDeadline(time.Time{})
 	c.ahead = make(chan struct{})
 	go c.readAhead(c.ahead)
 }
@@ -206,6 +292,12 @@
 type callerListener struct {
 	net.Listener
 
+	limits        func() route.Limits // nil: none
+	most          int                 // connections; 0: no bound
+	closedIdle    atomic.Int64        // connections closed to make room
+	turnedAway    atomic.Int64        // connections closed at once, since no other one was idle
+	acceptsFailed atomic.Int64
+
 	mu    sync.Mutex
 	conns map[*callerConn]bool
 }
@@ -214,22 +306,104 @@
 	return &callerListener{Listener: ln, conns: map[*callerConn]bool{}}
 }
 
-// Accept returns a *callerConn.
+// maxConnections returns how many callers' connections a process may have with the given number of
+// descriptors; 0: no bound.
+func maxConnections(descriptors int) int {
+	if descriptors <= 0 {
+		return 0
+	}
+	return max(minConnections, int(callerDescriptorShare*float64(descriptors-fileDescriptors)))
+}
+
+// Accept returns a *callerConn. Where descriptors are short, it closes idle connections and goes on.
 func (l *callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		switch {
+		case err == nil && l.makeRoom():
+			return l.add(c), nil
+		case err == nil:
+			l.turnedAway.Add(1)
+			_ = c.Close() // nothing was read
+		case isTemporary(err):
+			l.acceptsFailed.Add(1)
+			l.closeLongestIdle()
+			time.Sleep(acceptRetryDelay)
+		default:
+			return nil, err
+		}
+	}
+}
+
+// isTemporary reports whether an accept may succeed later.
+func isTemporary(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// makeRoom closes the connection that has been idle longest where there are too many, and reports
+// whether another one may be added.
+func (l *callerListener) makeRoom() bool {
+	n := l.open()
+	if l.most == 0 || n < l.most {
+		return true
+	}
+	return l.closeLongestIdle() && n < l.most+l.most/4 // closed connections are counted until their readers notice
+}
+
+// open returns the number of connections.
+func (l *callerListener) open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+// closeLongestIdle ends the connection that has waited longest for a request, and reports whether
+// there was one.
+func (l *callerListener) closeLongestIdle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var (
+		oldest *callerConn
+		since  time.Time
+	)
+	for c := range l.conns {
+		if at, ok := c.waitsSince(); ok && (oldest == nil || at.Before(since)) {
+			oldest, since = c, at
+		}
+	}
+	if oldest == nil || !oldest.expireWaiting() {
+		return false
 	}
+	l.closedIdle.Add(1)
+	return true
+}
+
+func (l *callerListener) add(c net.Conn) *callerConn {
 	var conn *callerConn
 	conn = newCallerConn(c, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		delete(l.conns, conn)
 	})
+	conn.limits = l.limits
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[conn] = true
-	return conn, nil
+	return conn
+}
+
+// applyLimits applies changed limits to the connections that wait for a request.
+func (l *callerListener) applyLimits() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.applyLimits()
+	}
 }
 
 // answering returns the number of connections on which an answer may not be written yet.
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -22,6 +22,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/follow"
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/intake"
+	"github.com/dogwoodmill/dogwoodmill/internal/gateway/route"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/records"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/sends"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/tunnel"
@@ -52,7 +53,8 @@
 	storeReaders = 4
 	// maxHeadBytes is the size limit of a request head.
 	maxHeadBytes = 32 << 10
-	// readTimeout limits the time to read a request, idleTimeout the time between requests.
+	// readTimeout limits the time to read a request, idleTimeout the time between requests. The
+	// configuration sets limits of its own.
 	readTimeout = 30 * time.Second
 	idleTimeout = 120 * time.Second
 	// acceptWhileLeaving is how long a leaving entry accepts all requests. Callers are sent to it
@@ -168,6 +170,7 @@
 		return nil, errors.Join(fail("start", KindListen, fmt.Errorf("address for callers, %s: %w", cfg.Callers, err)), conn.Close(), peerLn.Close())
 	}
 	s.callersLn = newCallerListener(ln)
+	s.callersLn.limits, s.callersLn.most = s.callerLimits, maxConnections(cfg.Descriptors)
 	if s.readyLn, err = network.Listen(cfg.Ready); err != nil {
 		return nil, errors.Join(fail("start", KindListen, fmt.Errorf("address for readiness, %s: %w", cfg.Ready, err)), conn.Close(), peerLn.Close(), s.callersLn.Close())
 	}
@@ -291,6 +294,7 @@
 			continue
 		}
 		s.sched.SetTable(t)
+		s.callersLn.applyLimits()
 	}
 }
 
@@ -408,6 +412,14 @@
 	return s.domains[address]
 }
 
+// callerLimits returns the limits of the configuration.
+func (s *Server) callerLimits() route.Limits {
+	if t := s.sched.Table(); t != nil {
+		return t.Limits()
+	}
+	return route.Limits{}
+}
+
 // register writes this entry's address to the store at the start, and again whenever a restore of
 // the store lost it. It retries until it succeeds.
 func (s *Server) register(ctx context.Context) {
