--- a/internal/gateway/entry/observe.go
+++ b/internal/gateway/entry/observe.go
@@ -14,6 +14,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/evacuation"
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/follow"
+	"github.com/dogwoodmill/dogwoodmill/internal/gateway/intake"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/warmup"
@@ -114,6 +115,7 @@
 	Cold            map[string]warmup.Upstream `json:"cold"`   // cold upstreams
 	Services        map[string]ServiceState    `json:"services"`
 	RetriesLeft     map[string]float64         `json:"retriesLeft"` // by service
+	Intake          intake.State               `json:"requestBodies"`
 }
 
 // State returns the state dump.
@@ -135,6 +137,7 @@
 	}
 	st.Limits = s.sched.throttle.Limits()
 	st.Cold = s.sched.warmup.State()
+	st.Intake = s.intake.State()
 	s.sched.fill(&st)
 	return st
 }
@@ -228,6 +231,14 @@
 		scope.Gauge("upstreams_cold").Update(float64(len(s.sched.warmup.State())))
 		told := s.exchange.Sent()
 		scope.Gauge("buffered_answer_bytes").Update(float64(s.bodies.used.Load()))
+		scope.Gauge("caller_connections").Update(float64(s.callersLn.open()))
+		scope.Gauge("connections_closed_idle").Update(float64(s.callersLn.closedIdle.Load()))
+		scope.Gauge("connections_turned_away").Update(float64(s.callersLn.turnedAway.Load()))
+		scope.Gauge("accepts_failed").Update(float64(s.callersLn.acceptsFailed.Load()))
+		in := s.intake.State()
+		scope.Gauge("request_body_bytes").Update(float64(in.Used))
+		scope.Gauge("request_bodies_unfinished").Update(float64(in.Unfinished))
+		scope.Gauge("request_memory_short").Update(boolGauge(in.Short))
 		scope.Gauge("told_bytes").Update(float64(told.Bytes))
 		scope.Gauge("told_domain_bytes").Update(float64(told.DomainBytes))
 		scope.Gauge("log_lines_dropped").Update(float64(s.droppedLines()))
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -21,6 +21,8 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/pause"
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/follow"
+	"github.com/dogwoodmill/dogwoodmill/internal/gateway/intake"
+	"github.com/dogwoodmill/dogwoodmill/internal/gateway/route"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/records"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/sends"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/tunnel"
@@ -50,11 +52,10 @@
 	// announce new offsets. Calls are priced, and one of four entries nearly always reaches the
 	// store.
 	storeReaders = 4
-	// maxBodyBytes is the size limit of a request body. The configuration sets a lower one.
-	maxBodyBytes = 8 << 20
 	// maxHeadBytes is the size limit of a request head.
 	maxHeadBytes = 32 << 10
-	// readTimeout limits the time to read a request, idleTimeout the time between requests.
+	// readTimeout limits the time to read a request, idleTimeout the time between requests. The
+	// configuration sets limits of its own.
 	readTimeout = 30 * time.Second
 	idleTimeout = 120 * time.Second
 	// acceptWhileLeaving is how long a leaving entry accepts all requests. Callers are sent to it
@@ -91,7 +92,8 @@
 	engines      *platform.Engines
 	reach        *reach.Prober
 	metrics      *metrics.Metrics
-	bodies       *bodyMemory
+	bodies       *bodyMemory    // of answers
+	intake       *intake.Memory // of requests
 	records      *records.Server
 	exchange     *sends.Exchange
 	followers    atomic.Pointer[[]*follow.Follower] // in the order of the positions in entries' messages
@@ -142,6 +144,7 @@
 		droppedLines: dropped, started: time.Now(), metrics: metrics.New(cfg.VM), bodies: newBodyMemory(cfg.Memory), entries: map[string]platform.Entry{}, unlisted: map[string]platform.Entry{}, unreadable: unreadable{}, lost: make(chan struct{}, 1),
 		crashChecks: make(chan crashCheck, maxCrashChecks),
 	}
+	s.intake = s.newIntake()
 	s.reach = reach.New(reach.Settings{
 		Network: s.direct, Detour: s.detour, Siblings: s.sched.Siblings, Services: s.sched.Services, Changed: s.sched.ReachabilityChanged, Reconnected: s.sched.Reconnected, Log: logger.WithPrefix("reach"),
 	})
@@ -177,6 +180,7 @@
 		return nil, errors.Join(fail("start", KindListen, fmt.Errorf("address for callers, %s: %w", cfg.Callers, err)), conn.Close(), peerLn.Close())
 	}
 	s.callersLn = newCallerListener(ln)
+	s.callersLn.limits, s.callersLn.most = s.callerLimits, maxConnections(cfg.Descriptors)
 	if s.readyLn, err = network.Listen(cfg.Ready); err != nil {
 		return nil, errors.Join(fail("start", KindListen, fmt.Errorf("address for readiness, %s: %w", cfg.Ready, err)), conn.Close(), peerLn.Close(), s.callersLn.Close())
 	}
@@ -196,7 +200,8 @@
 	go s.crashLoop()
 	s.callers = &fasthttp.Server{
 		Handler: s.handle, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		ReadBufferSize: maxHeadBytes, MaxRequestBodySize: maxBodyBytes, DisablePreParseMultipartForm: true,
+		ReadBufferSize: maxHeadBytes, DisablePreParseMultipartForm: true,
+		StreamRequestBody: true, MaxRequestBodySize: prefetchBytes, HeaderReceived: s.headerReceived,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, Logger: httpLogger{logger},
 	}
 	s.ready = &fasthttp.Server{Handler: s.serveReady, NoDefaultServerHeader: true, Logger: httpLogger{logger}}
@@ -300,6 +305,7 @@
 			continue
 		}
 		s.sched.SetTable(t)
+		s.callersLn.applyLimits()
 	}
 }
 
@@ -422,6 +428,14 @@
 	return s.domains[address]
 }
 
+// callerLimits returns the limits of the configuration.
+func (s *Server) callerLimits() route.Limits {
+	if t := s.sched.Table(); t != nil {
+		return t.Limits()
+	}
+	return route.Limits{}
+}
+
 // register writes this entry's address to the store at the start, and again whenever a restore of
 // the store lost it. It retries until it succeeds.
 func (s *Server) register(ctx context.Context) {
