--- a/internal/peer/sends/exchange.go
+++ b/internal/peer/sends/exchange.go
@@ -23,6 +23,7 @@
 
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/capacity"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/throttle"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
@@ -88,6 +89,10 @@
 	// entry heard. nil: none.
 	Rates   func() []throttle.Rate
 	OnRates func(list []throttle.Rate)
+	// Loads returns this entry's loads of plain servers. OnLoads receives those of another entry. nil:
+	// none.
+	Loads   func() []capacity.Load
+	OnLoads func(entry string, list []capacity.Load)
 	// CutOff reports whether this entry connects to no upstream. nil: it is not.
 	CutOff func() bool
 	Log    *log.Logger
@@ -110,6 +115,7 @@
 	peers     map[string]*peer     // by address
 	relayedTo map[string]time.Time // by failure domain: when a relay there got the latest message
 	leaving   bool
+	loadsAt   time.Time // when loads were reported last
 	seq       uint64
 	whole     wholeState // of this entry, in the latest message that held all
 	sent      Traffic
@@ -306,9 +312,10 @@
 		rates = x.seams.Rates()
 	}
 	cutOff := x.seams.CutOff != nil && x.seams.CutOff()
+	loads := x.loads(now, changed)
 	x.mu.Lock()
 	x.seq++
-	m := message{start: x.start, seq: x.seq, leaving: x.leaving, cutOff: cutOff, sends: report.Sends, paces: report.Paces, waits: report.Waits, read: read, held: held, rates: rates}
+	m := message{start: x.start, seq: x.seq, leaving: x.leaving, cutOff: cutOff, sends: report.Sends, paces: report.Paces, waits: report.Waits, read: read, held: held, rates: rates, loads: loads}
 	parts := x.encode(&m, changed, now)
 	x.mu.Unlock()
 	if len(parts) > 1 {
@@ -324,6 +331,24 @@
 	}
 }
 
+// loads returns the loads of plain servers if they are due: with each repeat, and with messages of
+// changes at most every loadInterval.
+func (x *Exchange) loads(now time.Time, changed bool) []capacity.Load {
+	if x.seams.Loads == nil {
+		return nil
+	}
+	x.mu.Lock()
+	due := !changed || now.Sub(x.loadsAt) >= loadInterval
+	if due {
+		x.loadsAt = now
+	}
+	x.mu.Unlock()
+	if !due {
+		return nil
+	}
+	return x.seams.Loads()
+}
+
 // encode encodes a message of this entry's state: all of it for a repeat, and where there was none
 // for repeatInterval or the changes since then don't fit into one datagram. x.mu must be held.
 func (x *Exchange) encode(m *message, changed bool, now time.Time) [][]byte {
@@ -540,6 +565,9 @@
 	if x.seams.OnRates != nil {
 		x.seams.OnRates(m.rates)
 	}
+	if x.seams.OnLoads != nil && len(m.loads) > 0 {
+		x.seams.OnLoads(from, m.loads)
+	}
 }
 
 // accept reports whether a message, or the part of it, is new, and updates its sender's state if
--- a/internal/peer/sends/wire.go
+++ b/internal/peer/sends/wire.go
@@ -11,6 +11,7 @@
 
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/capacity"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/throttle"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
@@ -44,6 +45,7 @@
 	fieldEpoch = 18 // varint
 
 	fieldCutOff = 19 // varint: 1 if the sender connects to no upstream
+	fieldLoad   = 20 // bytes: a plain server's name, and the sender's load and measurements of it
 
 	fieldName = 1 // string
 	fieldSend = 2 // bytes: the varints of a send
@@ -85,6 +87,7 @@
 	waits   []passes.Wait
 	held    quarantine.Report
 	rates   []throttle.Rate
+	loads   []capacity.Load
 }
 
 // encode returns the message in parts of at most limit bytes. Each part holds all but the sends
@@ -144,6 +147,10 @@
 		b = protowire.AppendTag(b, fieldRate, protowire.BytesType)
 		b = protowire.AppendBytes(b, encodeRate(r, now))
 	}
+	for _, l := range m.loads {
+		b = protowire.AppendTag(b, fieldLoad, protowire.BytesType)
+		b = protowire.AppendBytes(b, encodeLoad(l))
+	}
 	return appendHeld(b, m.held, now)
 }
 
@@ -479,6 +486,10 @@
 			r, err := decodeRate(data, now)
 			m.rates = append(m.rates, r)
 			return err
+		case fieldLoad:
+			l, err := decodeLoad(data)
+			m.loads = append(m.loads, l)
+			return err
 		case fieldCrash:
 			c, err := decodeCrash(data, now)
 			m.held.Crashes = append(m.held.Crashes, c)
--- a/internal/peer/sends/wire_test.go
+++ b/internal/peer/sends/wire_test.go
@@ -16,6 +16,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/segment"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/capacity"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/throttle"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
@@ -62,10 +63,44 @@
 			Upstream: rapid.SampledFrom([]string{"i-1", "i-2"}).Draw(t, "upstream"), PerSecond: rapid.Float64Min(0).Draw(t, "rate"), At: testNow.Add(-drawMillis("named")),
 		})
 	}
+	for range rapid.IntRange(0, 2).Draw(t, "loads") {
+		m.loads = append(m.loads, drawLoad(t, drawMillis))
+	}
 	slices.SortStableFunc(m.sends, func(a, b passes.Send) int { return strings.Compare(a.Engine, b.Engine) })
 	return m
 }
 
+func drawLoad(t *rapid.T, drawMillis func(name string) time.Duration) capacity.Load {
+	l := capacity.Load{
+		Server: rapid.SampledFrom([]string{"i-1", "i-2"}).Draw(t, "server"), Tag: rapid.Uint32().Draw(t, "tag"),
+		Busy: float64(rapid.IntRange(0, 10_000).Draw(t, "busy")) / busyScale,
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "points") {
+		l.Points = append(l.Points, capacity.Point{
+			Step: rapid.IntRange(0, 15).Draw(t, "step"), Samples: float64(rapid.IntRange(1, 320).Draw(t, "samples")) / samplesScale, Took: drawMillis("took"),
+		})
+	}
+	return l
+}
+
+// An old build beside a new one must skip field 20, which it doesn't know, and a malformed load must
+// not be taken in.
+func TestLoadsAreBoundedAndSkippedByOldBuilds(t *testing.T) {
+	is := is.New(t)
+	points := []capacity.Point{{Step: 2, Samples: 20, Took: 80 * time.Millisecond}, {Step: 3, Samples: 32, Took: 90 * time.Millisecond}, {Step: 5, Samples: 8, Took: 120 * time.Millisecond}}
+	m := message{start: 1, seq: 2}
+	empty := len(m.encodeHead(testNow))
+	for range 64 {
+		m.loads = append(m.loads, capacity.Load{Server: "card-router-0123", Tag: 1 << 31, Busy: 5.25, Points: points})
+	}
+	b := m.encodeHead(testNow)
+	t.Logf("bytes of a server with three points: %d", (len(b)-empty)/64)
+	is.True(len(b)-empty <= 64*64)
+	is.NoErr(eachField(b, func(protowire.Number, uint64, []byte) error { return nil })) // as a build without the field reads it
+	_, err := decodeLoad(protowire.AppendBytes(protowire.AppendTag(nil, fieldPoints, protowire.BytesType), []byte{1, 2}))
+	is.Equal(err, errMalformed)
+}
+
 func drawHeld(t *rapid.T, drawMillis func(name string) time.Duration) quarantine.Report {
 	var r quarantine.Report
 	prompts := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) segment.List {
