--- a/internal/gateway/entry/observe.go
+++ b/internal/gateway/entry/observe.go
@@ -15,6 +15,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/follow"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/plain"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
@@ -109,7 +110,9 @@
 	Topics          []TopicState            `json:"topics"`
 	Limits          map[string]float64      `json:"limits"` // requests a second that upstreams take from all entries
 	Services        map[string]ServiceState `json:"services"`
-	RetriesLeft     map[string]float64      `json:"retriesLeft"` // by service
+	// PlainServers are the servers of each plain service with what is known of their speed.
+	PlainServers map[string][]plain.ServerState `json:"plainServers"`
+	RetriesLeft  map[string]float64             `json:"retriesLeft"` // by service
 }
 
 // State returns the state dump.
@@ -147,6 +150,10 @@
 		}
 	}
 	s.applyReports()
+	st.PlainServers = map[string][]plain.ServerState{}
+	for name, p := range s.pools {
+		st.PlainServers[name] = p.States()
+	}
 	for name, p := range s.planners {
 		st.Services[name] = ServiceState{Waiting: p.Waiting(), Counts: p.Counts(), Engines: p.Engines()}
 	}
@@ -252,6 +259,11 @@
 		if p := s.planners[name]; p != nil {
 			service.Gauge("waiting").Update(float64(p.Waiting()))
 		}
+		if p := s.pools[name]; p != nil {
+			limit, slow := p.Limits()
+			service.Gauge("learned_limit").Update(limit)
+			service.Gauge("slow_servers").Update(float64(slow))
+		}
 	}
 }
 
--- a/internal/gateway/entry/plain.go
+++ b/internal/gateway/entry/plain.go
@@ -104,7 +104,7 @@
 	sent := time.Now()
 	watch.Sent()
 	a, err := c.fetch(ctx, cancel, k)
-	c.s.sched.DonePick(c.service, k, c.outcome(watch, a, err))
+	c.s.sched.DonePick(c.service, k, c.outcome(k, watch, a, err))
 	watch.End(err == nil && !a.failed())
 	if err == nil {
 		return a, nil
@@ -199,10 +199,12 @@
 	}
 }
 
-func (c *call) outcome(watch *quarantine.Attempt, a *plainAnswer, err error) plain.Outcome {
+func (c *call) outcome(k *plain.Pick, watch *quarantine.Attempt, a *plainAnswer, err error) plain.Outcome {
 	switch {
 	case err == nil && a.failed():
 		return plain.Failed
+	case err == nil && (a.status() >= fasthttp.StatusBadRequest || c.s.reach.HasDetour(k.Address())):
+		return plain.Untimed // an error is faster than an answer, a detour slower than the server
 	case err == nil:
 		return plain.Answered
 	case c.callerGone.Load() || watch.Aborted():
--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -14,6 +14,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/route"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/retry"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/capacity"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/plain"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/throttle"
 	"github.com/dogwoodmill/dogwoodmill/platform"
@@ -32,6 +33,12 @@
 	startShare = 0.25
 	// minEntries is the least number of entries that the retry bound is divided by.
 	minEntries = 4
+	// maxReportedServers bounds the plain servers in a report to the other entries, which has about
+	// 50 bytes for each. With many entries the bound is lower, down to minReportedServers, so that
+	// all entries together report at most maxReportedLoads.
+	maxReportedServers = 64
+	minReportedServers = 4
+	maxReportedLoads   = 8192
 )
 
 // scheduler assigns requests to upstreams by the configuration, the known upstreams, and the
@@ -324,12 +331,17 @@
 func (s *scheduler) pool(name string) *plain.Pool {
 	p := s.pools[name]
 	if p == nil {
-		p = plain.New(plain.Settings{Domain: s.domain, Now: s.now, Rand: rand.Float64, Unreachable: s.unreachable, Throttled: s.throttled, Sent: s.throttle.Take})
+		p = plain.New(plain.Settings{Domain: s.domain, Now: s.now, Rand: rand.Float64, Unreachable: s.unreachable, Throttled: s.throttled, Sent: s.throttle.Take, Learned: s.logLearned})
 		s.pools[name] = p
 	}
 	return p
 }
 
+// logLearned logs that what is known of the speed of a plain server has changed much.
+func (s *scheduler) logLearned(name string, was, now capacity.Figures) {
+	s.log.Info("The learned limit of a server changed.", "upstream", name, "limit", now.Knee, "was", was.Knee, "base_ms", now.Base.Milliseconds(), "base_was_ms", was.Base.Milliseconds(), "samples", int(now.Samples))
+}
+
 func plainServers(list []directory.Server) []plain.Server {
 	out := make([]plain.Server, 0, len(list))
 	for _, s := range list {
@@ -482,6 +494,27 @@
 	s.reportsPending = true // applied with the next decision, because reports are far more frequent than decisions
 }
 
+// Loads returns the loads of plain servers that are sent to the other entries.
+func (s *scheduler) Loads() []capacity.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most := min(maxReportedServers, max(minReportedServers, maxReportedLoads/max(1, s.entryCount())))
+	var out []capacity.Load
+	for _, p := range s.pools {
+		out = append(out, p.Loads(max(1, most/len(s.pools)))...)
+	}
+	return out
+}
+
+// SetLoads stores the loads of plain servers that the entry at an address reports.
+func (s *scheduler) SetLoads(entry string, list []capacity.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.pools {
+		p.Merge(entry, list)
+	}
+}
+
 // Siblings returns the addresses of the upstreams in an upstream's failure domain.
 func (s *scheduler) Siblings(address string) []string {
 	s.mu.Lock()
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -173,7 +173,7 @@
 	s.records = records.Serve(peerLn, logger.WithPrefix("records"), s.newest, s.servePeer)
 	s.exchange = sends.New(conn, time.Now(), sends.Seams{
 		Domain: cfg.FailureDomain, Report: s.sched.Report, OnReport: s.sched.SetReport, Peers: s.peers, Positions: s.positions, OnPositions: s.applyPositions,
-		Held: s.quarantine.Report, OnHeld: s.quarantine.Merge, Rates: s.sched.throttle.Report, OnRates: s.sched.throttle.Merge, CutOff: s.reach.IsCutOff, Log: logger.WithPrefix("sends"),
+		Held: s.quarantine.Report, OnHeld: s.quarantine.Merge, Rates: s.sched.throttle.Report, OnRates: s.sched.throttle.Merge, Loads: s.sched.Loads, OnLoads: s.sched.SetLoads, CutOff: s.reach.IsCutOff, Log: logger.WithPrefix("sends"),
 	})
 	s.sched.reportChanged = s.exchange.Changed
 	s.sched.entryCount, s.sched.domainOf = s.entryCount, s.domainOf
