--- a/internal/gateway/entry/observe.go
+++ b/internal/gateway/entry/observe.go
@@ -17,6 +17,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/intake"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
+	"github.com/dogwoodmill/dogwoodmill/internal/upstream/plain"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/warmup"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
@@ -114,8 +115,10 @@
 	Limits          map[string]float64         `json:"limits"` // requests a second that upstreams take from all entries
 	Cold            map[string]warmup.Upstream `json:"cold"`   // cold upstreams
 	Services        map[string]ServiceState    `json:"services"`
-	RetriesLeft     map[string]float64         `json:"retriesLeft"` // by service
-	Intake          intake.State               `json:"requestBodies"`
+	// PlainServers are the servers of each plain service with what is known of their speed.
+	PlainServers map[string][]plain.ServerState `json:"plainServers"`
+	RetriesLeft  map[string]float64             `json:"retriesLeft"` // by service
+	Intake       intake.State                   `json:"requestBodies"`
 }
 
 // State returns the state dump.
@@ -155,6 +158,10 @@
 		}
 	}
 	s.applyReports()
+	st.PlainServers = map[string][]plain.ServerState{}
+	for name, p := range s.pools {
+		st.PlainServers[name] = p.States()
+	}
 	for name, p := range s.planners {
 		st.Services[name] = ServiceState{Waiting: p.Waiting(), Counts: p.Counts(), Engines: p.Engines()}
 	}
@@ -270,6 +277,11 @@
 		if p := s.planners[name]; p != nil {
 			service.Gauge("waiting").Update(float64(p.Waiting()))
 		}
+		if p := s.pools[name]; p != nil {
+			limit, slow := p.Limits()
+			service.Gauge("learned_limit").Update(limit)
+			service.Gauge("slow_servers").Update(float64(slow))
+		}
 	}
 }
 
