--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -144,69 +144,89 @@
 		droppedLines: dropped, started: time.Now(), metrics: metrics.New(cfg.VM), bodies: newBodyMemory(cfg.Memory), entries: map[string]platform.Entry{}, unlisted: map[string]platform.Entry{}, unreadable: unreadable{}, lost: make(chan struct{}, 1),
 		crashChecks: make(chan crashCheck, maxCrashChecks),
 	}
+	s.newParts()
+	conn, peerLn, err := s.listen(network)
+	if err != nil {
+		return nil, err
+	}
+	s.records = records.Serve(peerLn, logger.WithPrefix("records"), s.newest, s.servePeer)
+	s.exchange = sends.New(conn, time.Now(), sends.Seams{
+		Domain: cfg.FailureDomain, Report: s.sched.Report, OnReport: s.sched.SetReport, Peers: s.peers, Positions: s.positions, OnPositions: s.applyPositions,
+		Held: s.quarantine.Report, OnHeld: s.quarantine.Merge, Rates: s.sched.throttle.Report, OnRates: s.sched.throttle.Merge, Loads: s.sched.Loads, OnLoads: s.sched.SetLoads, CutOff: s.reach.IsCutOff, Log: logger.WithPrefix("sends"),
+	})
+	s.sched.reportChanged = s.exchange.Changed
+	s.sched.entryCount, s.sched.domainOf = s.entryCount, s.domainOf
+	s.startFollowers(pause)
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.calls, s.endCalls = context.WithCancel(context.Background())
+	s.tasks.Add(3)
+	go s.register(s.ctx)
+	go s.runGauges(s.ctx)
+	go s.crashLoop()
+	s.newHTTPServers()
+	logger.Info("Started.", "domain", cfg.FailureDomain, "callers", cfg.Callers, "store", cfg.Store)
+	return s, nil
+}
+
+// newParts creates the parts that need no address of their own, and connects them.
+func (s *Server) newParts() {
 	s.intake = s.newIntake()
 	s.reach = reach.New(reach.Settings{
-		Network: s.direct, Detour: s.detour, Siblings: s.sched.Siblings, Services: s.sched.Services, Changed: s.sched.ReachabilityChanged, Reconnected: s.sched.Reconnected, Log: logger.WithPrefix("reach"),
+		Network: s.direct, Detour: s.detour, Siblings: s.sched.Siblings, Services: s.sched.Services, Changed: s.sched.ReachabilityChanged, Reconnected: s.sched.Reconnected, Log: s.log.WithPrefix("reach"),
 	})
 	s.upstreams = netio.New(s.dialUpstream, nil) // nothing listens
 	s.engines = platform.NewEngines(s.upstreams)
 	s.work = netio.New(s.dialForWork, nil)
 	s.workEngines = platform.NewEngines(s.work)
-	s.tunnels = tunnel.NewServer(tunnel.Settings{Network: s.direct, Known: s.tunnelsTo, Most: maxTunnels, Log: logger.WithPrefix("tunnel")})
-	s.sched.regions = cfg.Regions
+	s.tunnels = tunnel.NewServer(tunnel.Settings{Network: s.direct, Known: s.tunnelsTo, Most: maxTunnels, Log: s.log.WithPrefix("tunnel")})
+	s.sched.regions = s.cfg.Regions
 	s.sched.unreachable, s.sched.queryPace = s.reach.IsUnreachable, s.queryPace
 	s.quarantine = quarantine.New(quarantine.Settings{
-		Now: time.Now, Rand: rand.Float64, Entries: s.entryCount, Changed: s.reportChanged, Log: logger.WithPrefix("quarantine"),
+		Now: time.Now, Rand: rand.Float64, Entries: s.entryCount, Changed: s.reportChanged, Log: s.log.WithPrefix("quarantine"),
 	})
 	s.sched.throttle = throttle.New(throttle.Settings{
-		Now: time.Now, Members: s.members, Changed: s.reportChanged, Log: logger.WithPrefix("throttle"),
+		Now: time.Now, Members: s.members, Changed: s.reportChanged, Log: s.log.WithPrefix("throttle"),
 	})
 	s.sched.warmup = warmup.New(warmup.Settings{
-		Self: cfg.VM, Overrun: cfg.Cold.Overrun, Slack: cfg.Cold.Slack, Now: time.Now, Log: logger.WithPrefix("warmup"),
+		Self: s.cfg.VM, Overrun: s.cfg.Cold.Overrun, Slack: s.cfg.Cold.Slack, Now: time.Now, Log: s.log.WithPrefix("warmup"),
 	})
 	s.sched.requestGrant = s.requestGrant
-	own := net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.PeerPort))
-	s.own = platform.Entry{Address: own, Domain: cfg.FailureDomain}
+}
+
+// listen opens the addresses of the entry, and returns those for other entries: the one for datagrams and
+// the one for connections.
+func (s *Server) listen(network *netio.Network) (net.PacketConn, net.Listener, error) {
+	own := net.JoinHostPort(s.cfg.IP, strconv.Itoa(s.cfg.PeerPort))
+	s.own = platform.Entry{Address: own, Domain: s.cfg.FailureDomain}
 	conn, err := net.ListenPacket("udp", own)
 	if err != nil {
-		return nil, fail("start", KindListen, fmt.Errorf("port for other entries, %s: %w", own, err))
+		return nil, nil, fail("start", KindListen, fmt.Errorf("port for other entries, %s: %w", own, err))
 	}
 	peerLn, err := network.Listen(own)
 	if err != nil {
-		return nil, errors.Join(fail("start", KindListen, fmt.Errorf("port for other entries, %s: %w", own, err)), conn.Close())
+		return nil, nil, errors.Join(fail("start", KindListen, fmt.Errorf("port for other entries, %s: %w", own, err)), conn.Close())
 	}
-	ln, err := network.Listen(cfg.Callers)
+	ln, err := network.Listen(s.cfg.Callers)
 	if err != nil {
-		return nil, errors.Join(fail("start", KindListen, fmt.Errorf("address for callers, %s: %w", cfg.Callers, err)), conn.Close(), peerLn.Close())
+		return nil, nil, errors.Join(fail("start", KindListen, fmt.Errorf("address for callers, %s: %w", s.cfg.Callers, err)), conn.Close(), peerLn.Close())
 	}
 	s.callersLn = newCallerListener(ln)
-	s.callersLn.limits, s.callersLn.most = s.callerLimits, maxConnections(cfg.Descriptors)
-	if s.readyLn, err = network.Listen(cfg.Ready); err != nil {
-		return nil, errors.Join(fail("start", KindListen, fmt.Errorf("address for readiness, %s: %w", cfg.Ready, err)), conn.Close(), peerLn.Close(), s.callersLn.Close())
+	s.callersLn.limits, s.callersLn.most = s.callerLimits, maxConnections(s.cfg.Descriptors)
+	if s.readyLn, err = network.Listen(s.cfg.Ready); err != nil {
+		return nil, nil, errors.Join(fail("start", KindListen, fmt.Errorf("address for readiness, %s: %w", s.cfg.Ready, err)), conn.Close(), peerLn.Close(), s.callersLn.Close())
 	}
-	s.records = records.Serve(peerLn, logger.WithPrefix("records"), s.newest, s.servePeer)
-	s.exchange = sends.New(conn, time.Now(), sends.Seams{
-		Domain: cfg.FailureDomain, Report: s.sched.Report, OnReport: s.sched.SetReport, Peers: s.peers, Positions: s.positions, OnPositions: s.applyPositions,
-		Held: s.quarantine.Report, OnHeld: s.quarantine.Merge, Rates: s.sched.throttle.Report, OnRates: s.sched.throttle.Merge, Loads: s.sched.Loads, OnLoads: s.sched.SetLoads, CutOff: s.reach.IsCutOff, Log: logger.WithPrefix("sends"),
-	})
-	s.sched.reportChanged = s.exchange.Changed
-	s.sched.entryCount, s.sched.domainOf = s.entryCount, s.domainOf
-	s.startFollowers(pause)
-	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.calls, s.endCalls = context.WithCancel(context.Background())
-	s.tasks.Add(3)
-	go s.register(s.ctx)
-	go s.runGauges(s.ctx)
-	go s.crashLoop()
+	return conn, peerLn, nil
+}
+
+// newHTTPServers creates the servers for callers, and for readiness, metrics and state.
+func (s *Server) newHTTPServers() {
 	s.callers = &fasthttp.Server{
 		Handler: s.handle, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		ReadBufferSize: maxHeadBytes, DisablePreParseMultipartForm: true,
 		StreamRequestBody: true, MaxRequestBodySize: prefetchBytes, HeaderReceived: s.headerReceived,
-		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, Logger: httpLogger{logger},
+		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, Logger: httpLogger{s.log},
 	}
-	s.ready = &fasthttp.Server{Handler: s.serveReady, NoDefaultServerHeader: true, Logger: httpLogger{logger}}
-	logger.Info("Started.", "domain", cfg.FailureDomain, "callers", cfg.Callers, "store", cfg.Store)
-	return s, nil
+	s.ready = &fasthttp.Server{Handler: s.serveReady, NoDefaultServerHeader: true, Logger: httpLogger{s.log}}
 }
 
 func (s *Server) startFollowers(pause time.Duration) {
