--- a/internal/command/cli/cli_test.go
+++ b/internal/command/cli/cli_test.go
@@ -301,13 +301,13 @@
 }
 
 func TestHelp(t *testing.T) {
-	for _, cmd := range []string{"", "entry", "gateway", "dev", "apply", "get", "delete", "watch", "settle", "dump", "load", "explain"} {
+	for _, cmd := range []string{"", "entry", "gateway", "dev", "apply", "get", "delete", "watch", "settle", "dump", "load", "explain", "config check"} {
 		t.Run("help "+cmd, func(t *testing.T) {
 			code, out, _ := run(append(strings.Fields(cmd), "--help")...)
 			if code != exitOK {
 				t.Errorf("exit code %d", code)
 			}
-			golden.Equal(t, strings.TrimSuffix("help_"+cmd, "_")+".txt", []byte(out))
+			golden.Equal(t, strings.TrimSuffix("help_"+strings.ReplaceAll(cmd, " ", "_"), "_")+".txt", []byte(out))
 		})
 	}
 }
--- a/internal/command/cli/options.go
+++ b/internal/command/cli/options.go
@@ -53,6 +53,7 @@
 	Dump    DumpOptions    `cmd:"" help:"Print the state of an entry as JSON."`
 	Load    LoadOptions    `cmd:"" help:"Send prompts of mixed lengths and report the time to first token."`
 	Explain ExplainOptions `cmd:"" help:"Tell from log lines what became of requests, and why."`
+	Config  ConfigOptions  `cmd:"" help:"Check a configuration of the users' platform."`
 
 	Experiment ExperimentOptions `cmd:"" help:"Play a load and its faults on emulated engines, by several policies."`
 }
@@ -95,6 +96,23 @@
 	Logs string   `help:"File with the JSON log lines of all entries, in any order; - reads standard input." default:"-"`
 }
 
+// ConfigOptions are the commands of config.
+type ConfigOptions struct {
+	Check ConfigCheckOptions `cmd:"" help:"Report the faults of a configuration file and what differs from another."`
+}
+
+// ConfigCheckOptions are the settings of config check.
+type ConfigCheckOptions struct {
+	File    string `arg:"" help:"Configuration file in JSON."`
+	Against string `help:"File with the configuration in force, to report what differs from it."`
+	Output  string `short:"o" help:"Format: text or json." default:"text" enum:"text,json"`
+}
+
+// Help returns the text below the help of config check.
+func (*ConfigCheckOptions) Help() string {
+	return "Differences from --against alone are no findings for the exit code, but the version must be higher. API keys are never printed.\n\nExit codes: 0 clean; 1 findings; 2 a file can't be read, or that of --against is no configuration."
+}
+
 // DevOptions are the settings of dev.
 type DevOptions struct {
 	Port int `help:"Port of the first entry; the second has the next one." default:"8080"`
