--- a/internal/gateway/entry/callerlimits_test.go
+++ b/internal/gateway/entry/callerlimits_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -48,9 +49,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				caller, served := net.Pipe()
-				limits := route.Limits{Header: 3 * time.Second, Idle: 15 * time.Second}
+				var limits atomic.Pointer[route.Limits]
+				limits.Store(&route.Limits{Header: 3 * time.Second, Idle: 15 * time.Second})
 				conn := newCallerConn(served, func() {})
-				conn.limits = func() route.Limits { return limits }
+				conn.limits = func() route.Limits { return *limits.Load() }
 				conn.beginRequest() // the one before
 				start := time.Now()
 				ended := make(chan error, 1)
@@ -61,7 +63,7 @@
 				}
 				if c.changed > 0 {
 					time.Sleep(2 * time.Second)
-					limits.Idle = c.changed
+					limits.Store(&route.Limits{Header: 3 * time.Second, Idle: c.changed})
 					conn.applyLimits()
 				}
 				is.True(errors.Is(<-ended, os.ErrDeadlineExceeded))
--- a/internal/gateway/intake/memory_test.go
+++ b/internal/gateway/intake/memory_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,8 +27,15 @@
 
 func withMemory(t *testing.T, f func(is *is.I, m *Memory, reports *[]bool)) {
 	synctest.Test(t, func(t *testing.T) {
-		var reports []bool
-		m := New(Settings{Most: 1000, Now: time.Now, After: time.After, Changed: func(short bool, _ State) { reports = append(reports, short) }})
+		var (
+			mu      sync.Mutex
+			reports []bool
+		)
+		m := New(Settings{Most: 1000, Now: time.Now, After: time.After, Changed: func(short bool, _ State) {
+			mu.Lock()
+			defer mu.Unlock()
+			reports = append(reports, short)
+		}})
 		f(is.New(t), m, &reports)
 		synctest.Wait()
 	})
@@ -84,6 +92,7 @@
 		c := open(is, m, "a")
 		is.True(stalled.Evicted())
 		is.NoErr(c.Take(100))
+		synctest.Wait()                         // the evicted body reports in its goroutine
 		is.Equal(*reports, []bool{true, false}) // one report for each change
 	})
 }
