--- a/internal/peer/records/encoding.go
+++ b/internal/peer/records/encoding.go
@@ -2,12 +2,12 @@
 
 import (
 	"bytes"
-	"errors"
 	"io"
 
 	"github.com/klauspost/compress/gzip"
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/protobuf"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
@@ -26,8 +26,6 @@
 	fieldRecordOffset = 3 // varint
 )
 
-var errMalformed = errors.New("malformed answer")
-
 // encodeCompact returns the compact encoding of an answer.
 func encodeCompact(list []platform.Keyed, next platform.Position) ([]byte, error) {
 	b := protowire.AppendTag(nil, fieldEpoch, protowire.VarintType)
@@ -73,7 +71,7 @@
 		out  []platform.Keyed
 		next platform.Position
 	)
-	err = eachField(plain, func(num protowire.Number, v uint64, inner []byte) error {
+	err = protobuf.EachField(plain, func(num protowire.Number, v uint64, inner []byte) error {
 		switch num {
 		case fieldEpoch:
 			next.Epoch = v
@@ -91,7 +89,7 @@
 
 func decodeRecord(b []byte) (platform.Keyed, error) {
 	var r platform.Keyed
-	err := eachField(b, func(num protowire.Number, v uint64, inner []byte) error {
+	err := protobuf.EachField(b, func(num protowire.Number, v uint64, inner []byte) error {
 		switch num {
 		case fieldKey:
 			r.Key = string(inner)
@@ -106,34 +104,3 @@
 	})
 	return r, err
 }
-
-// eachField calls visit for each varint, with v set, and each field of bytes, with inner set.
-func eachField(b []byte, visit func(num protowire.Number, v uint64, inner []byte) error) error {
-	for len(b) > 0 {
-		num, typ, n := protowire.ConsumeTag(b)
-		if n < 0 {
-			return errMalformed
-		}
-		b = b[n:]
-		var (
-			v     uint64
-			inner []byte
-		)
-		switch typ {
-		case protowire.VarintType:
-			v, n = protowire.ConsumeVarint(b)
-		case protowire.BytesType:
-			inner, n = protowire.ConsumeBytes(b)
-		default:
-			n = protowire.ConsumeFieldValue(num, typ, b)
-		}
-		if n < 0 {
-			return errMalformed
-		}
-		if err := visit(num, v, inner); err != nil {
-			return err
-		}
-		b = b[n:]
-	}
-	return nil
-}
--- a/internal/peer/sends/heldwire.go
+++ b/internal/peer/sends/heldwire.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/protobuf"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/segment"
 )
@@ -71,7 +72,7 @@
 
 func decodeCrash(b []byte, now time.Time) (quarantine.Crash, error) {
 	var c quarantine.Crash
-	err := eachField(b, func(num protowire.Number, v uint64, data []byte) error {
+	err := protobuf.EachField(b, func(num protowire.Number, v uint64, data []byte) error {
 		switch num {
 		case fieldName:
 			c.Upstream = string(data)
@@ -95,7 +96,7 @@
 
 func decodeAnswer(b []byte, now time.Time) (quarantine.Answer, error) {
 	var a quarantine.Answer
-	err := eachField(b, func(num protowire.Number, v uint64, _ []byte) error {
+	err := protobuf.EachField(b, func(num protowire.Number, v uint64, _ []byte) error {
 		switch num {
 		case fieldSegment:
 			a.Segment = segment.ID(v)
@@ -109,7 +110,7 @@
 
 func decodeVerdict(b []byte) (quarantine.Verdict, error) {
 	var w quarantine.Verdict
-	err := eachField(b, func(num protowire.Number, v uint64, _ []byte) error {
+	err := protobuf.EachField(b, func(num protowire.Number, v uint64, _ []byte) error {
 		switch num {
 		case fieldSegment:
 			w.Segment = segment.ID(v)
--- a/internal/peer/sends/loadwire.go
+++ b/internal/peer/sends/loadwire.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/protobuf"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/capacity"
 )
 
@@ -47,7 +48,7 @@
 
 func decodeLoad(b []byte) (capacity.Load, error) {
 	var l capacity.Load
-	err := eachField(b, func(num protowire.Number, v uint64, data []byte) error {
+	err := protobuf.EachField(b, func(num protowire.Number, v uint64, data []byte) error {
 		switch num {
 		case fieldName:
 			l.Server = string(data)
--- a/internal/peer/sends/wire.go
+++ b/internal/peer/sends/wire.go
@@ -1,7 +1,6 @@
 package sends
 
 import (
-	"errors"
 	"math"
 	"slices"
 	"strings"
@@ -9,6 +8,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/protobuf"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/capacity"
@@ -337,7 +337,7 @@
 		return nil, nil
 	}
 	out := []relayed{}
-	err := eachField(b, func(num protowire.Number, _ uint64, data []byte) error {
+	err := protobuf.EachField(b, func(num protowire.Number, _ uint64, data []byte) error {
 		switch num {
 		case fieldOrigin:
 			out = append(out, relayed{origin: string(data)})
@@ -362,7 +362,7 @@
 
 func decodePace(b []byte, now time.Time) (passes.Pace, error) {
 	var p passes.Pace
-	err := eachField(b, func(num protowire.Number, v uint64, data []byte) error {
+	err := protobuf.EachField(b, func(num protowire.Number, v uint64, data []byte) error {
 		switch num {
 		case fieldName:
 			p.Engine = string(data)
@@ -385,7 +385,7 @@
 
 func decodeWait(b []byte, now time.Time) (passes.Wait, error) {
 	var w passes.Wait
-	err := eachField(b, func(num protowire.Number, v uint64, data []byte) error {
+	err := protobuf.EachField(b, func(num protowire.Number, v uint64, data []byte) error {
 		switch num {
 		case fieldName:
 			w.Service = string(data)
@@ -407,7 +407,7 @@
 
 func decodeRate(b []byte, now time.Time) (throttle.Rate, error) {
 	var r throttle.Rate
-	err := eachField(b, func(num protowire.Number, v uint64, data []byte) error {
+	err := protobuf.EachField(b, func(num protowire.Number, v uint64, data []byte) error {
 		switch num {
 		case fieldName:
 			r.Upstream = string(data)
@@ -449,14 +449,14 @@
 	return protowire.AppendVarint(b, uint64(max(0, s.Ends.Sub(now).Milliseconds())))
 }
 
-var errMalformed = errors.New("malformed message")
+var errMalformed = protobuf.ErrMalformed
 
 func decode(b []byte, now time.Time) (message, error) {
 	var (
 		m               message
 		offsets, epochs []uint64
 	)
-	err := eachField(b, func(num protowire.Number, v uint64, data []byte) error {
+	err := protobuf.EachField(b, func(num protowire.Number, v uint64, data []byte) error {
 		switch num {
 		case fieldStart:
 			m.start = v
@@ -526,7 +526,7 @@
 }
 
 func decodeEngine(b []byte, now time.Time) (name string, out []passes.Send, err error) {
-	err = eachField(b, func(num protowire.Number, _ uint64, data []byte) error {
+	err = protobuf.EachField(b, func(num protowire.Number, _ uint64, data []byte) error {
 		switch num {
 		case fieldName:
 			name = string(data)
@@ -563,37 +563,3 @@
 }
 
 func millis(n uint64) time.Duration { return time.Duration(n) * time.Millisecond }
-
-// eachField calls f with each field of a message, including unknown ones, which f must
-// ignore. It returns errMalformed, or the first error of f.
-func eachField(b []byte, f func(num protowire.Number, v uint64, data []byte) error) error {
-	for len(b) > 0 {
-		num, typ, n := protowire.ConsumeTag(b)
-		if n < 0 {
-			return errMalformed
-		}
-		b = b[n:]
-		var (
-			v    uint64
-			data []byte
-		)
-		switch typ {
-		case protowire.VarintType:
-			v, n = protowire.ConsumeVarint(b)
-		case protowire.Fixed64Type:
-			v, n = protowire.ConsumeFixed64(b)
-		case protowire.BytesType:
-			data, n = protowire.ConsumeBytes(b)
-		default:
-			n = -1
-		}
-		if n < 0 {
-			return errMalformed
-		}
-		b = b[n:]
-		if err := f(num, v, data); err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/internal/peer/sends/wire_test.go
+++ b/internal/peer/sends/wire_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 	"pgregory.net/rapid"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/protobuf"
 	_ "github.com/dogwoodmill/dogwoodmill/internal/base/seed"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/passes"
 	"github.com/dogwoodmill/dogwoodmill/internal/prompt/quarantine"
@@ -96,7 +97,7 @@
 	b := m.encodeHead(testNow)
 	t.Logf("bytes of a server with three points: %d", (len(b)-empty)/64)
 	is.True(len(b)-empty <= 64*64)
-	is.NoErr(eachField(b, func(protowire.Number, uint64, []byte) error { return nil })) // as a build without the field reads it
+	is.NoErr(protobuf.EachField(b, func(protowire.Number, uint64, []byte) error { return nil })) // as a build without the field reads it
 	_, err := decodeLoad(protowire.AppendBytes(protowire.AppendTag(nil, fieldPoints, protowire.BytesType), []byte{1, 2}))
 	is.Equal(err, errMalformed)
 }
