--- a/internal/upstream/warmup/warmup_test.go
+++ b/internal/upstream/warmup/warmup_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -231,6 +232,7 @@
 		f := newFleet(26, 1)
 		const name = "i-0"
 		served := map[int]int{}
+		var mu sync.Mutex // of f and served: grants whose delays end at the same time send concurrently
 		delays := []time.Duration{0, GrantTime / 2, GrantTime - time.Millisecond, GrantTime}
 		for round := range 500 {
 			for j := range f.entries {
@@ -244,7 +246,11 @@
 				for k, owner := range others {
 					if f.entries[slices.Index(f.names, owner)].Grant(name) {
 						q.Granted(name, time.Now())
-						time.AfterFunc(delays[(i+k)%len(delays)], func() { served[i] += f.send(q, name) })
+						time.AfterFunc(delays[(i+k)%len(delays)], func() {
+							mu.Lock()
+							defer mu.Unlock()
+							served[i] += f.send(q, name)
+						})
 					}
 				}
 			}
