--- a/internal/gateway/entry/reset_test.go
+++ b/internal/gateway/entry/reset_test.go
@@ -51,17 +51,24 @@
 					}
 				}
 			}
-			ran := map[string]int{}
-			for _, run := range s.Runs() { // also those that began after the caller had its answer
-				id := run.Header.Get("X-Attempt-Id")
-				if ran[id]++; path == "/once/" && ran[id] > 1 {
-					t.Errorf("%s ran %d times", id, ran[id])
-				}
-				if n, ok := refused[id]; ok {
-					t.Errorf("reset after %d bytes: it ran, though the refusal states that it did not", n)
-				}
-			}
+			checkRuns(t, s.Runs(), path == "/once/", refused)
 			is.True(seen > 0) // requests succeed once the reset is after their last byte
 		})
 	}
 }
+
+// checkRuns fails the test if an attempt ran though it was refused, or ran twice where it may run once
+// only. The runs include those that began after the caller had its answer.
+func checkRuns(t *testing.T, runs []*server.Run, once bool, refused map[string]int) {
+	t.Helper()
+	ran := map[string]int{}
+	for _, run := range runs {
+		id := run.Header.Get("X-Attempt-Id")
+		if ran[id]++; once && ran[id] > 1 {
+			t.Errorf("%s ran %d times", id, ran[id])
+		}
+		if n, ok := refused[id]; ok {
+			t.Errorf("reset after %d bytes: it ran, though the refusal states that it did not", n)
+		}
+	}
+}
