--- a/internal/gateway/entry/caller.go
+++ b/internal/gateway/entry/caller.go
@@ -146,16 +146,22 @@
 	}
 }
 
-// expire ends an idle connection and reports whether it was idle. Only the reader closes it, so that a
-// request that arrives at the same time is either served or not read at all.
-func (c *callerConn) expire() bool {
+// expire ends an idle connection and reports whether it was idle.
+func (c *callerConn) expire() bool { return c.expireIf((*callerConn).idle) }
+
+// expireWaiting ends a connection that waits for a request and reports whether it did.
+func (c *callerConn) expireWaiting() bool { return c.expireIf((*callerConn).waitsForRequest) }
+
+// expireIf ends a connection of which ok, called with c.mu held, reports true, and returns the result. Only
+// the reader closes it, so that a request that arrives at the same time is either served or not read at all.
+func (c *callerConn) expireIf(ok func(c *callerConn) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle() {
+	if !ok(c) {
 		return false
 	}
 	c.expired = true
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
+	c.endRead()
 	return true
 }
 
@@ -167,18 +173,6 @@
 	return c.idleSince, c.waitsForRequest()
 }
 
-// expireWaiting ends a connection that waits for a request and reports whether it did.
-func (c *callerConn) expireWaiting() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.waitsForRequest() {
-		return false
-	}
-	c.expired = true
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed
-	return true
-}
-
 // idle reports whether the connection served a request and waits for the next one. c.mu must be held.
 func (c *callerConn) idle() bool { return c.served && c.waitsForRequest() }
 
