--- a/review/rig2/blame.go
+++ b/review/rig2/blame.go
@@ -25,7 +25,13 @@
 
 // playBlame: callers begin to use a new shared part; some prompts hold, before it, a part that crashes each
 // server that begins to write an answer on it.
-func playBlame(w *world, trouble bool) (bool, error) {
+func playBlame(w *world, trouble bool) (bool, error) { return blame(w, trouble, false) }
+
+// playBlameRestart is playBlame with the same shared part all the time, and with all entries killed and
+// started again as the deadly prompts begin. It is no case: there are two disruptions.
+func playBlameRestart(w *world, trouble bool) (bool, error) { return blame(w, trouble, true) }
+
+func blame(w *world, trouble, restart bool) (bool, error) {
 	const deadlyPart = "dead0001"
 	deadly := func(req *http.Request) bool { return strings.Contains(req.Header.Get("X-Prompt-Prefix"), deadlyPart) }
 	if err := w.addServers("pattern-llm", blameEngines, 16, answerStream(deadly, blameBack)); err != nil {
@@ -65,7 +71,17 @@
 	start := time.Now()
 	changeAt := start.Add(blameBaseline)
 	end := changeAt.Add(blameTrouble)
-	waitOld := every(start, changeAt, blameSound, func() { keep(ask("sound, old part", "0a11ce01:40,")) })
+	oldPart := "0a11ce01:40,"
+	if restart {
+		oldPart = "0a11ce02:40,"
+	}
+	waitOld := every(start, changeAt, blameSound, func() { keep(ask("sound, old part", oldPart)) })
+	if restart {
+		waitOld()
+		if err := w.restartEntries(); err != nil {
+			return false, err
+		}
+	}
 	waitNew := every(changeAt, end, blameSound, func() { keep(ask("sound, new part", "0a11ce02:40,")) })
 	if trouble {
 		every(changeAt, end, blameDeadly, func() { ask("deadly", deadlyPart+":200,0a11ce02:40,") })()
--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -21,6 +21,9 @@
 	status int // 0: no answer
 	whole  bool
 	err    error
+
+	endedAt time.Time
+	leaving bool // the answer said that its server leaves
 }
 
 // send sends one request on a new connection and waits for the end of its answer, or until the client's
@@ -52,7 +55,7 @@
 	defer func() { _ = res.Body.Close() }()
 	a.status = res.StatusCode
 	_, a.err = io.Copy(io.Discard, res.Body)
-	a.whole = a.err == nil
+	a.whole, a.endedAt, a.leaving = a.err == nil, time.Now(), res.Header.Get("Server-Leaving") != ""
 	w.rec.printf("answer to %s %s: %d, whole %v, Retry-After %q, after %d ms", a.id, what, a.status, a.whole, res.Header.Get("Retry-After"), time.Since(a.sentAt).Milliseconds())
 	return a
 }
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -71,12 +71,16 @@
 	entries  []*entry
 	servers  []*server
 	version  int
+
+	mu        sync.Mutex
+	storeDown bool // servers can't write either
 }
 
 // entry is a process of the project.
 type entry struct {
 	name         string
 	front, ready string
+	boot         string // path of its settings
 	cmd          *exec.Cmd
 	done         chan struct{}
 }
@@ -145,25 +149,53 @@
 	if err := os.WriteFile(boot, b, 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(w.dir, name+".log"))
-	if err != nil {
+	e.boot = boot
+	if err := w.launch(e); err != nil {
 		return nil, err
 	}
+	w.entries = append(w.entries, e)
+	return e, nil
+}
+
+// launch starts the process of an entry.
+func (w *world) launch(e *entry) error {
+	log, err := os.OpenFile(filepath.Join(w.dir, e.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
 	e.cmd = exec.Command("target/dogwoodmill", "gateway") // as in the deploy file
-	e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.dir, "DOGWOODMILL_BOOT=" + boot}
+	e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.dir, "DOGWOODMILL_BOOT=" + e.boot}
 	e.cmd.Stdout, e.cmd.Stderr = log, log
 	e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := e.cmd.Start(); err != nil {
-		return nil, err
+		return err
 	}
-	e.done = make(chan struct{})
+	cmd, done := e.cmd, make(chan struct{})
+	e.done = done
 	go func() {
-		_ = e.cmd.Wait()
+		_ = cmd.Wait()
 		_ = log.Close()
-		close(e.done)
+		close(done)
 	}()
-	w.entries = append(w.entries, e)
-	return e, nil
+	return nil
+}
+
+// restartEntries kills all entries at the same moment and starts them again.
+func (w *world) restartEntries() error {
+	for _, e := range w.entries {
+		_ = e.cmd.Process.Kill()
+	}
+	for _, e := range w.entries {
+		<-e.done
+	}
+	w.rec.printf("all entries were killed")
+	time.Sleep(500 * time.Millisecond) // the platform starts a process again after a short delay
+	for _, e := range w.entries {
+		if err := w.launch(e); err != nil {
+			return err
+		}
+	}
+	return w.awaitReady()
 }
 
 // awaitReady waits until all entries answer their readiness probe with 200.
@@ -220,6 +252,26 @@
 	_ = os.RemoveAll(w.dir)
 }
 
+// setStoreDown begins or ends an outage of the store: it answers 503.
+func (w *world) setStoreDown(down bool) {
+	w.mu.Lock()
+	w.storeDown = down
+	w.mu.Unlock()
+	w.store.SetOutage(down)
+	w.rec.printf("the store is down: %v", down)
+}
+
+// put writes for a server, and reports whether the store accepted it.
+func (w *world) put(id string, value []byte) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.storeDown {
+		return false
+	}
+	w.store.Put("keyed.servers", id, value)
+	return true
+}
+
 // engineService is a service of model servers in the configuration.
 func engineService(name string) map[string]any {
 	return map[string]any{"name": name, "health_check_path": "/health", "max_connections": 344, "protocol": "h1", "engine": map[string]any{
@@ -238,7 +290,7 @@
 	trouble := flag.Bool("trouble", true, "with the disruption")
 	flag.Parse()
 	cases := map[string]func(w *world, trouble bool) (broken bool, err error){
-		"blame": playBlame, "beat": playBeat,
+		"blame": playBlame, "blame-restart": playBlameRestart, "beat": playBeat, "leave": playLeave,
 	}
 	play := cases[flag.Arg(0)]
 	if play == nil || *dir == "" {
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -84,17 +84,17 @@
 	return b
 }
 
-// write writes the entry with the next sequence.
-func (s *server) write() {
+// write writes the entry with the next sequence, and reports whether the store accepted it.
+func (s *server) write() bool {
 	s.mu.Lock()
 	s.sequence++
 	id, b := s.id, s.entryOf()
 	skip := s.skipBeat
 	s.mu.Unlock()
 	if skip != nil && skip(s) {
-		return
+		return false
 	}
-	s.w.store.Put("keyed.servers", id, b)
+	return s.w.put(id, b)
 }
 
 // beat writes the entry each heartbeat until the incarnation ends.
@@ -112,14 +112,13 @@
 	}
 }
 
-// drain reports that the server leaves.
+// drain reports that the server leaves, to the store and in all answers from now on.
 func (s *server) drain() {
 	s.mu.Lock()
 	s.draining = time.Now()
 	id := s.id
 	s.mu.Unlock()
-	s.write()
-	s.w.rec.printf("the store accepted that %s is draining", id)
+	s.w.rec.printf("%s leaves; the store accepted its report: %v", id, s.write())
 }
 
 // end closes the port and resets all connections, and returns the id of the incarnation.
@@ -142,7 +141,7 @@
 // exit ends the server after a drain: its entry is removed.
 func (s *server) exit() {
 	if id := s.end(); id != "" {
-		s.w.store.Put("keyed.servers", id, nil)
+		_ = s.w.put(id, nil) // else it lapses
 		s.w.rec.printf("server %s exited", id)
 	}
 }
@@ -158,7 +157,7 @@
 	s.crashes = append(s.crashes, time.Now())
 	s.mu.Unlock()
 	s.w.rec.printf("server %s crashed", id)
-	time.AfterFunc(lapseAfter, func() { s.w.store.Put("keyed.servers", id, nil) })
+	time.AfterFunc(lapseAfter, func() { _ = s.w.put(id, nil) })
 	time.AfterFunc(back, func() {
 		if err := s.start(); err != nil {
 			s.w.rec.printf("server %s does not start: %v", s.address, err)
@@ -251,7 +250,11 @@
 
 // head returns the head of a sound answer, without its framing.
 func head(r *run) string {
-	return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + r.id + "\r\nX-Response-Seal: seal." + r.server + "\r\n"
+	h := "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + r.id + "\r\nX-Response-Seal: seal." + r.server + "\r\n"
+	if r.leaving {
+		h += "Server-Leaving: 1\r\n"
+	}
+	return h
 }
 
 // answerPlain answers with a body of 800 bytes after some work.
