--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -290,7 +290,7 @@
 	trouble := flag.Bool("trouble", true, "with the disruption")
 	flag.Parse()
 	cases := map[string]func(w *world, trouble bool) (broken bool, err error){
-		"blame": playBlame, "blame-restart": playBlameRestart, "beat": playBeat, "leave": playLeave, "retry-after": playRetryAfter,
+		"blame": playBlame, "blame-restart": playBlameRestart, "beat": playBeat, "retry-after": playRetryAfter,
 	}
 	play := cases[flag.Arg(0)]
 	if play == nil || *dir == "" {
