--- a/review/rig2/blame.go
+++ b/review/rig2/blame.go
@@ -18,7 +18,7 @@
 	blameBaseline    = 14 * time.Second
 	blameTrouble     = 24 * time.Second
 	blameSound       = 500 * time.Millisecond // mean time between sound requests
-	blameDeadly      = 200 * time.Millisecond // and between those with the deadly part
+	blameDeadly      = 130 * time.Millisecond // and between those with the deadly part
 	minSamples       = 20
 	crashesThatCount = 5
 )
