Keep what an upstream wrote last where the store carries out a write late

Cause: entries took records in the store's order. A heartbeat that got no answer was carried out 5.2 s late, behind the report, and made the upstream ready again. Its record has a lower sequence, which nothing read. Ruled out: a fetch from another entry or a lapse; both entries logged the change with leaving=false 1 ms after the late write.

Change: the follower of a topic folds records by the order in which they were written, given by a seam; what an entry uses is what it passes on to others. For upstreams that is start, leaving (final for a start), sequence. A record whose sequence is no whole number names no upstream, as with its other fields.

--- a/internal/gateway/directory/directory.go
+++ b/internal/gateway/directory/directory.go
@@ -34,12 +34,30 @@
 	Slots   int    // requests that it runs concurrently
 	Leaving bool   // it is draining
 	Born    int64  // start time in Unix milliseconds; 0 if not given
+	// Sequence rises with what the upstream writes from its start on; 0 if not given. A change of it
+	// alone does not count as a change of the upstream.
+	Sequence int64
 	// Cold is how long the upstream is still cold, from the time of the record, if ColdKnown. It
 	// changes with each record and does not count as a change of the upstream.
 	Cold      time.Duration
 	ColdKnown bool
 }
 
+// Precedes reports whether the upstream wrote s before t: of an earlier start, or of the same one,
+// where an upstream that leaves does not come back, with a lower sequence. The order is unknown, and
+// the result false, where the start of either is not given.
+func (s Server) Precedes(t Server) bool {
+	switch {
+	case s.Born == 0 || t.Born == 0:
+		return false
+	case s.Born != t.Born:
+		return s.Born < t.Born
+	case s.Leaving != t.Leaving:
+		return t.Leaving
+	}
+	return s.Sequence < t.Sequence
+}
+
 // Directory is the set of known upstreams. It is not safe for concurrent use.
 type Directory struct {
 	servers     map[string]Server
@@ -98,7 +116,7 @@
 	delete(d.doubted, s.ID)
 	delete(d.gone, s.ID)
 	d.servers[s.ID] = s
-	old.Cold, old.ColdKnown = s.Cold, s.ColdKnown
+	old.Cold, old.ColdKnown, old.Sequence = s.Cold, s.ColdKnown, s.Sequence
 	return !ok || wasRemoved || old != s
 }
 
--- a/internal/gateway/directory/directory_test.go
+++ b/internal/gateway/directory/directory_test.go
@@ -66,6 +66,22 @@
 	is.True(d.Put(s))
 }
 
+// What an upstream wrote before its newest record must not take that back, as where the store carries
+// out a write late.
+func TestServersAreOrderedByWhatTheyWrote(t *testing.T) {
+	is := is.New(t)
+	ordered := []Server{
+		{Born: 7, Sequence: 3}, {Born: 7, Sequence: 9}, {Born: 7, Sequence: 4, Leaving: true}, {Born: 7, Sequence: 5, Leaving: true}, {Born: 8, Sequence: 1},
+	}
+	for i, s := range ordered {
+		for j, u := range ordered {
+			is.Equal(s.Precedes(u), i < j)
+		}
+		is.True(!Server{Sequence: 1}.Precedes(s)) // without a start
+		is.True(!s.Precedes(Server{Sequence: 10}))
+	}
+}
+
 func TestSiblingsShareAFailureDomain(t *testing.T) {
 	is := is.New(t)
 	is.Equal(newDirectory().Siblings("10.0.0.1:80"), []string{"10.0.0.2:80"})
--- a/internal/gateway/entry/entry_test.go
+++ b/internal/gateway/entry/entry_test.go
@@ -828,6 +828,82 @@
 	}
 }
 
+// putHeartbeat writes the record of a server that started at born with a sequence number.
+func (env *testEnv) putHeartbeat(s *server.Server, state string, born, sequence int) {
+	env.store.Put("keyed.servers", s.Instance(), fmt.Appendf(nil,
+		`{"service":"desk","address":%q,"zone":"a","slots":16,"state":%q,"sequence":%d,"born":%d}`, s.Addr(), state, sequence, born))
+}
+
+// The store carried out a heartbeat of an upstream late, behind the report that it leaves or behind its
+// removal, and requests went to it again.
+func TestLateHeartbeatDoesNotTakeBackThatAServerLeaves(t *testing.T) {
+	for name, play := range map[string]func(env *testEnv, s *server.Server, late func()){
+		"read": func(env *testEnv, s *server.Server, late func()) {
+			env.putHeartbeat(s, "draining", 1, 9)
+			late()
+		},
+		"snapshot": func(env *testEnv, s *server.Server, late func()) {
+			env.putHeartbeat(s, "draining", 1, 9)
+			env.await(func() bool {
+				return env.check(func(sched *scheduler) bool { d, _ := sched.dir.Get(s.Instance()); return d.Leaving })
+			})
+			env.store.SetOutage(true)
+			late()
+			env.store.Trim("keyed.servers") // the entry reads the newest records anew
+			env.store.SetOutage(false)
+		},
+		"removal": func(env *testEnv, s *server.Server, late func()) {
+			env.putHeartbeat(s, "ready", 1, 9)
+			env.store.Put("keyed.servers", s.Instance(), nil)
+			late()
+		},
+		"removal in an outage": func(env *testEnv, s *server.Server, late func()) {
+			env.putHeartbeat(s, "ready", 1, 9)
+			env.await(func() bool {
+				return env.check(func(sched *scheduler) bool { d, _ := sched.dir.Get(s.Instance()); return d.Sequence == 9 })
+			})
+			env.store.SetOutage(true)
+			env.await(func() bool { return env.check(func(sched *scheduler) bool { return sched.dir.StoreDown() }) })
+			env.store.Put("keyed.servers", s.Instance(), nil)
+			env.store.SetOutage(false)
+			late()
+			env.await(func() bool { // the time to register again is over
+				return env.check(func(sched *scheduler) bool {
+					_, pending := sched.dir.SettleAt()
+					return !pending && !sched.dir.StoreDown()
+				})
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			env := newTestEnv(t)
+			env.configure()
+			stays := env.serve("desk", "i-stays")
+			s := server.New(listen(t), "i-leaves", testEvents)
+			t.Cleanup(s.Close)
+			env.putHeartbeat(s, "ready", 1, 5)
+			env.await(func() bool { return env.known("desk", s.Instance()) })
+			play(env, s, func() { env.putHeartbeat(s, "ready", 1, 8) })
+			env.put("desk", "i-marker", "127.0.0.1:1", "draining") // comes after the late heartbeat
+			env.await(func() bool { return env.known("desk", "i-marker") })
+			for range 10 {
+				is.Equal(env.do(env.request(http.MethodPost, "/once/")).status, http.StatusOK)
+			}
+			is.Equal(len(s.Runs()), 0)
+			is.Equal(len(stays.Runs()), 10)
+
+			env.putHeartbeat(s, "ready", 2, 1) // it has started again
+			env.await(func() bool {
+				return env.check(func(sched *scheduler) bool {
+					d, ok := sched.dir.Get(s.Instance())
+					return ok && !d.Leaving && d.Born == 2
+				})
+			})
+		})
+	}
+}
+
 // If another server has taken over an address, it must not run requests meant for the first.
 func TestReusedAddressRunsNothing(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/entry/odd_test.go
+++ b/internal/gateway/entry/odd_test.go
@@ -40,7 +40,7 @@
 	} {
 		odd = append(odd, record("address", `"`+address+`"`))
 	}
-	for _, field := range []string{"slots", "born"} {
+	for _, field := range []string{"slots", "born", "sequence"} {
 		for _, number := range []string{"1e400", "1e30", "-1", "1.5", "9223372036854775808", `"16"`, "[]", "true", strings.Repeat("9", 100_000)} {
 			noServer = append(noServer, record(field, number))
 		}
--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -198,6 +198,14 @@
 	})
 }
 
+// isOutdatedServer reports whether r, a record of an upstream, was written before known, another one
+// of it. Records that can't be decoded have no order.
+func isOutdatedServer(r, known platform.Keyed) bool {
+	a, errA := platform.DecodeServer(r.Key, r.Value)
+	b, errB := platform.DecodeServer(known.Key, known.Value)
+	return errA == nil && errB == nil && a.Precedes(b)
+}
+
 func (s *scheduler) applyServer(r platform.Keyed, now time.Time) bool {
 	if r.Value == nil {
 		delete(s.unreadable, r.Key)
--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -54,13 +53,16 @@
 	// Read returns the records from an offset on and the position to read on from, with the
 	// epoch of the answer. It waits up to wait for a record.
 	Read func(ctx context.Context, topic string, from uint64, wait time.Duration) ([]platform.Keyed, platform.Position, error)
-	// Apply receives records in order. If snapshot is set, they are the newest of all keys,
-	// and keys that are not among them no longer exist.
+	// Apply receives records in order, without outdated ones. If snapshot is set, they are the latest
+	// of all keys, and keys that are not among them no longer exist.
 	Apply func(records []platform.Keyed, snapshot bool)
 	// Restored is called before Apply gets the first records after a restore of the store, which
 	// are a snapshot up to an offset. Those before it may be of the copy, and of before what was
 	// delivered until then. It may be nil.
 	Restored func(end uint64)
+	// Outdated reports whether r was written before known, a record of the same key that came before
+	// it. Both have values. If it is nil, records were written in the order in which they come.
+	Outdated func(r, known platform.Keyed) bool
 	// Reached is called after each call, with ok set if the store answered. It may be nil.
 	// A store that rejects this entry but serves others throughout counts as
 	// answering.
@@ -94,14 +96,14 @@
 	wake  chan struct{}
 
 	mu         sync.Mutex
-	position   platform.Position         // behind what was delivered
-	epoch      uint64                    // of the store, as far as is known
-	restored   bool                      // it has risen since the first read
-	delivered  uint64                    // epoch of the records that were delivered last
-	healthy    bool                      // the last call succeeded
-	hint       platform.Position         // highest one of a hint
-	hintEntry  string                    // address of the entry that sent it
-	records    map[string]platform.Keyed // newest by key
+	position   platform.Position // behind what was delivered
+	epoch      uint64            // of the store, as far as is known
+	restored   bool              // it has risen since the first read
+	delivered  uint64            // epoch of the records that were delivered last
+	healthy    bool              // the last call succeeded
+	hint       platform.Position // highest one of a hint
+	hintEntry  string            // address of the entry that sent it
+	latest     *latest
 	lastHint   time.Time
 	hintsSince time.Time // of the first hint since the last gap longer than maxHintGap
 	lastAnswer time.Time // when the store last answered
@@ -110,7 +112,7 @@
 // New starts a follower.
 func New(cfg Settings, seams Seams, logger *log.Logger) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Follower{cfg: cfg, seams: seams, log: logger, stop: cancel, done: make(chan struct{}), wake: make(chan struct{}, 1), records: map[string]platform.Keyed{}}
+	f := &Follower{cfg: cfg, seams: seams, log: logger, stop: cancel, done: make(chan struct{}), wake: make(chan struct{}, 1), latest: newLatest(seams.Outdated)}
 	go f.run(ctx)
 	return f
 }
@@ -143,31 +145,36 @@
 func (f *Follower) Newest() ([]platform.Keyed, platform.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.Collect(maps.Values(f.records)), f.position
+	return f.latest.records(), f.position
 }
 
-// apply delivers the records before a position and keeps them for other entries.
+// apply folds the records before a position, keeps the latest for other entries, and delivers those
+// that hold.
 func (f *Follower) apply(records []platform.Keyed, next platform.Position, snapshot bool) {
 	f.mu.Lock()
 	restored := f.restored && next.Epoch > f.delivered
 	f.position, f.delivered = next, next.Epoch
+	var late []platform.Keyed
 	if snapshot {
-		clear(f.records)
-	}
-	for _, r := range records {
-		if r.Value == nil {
-			delete(f.records, r.Key)
-		} else {
-			f.records[r.Key] = r
-		}
+		records, late = f.latest.replace(records, restored)
+	} else {
+		records, late = f.latest.add(records)
 	}
 	f.mu.Unlock()
+	f.logLate(late)
 	if restored && f.seams.Restored != nil {
 		f.seams.Restored(next.Offset)
 	}
 	f.seams.Apply(records, snapshot)
 }
 
+// logLate logs outdated records.
+func (f *Follower) logLate(late []platform.Keyed) {
+	for _, r := range late {
+		f.log.Warn("The store carried out a write late; what was written after it holds.", "topic", f.cfg.Topic, "key", r.Key, "offset", r.Offset)
+	}
+}
+
 // Hint records that the entry at an address has read up to a position. A position of an earlier
 // epoch than this entry's is ignored, and one without an epoch, as earlier versions send them, is
 // taken for the same one until the store is seen to be restored.
