Read what the newest records took back when an entry starts

Callers: an entry that started within seconds of a late heartbeat sent orders to an upstream that leaves.

Cause: log-newest lists the last record of each key in the store's order, which is the late one; what it took back is in the topic's history only.

If it fails, the newest records are taken as they are, with a log line. After a restore the copy's history is not read: it is older than what is known.

--- a/internal/gateway/entry/entry_test.go
+++ b/internal/gateway/entry/entry_test.go
@@ -904,6 +904,28 @@
 	}
 }
 
+// An entry started while the newest record of an upstream was a late heartbeat, and took one that leaves
+// for ready.
+func TestEntryThatStartsSeesThatAServerLeaves(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.configure()
+	stays := env.serve("desk", "i-stays")
+	s := server.New(listen(t), "i-leaves", testEvents)
+	t.Cleanup(s.Close)
+	env.putHeartbeat(s, "ready", 1, 7)
+	env.store.Expire("keyed.servers", 2) // only the newest of these is kept
+	env.putHeartbeat(s, "draining", 1, 9)
+	env.putHeartbeat(s, "ready", 1, 8)
+	env.replaceEntry()
+	env.await(func() bool { return env.known("desk", s.Instance()) })
+	for range 10 {
+		is.Equal(env.do(env.request(http.MethodPost, "/once/")).status, http.StatusOK)
+	}
+	is.Equal(len(s.Runs()), 0)
+	is.Equal(len(stays.Runs()), 10)
+}
+
 // If another server has taken over an address, it must not run requests meant for the first.
 func TestReusedAddressRunsNothing(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -235,7 +235,7 @@
 	config, servers, entries := seams, seams, seams
 	config.Apply, config.Restored = s.applyConfig, s.sched.EvacuationsRestored
 	entries.Apply, entries.Restored = s.applyEntries, s.entriesRestored
-	servers.Outdated = isOutdatedServer
+	servers.Outdated, servers.History = isOutdatedServer, s.store.History
 	servers.Apply, servers.Restored, servers.Reached = s.sched.ApplyServers, s.sched.ServersRestored, s.sched.StoreReached
 	list := []*follow.Follower{
 		follow.New(follow.Settings{Topic: platform.ConfigTopic, Wait: configWait}, config, logger),
--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -63,6 +63,9 @@
 	// Outdated reports whether r was written before known, a record of the same key that came before
 	// it. Both have values. If it is nil, records were written in the order in which they come.
 	Outdated func(r, known platform.Keyed) bool
+	// History returns the records from one offset up to another that the store still keeps. It is
+	// called before records of Newest are delivered, which don't tell what they took back. It may be nil.
+	History func(ctx context.Context, topic string, from, until uint64) ([]platform.Keyed, error)
 	// Reached is called after each call, with ok set if the store answered. It may be nil.
 	// A store that rejects this entry but serves others throughout counts as
 	// answering.
@@ -464,10 +467,34 @@
 		return f.older(p, next)
 	}
 	f.advance(p, next)
+	f.foldHistory(ctx, next)
 	f.apply(f.dropMalformed(records), next, true)
 	return nil
 }
 
+// foldHistory folds the records before a position that this entry has not read, since the newest of
+// a key may be outdated. After a restore it does nothing: the copy's records are older than those known.
+func (f *Follower) foldHistory(ctx context.Context, next platform.Position) {
+	f.mu.Lock()
+	from, pendingRestore := f.position, f.restored && next.Epoch > f.delivered
+	f.mu.Unlock()
+	if f.seams.History == nil || pendingRestore {
+		return
+	}
+	if from.Epoch != next.Epoch {
+		from.Offset = 0
+	}
+	records, err := f.seams.History(ctx, f.cfg.Topic, from.Offset, next.Offset)
+	if err != nil {
+		f.log.Warn("Could not read the records before the newest ones.", "topic", f.cfg.Topic, "from", from.Offset, "offset", next.Offset, "err", err)
+	}
+	records = f.dropMalformed(records)
+	f.mu.Lock()
+	_, late := f.latest.add(records)
+	f.mu.Unlock()
+	f.logLate(late)
+}
+
 // older handles an answer of an epoch before the follower's. If the store has given no other for
 // maxOlderTime, the follower's epoch is not the store's: the topic is read anew in that of the answer.
 func (f *Follower) older(p *progress, next platform.Position) error {
--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -71,6 +72,21 @@
 	return s.records, s.end(), nil
 }
 
+// newestOfKeys is newest with the last record of each key only.
+func (s *fakeStore) newestOfKeys(context.Context, string) ([]platform.Keyed, platform.Position, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, platform.Position{}, errDown
+	}
+	last := map[string]platform.Keyed{}
+	for _, r := range s.records {
+		last[r.Key] = r
+	}
+	maps.DeleteFunc(last, func(_ string, r platform.Keyed) bool { return r.Value == nil })
+	return slices.Collect(maps.Values(last)), s.end(), nil
+}
+
 func (s *fakeStore) read(ctx context.Context, _ string, from uint64, wait time.Duration) ([]platform.Keyed, platform.Position, error) {
 	s.set(func() { s.calls++ })
 	for until := time.Now().Add(wait); ; {
