Take an entry's own failed read for no outage while the store serves others

Cause: a failed call counts as an outage of the store unless others have announced what they read without a gap of 1.2 s since the store last answered this entry. For an entry that does not lead that is up to 52 s ago, and a burst makes a gap. In an outage removals are deferred until 2.3 s after the store's return.

Change: what is in doubt begins with the start of the first call that failed.

TestOutageIsNoticedAfterLateHints passes before and after: an outage in which others still announce for 2.6 s is noticed.

--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -234,7 +234,7 @@
 // reportReached passes the outcome of a call to Seams.Reached, and records when the store
 // answered.
 func (f *Follower) reportReached(ok bool, p *progress) {
-	served := p.known && f.othersServed(f.Answered())
+	served := p.known && f.othersServed(p.doubtedSince())
 	if f.seams.Reached != nil && !served && (!ok || p.failing) {
 		f.seams.Reached(false) // also if the hints stopped in the meantime: no entry reached the store
 	}
@@ -319,9 +319,19 @@
 	failing    bool // the last call failed
 	retryDelay time.Duration
 	lastCall   time.Time
+	failedAt   time.Time // start of the first of the calls that have failed since the last answer
 	olderSince time.Time // the store has answered from an earlier epoch since; zero: it does not
 }
 
+// doubtedSince returns the time since which the store may not have answered: the start of the first
+// call that failed, of those that led to the last one.
+func (p *progress) doubtedSince() time.Time {
+	if p.failing {
+		return p.failedAt
+	}
+	return p.lastCall
+}
+
 func (f *Follower) run(ctx context.Context) {
 	defer close(f.done)
 	p := progress{retryDelay: minRetryDelay}
@@ -402,7 +412,7 @@
 	delay := p.retryDelay/2 + rand.N(p.retryDelay/2)
 	p.retryDelay = min(2*p.retryDelay, maxRetryDelay)
 	if !p.failing {
-		p.failing = true
+		p.failing, p.failedAt = true, p.lastCall
 		f.log.Warn("The store does not answer.", "topic", f.cfg.Topic, "epoch", p.next.Epoch, "offset", p.next.Offset, "err", err)
 	}
 	f.fetch(ctx, p)
--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -258,6 +258,84 @@
 	}
 }
 
+// On a narrow link an entry's own read failed once, while the store answered the others. Hints had had
+// a gap long before, since when the entry had made no call. It took that for an outage, and put off the
+// removal of upstreams that had left.
+func TestOwnFailureIsNoOutageAfterAnOldGapInHints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &fakeStore{}
+		s.put("a")
+		var mu sync.Mutex
+		var reports []bool
+		f := New(Settings{Topic: "t", Wait: 2 * time.Second}, Seams{
+			Newest: s.newest, Read: s.read, Apply: s.apply, Leads: func() bool { return false }, Entries: func() int { return 65 },
+			Ask: func(context.Context, string, string) ([]platform.Keyed, platform.Position, error) {
+				return nil, platform.Position{}, errDown
+			},
+			Reached: func(ok bool) {
+				mu.Lock()
+				defer mu.Unlock()
+				reports = append(reports, ok)
+			},
+		}, log.New(io.Discard))
+		defer f.Close()
+		hint := func(offset int, d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
+				f.Hint("other", at(0, offset))
+			}
+		}
+		hint(1, 3*time.Second)
+		time.Sleep(maxHintGap + 300*time.Millisecond)
+		hint(1, 3*time.Second)
+		s.set(func() { s.down = true }) // for this entry
+		s.put("b")
+		hint(2, time.Second)
+		s.set(func() { s.down = false })
+		hint(2, 3*time.Second)
+		is.Equal(s.lastKey(), "b")
+		mu.Lock()
+		defer mu.Unlock()
+		is.True(len(reports) > 0 && !slices.Contains(reports, false))
+	})
+}
+
+// In an outage the others announce what they have read for a while. An entry whose calls fail from then on
+// must take it for an outage, or it removes upstreams whose registrations have expired.
+func TestOutageIsNoticedAfterLateHints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &fakeStore{}
+		s.put("a")
+		unreachable := make(chan struct{})
+		var once sync.Once
+		f := New(Settings{Topic: "t", Wait: 2 * time.Second}, Seams{
+			Newest: s.newest, Read: s.read, Apply: s.apply, Leads: func() bool { return false }, Entries: func() int { return 65 },
+			Reached: func(ok bool) {
+				if !ok {
+					once.Do(func() { close(unreachable) })
+				}
+			},
+		}, log.New(io.Discard))
+		defer f.Close()
+		hint := func(offset int, d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
+				f.Hint("other", at(0, offset))
+			}
+		}
+		hint(1, 3*time.Second)
+		s.put("b")
+		s.set(func() { s.down = true })
+		hint(2, answerTimeout)
+		time.Sleep(2 * maxHintGap)
+		select {
+		case <-unreachable:
+		default:
+			is.Fail()
+		}
+	})
+}
+
 // Without hints, an entry that does not lead polls the store itself.
 func TestFollowerPollsWithoutHints(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
