Ask another entry for records where the one that announced them does not answer

Callers: in a burst, entries on narrow links knew seconds late which upstreams leave, and sent requests to them.

Cause: an entry that does not lead asks the entry that first announced a position, and asks it again each time. One entry had the records 2.55 s after the store.

Change: up to four entries that announced the highest position are remembered; one that fails is asked last.

Measured: TestEntryThatDoesNotAnswerIsNotAskedAgain failed before.

--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -41,6 +41,9 @@
 	// maxHintGap is the longest gap between hints while the leading entries reach the
 	// store. They send one every 300 ms, and some are lost.
 	maxHintGap = 1200 * time.Millisecond
+	// maxHintedEntries is how many of the entries that sent the highest hint are remembered, so that
+	// another one is asked where one does not answer. Four entries lead.
+	maxHintedEntries = 4
 	// maxOlderTime is how long answers of an earlier epoch are taken for late ones.
 	maxOlderTime = 3 * time.Second
 )
@@ -105,7 +108,7 @@
 	delivered  uint64            // epoch of the records that were delivered last
 	healthy    bool              // the last call succeeded
 	hint       platform.Position // highest one of a hint
-	hintEntry  string            // address of the entry that sent it
+	hintFrom   []string          // addresses of the entries that sent it, the next one to ask first
 	latest     *latest
 	lastHint   time.Time
 	hintsSince time.Time // of the first hint since the last gap longer than maxHintGap
@@ -141,7 +144,24 @@
 func (f *Follower) Hinted() (p platform.Position, entry string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.hint, f.hintEntry
+	return f.hint, f.hintedEntry()
+}
+
+// hintedEntry returns the entry to ask for the records before the highest hint. f.mu must be held.
+func (f *Follower) hintedEntry() string {
+	if len(f.hintFrom) == 0 {
+		return ""
+	}
+	return f.hintFrom[0]
+}
+
+// avoidHinted moves an entry that did not answer behind the others that sent the highest hint.
+func (f *Follower) avoidHinted(entry string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.hintFrom) > 1 && f.hintFrom[0] == entry {
+		f.hintFrom = append(f.hintFrom[1:], entry)
+	}
 }
 
 // Newest returns the newest record of each key, and the position to read on from.
@@ -194,8 +214,11 @@
 	}
 	f.lastHint = now
 	newer := p.After(f.hint)
-	if newer {
-		f.hint, f.hintEntry = p, entry
+	switch {
+	case newer:
+		f.hint, f.hintFrom = p, []string{entry}
+	case p == f.hint && len(f.hintFrom) < maxHintedEntries && !slices.Contains(f.hintFrom, entry):
+		f.hintFrom = append(f.hintFrom, entry)
 	}
 	f.mu.Unlock()
 	if newer {
@@ -422,7 +445,7 @@
 // fetch fetches the records of another entry if one has read further than this one.
 func (f *Follower) fetch(ctx context.Context, p *progress) bool {
 	f.mu.Lock()
-	entry, ahead := f.hintEntry, f.hint.After(p.next)
+	entry, ahead := f.hintedEntry(), f.hint.After(p.next)
 	f.mu.Unlock()
 	if f.seams.Ask == nil || !ahead {
 		return false
@@ -433,6 +456,7 @@
 	f.mu.Unlock()
 	if err != nil || !usable || !next.After(p.next) {
 		f.log.Warn("Could not fetch newer records from another entry.", "topic", f.cfg.Topic, "entry", entry, "epoch", next.Epoch, "offset", next.Offset, "had", p.next.Offset, "err", err)
+		f.avoidHinted(entry)
 		return false
 	}
 	f.log.Info("Fetched newer records from another entry.", "topic", f.cfg.Topic, "entry", entry, "epoch", next.Epoch, "offset", next.Offset, "had", p.next.Offset, "records", len(records))
@@ -518,7 +542,7 @@
 	f.mu.Lock()
 	f.delivered = 0
 	if f.hint.Epoch > next.Epoch {
-		f.hint, f.hintEntry = platform.Position{}, ""
+		f.hint, f.hintFrom = platform.Position{}, nil
 	}
 	f.mu.Unlock()
 	f.advance(p, platform.Position{Epoch: next.Epoch})
--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -463,6 +463,25 @@
 	})
 }
 
+// An entry asked only the first one that had announced a position, again and again, while that one's link
+// was full, though others had announced it too.
+func TestEntryThatDoesNotAnswerIsNotAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &fakeStore{}
+		s.put("a")
+		f, fetches := newFetching(t, s, s.read, false)
+		time.Sleep(50 * time.Millisecond)
+		s.set(func() { s.down = true }) // for this entry
+		s.put("b")
+		f.Hint("stranger", at(0, 2)) // fetching from it fails
+		f.Hint("other", at(0, 2))
+		time.Sleep(2 * minRetryDelay)
+		is.Equal(s.lastKey(), "b")
+		is.Equal(fetches(), 2)
+	})
+}
+
 // A read that the store never answers must end once another entry has read further.
 func TestStuckReadIsCancelled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
