Believe an upstream that says in an answer that it leaves

Cause: nothing read the header Server-Leaving.

Change: an answer with it makes the upstream leaving at the entry that got it, as a record does, until the upstream is removed or its record is of a later start. A 421, which is of another upstream, and answers to requests of before that start say nothing.

--- a/internal/gateway/directory/directory.go
+++ b/internal/gateway/directory/directory.go
@@ -65,6 +65,7 @@
 	storeDown   bool
 	recoveredAt time.Time // end of the last outage, or the last restore
 	gone        map[string]departure
+	heard       map[string]int64  // start of the upstreams that say in answers that they leave
 	doubted     map[string]Server // records of the copy whose upstreams were removed before the restore
 	restoredAt  time.Time
 }
@@ -78,7 +79,7 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{servers: map[string]Server{}, deferred: map[string]bool{}, gone: map[string]departure{}, doubted: map[string]Server{}}
+	return &Directory{servers: map[string]Server{}, deferred: map[string]bool{}, gone: map[string]departure{}, heard: map[string]int64{}, doubted: map[string]Server{}}
 }
 
 // Restored records that the store came back from a copy. Upstreams that registered since the
@@ -115,11 +116,29 @@
 	delete(d.deferred, s.ID)
 	delete(d.doubted, s.ID)
 	delete(d.gone, s.ID)
+	if born, ok := d.heard[s.ID]; ok && born != s.Born {
+		delete(d.heard, s.ID)
+	} else if ok {
+		s.Leaving = true
+	}
 	d.servers[s.ID] = s
 	old.Cold, old.ColdKnown, old.Sequence = s.Cold, s.ColdKnown, s.Sequence
 	return !ok || wasRemoved || old != s
 }
 
+// HeardLeaving records that the upstream with the id says that it leaves, in the answer to a request that
+// was sent at the given time. That holds until it is removed or has started again, whatever its records
+// say. It reports whether anything changed.
+func (d *Directory) HeardLeaving(id string, sentAt time.Time) bool {
+	s, ok := d.servers[id]
+	if !ok || s.Leaving || time.UnixMilli(s.Born).After(sentAt) { // the answer is of an earlier start
+		return false
+	}
+	s.Leaving = true
+	d.servers[id], d.heard[id] = s, s.Born
+	return true
+}
+
 // Remove removes an upstream and reports whether it did so immediately. In an outage
 // and within reregisterGrace of its end the removal is deferred, unless the upstream
 // is draining.
@@ -141,6 +160,7 @@
 // remove removes an upstream, and remembers it.
 func (d *Directory) remove(s Server, now time.Time) {
 	delete(d.servers, s.ID)
+	delete(d.heard, s.ID)
 	if len(d.gone) >= maxGone {
 		maps.DeleteFunc(d.gone, func(_ string, g departure) bool { return now.Sub(g.at) > goneRetention })
 	}
--- a/internal/gateway/directory/directory_test.go
+++ b/internal/gateway/directory/directory_test.go
@@ -82,6 +82,31 @@
 	}
 }
 
+// An upstream that said in an answer that it leaves must stay leaving until it is gone or has started
+// again: its records may not say so, and in an outage none come.
+func TestHeardLeavingHoldsForAStart(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	ready := Server{ID: "i-1", Service: "desk", Born: 7, Sequence: 1}
+	leaving := func() bool { s, _ := d.Get("i-1"); return s.Leaving }
+	is.True(!d.HeardLeaving("i-1", start)) // unknown
+	d.Put(ready)
+	is.True(d.HeardLeaving("i-1", start))
+	is.True(!d.HeardLeaving("i-1", start))
+	ready.Sequence = 9
+	is.True(!d.Put(ready))
+	is.True(leaving())
+	d.Reached(false, start)
+	is.True(d.Remove("i-1", start)) // it has left; that is no expired registration
+	d.Put(ready)
+	is.True(!leaving())
+	is.True(d.HeardLeaving("i-1", start))
+	ready.Born = start.UnixMilli() + 1
+	is.True(d.Put(ready))
+	is.True(!leaving())
+	is.True(!d.HeardLeaving("i-1", start)) // said before it started again
+}
+
 func TestSiblingsShareAFailureDomain(t *testing.T) {
 	is := is.New(t)
 	is.Equal(newDirectory().Siblings("10.0.0.1:80"), []string{"10.0.0.2:80"})
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -96,6 +96,9 @@
 	if ans.Limit > 0 || !ans.NotRun {
 		c.s.sched.throttle.Heard(a.Instance, sentAt, ans.Limit)
 	}
+	if ans.Leaving && ans.Status != fasthttp.StatusMisdirectedRequest { // that is of another upstream
+		c.s.sched.HeardLeaving(a.Instance, sentAt)
+	}
 	switch {
 	case ans.Status == fasthttp.StatusMisdirectedRequest: // not counted, and of another upstream
 		c.s.sched.warmup.Return(a.Instance)
--- a/internal/gateway/entry/entry_test.go
+++ b/internal/gateway/entry/entry_test.go
@@ -926,6 +926,25 @@
 	is.Equal(len(stays.Runs()), 10)
 }
 
+// In an outage of the store a server said in its answers that it leaves, and got requests until it exited.
+func TestServerThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.configure()
+	leaves, stays := env.serve("desk", "i-leaves"), env.serve("desk", "i-stays")
+	env.store.SetOutage(true)
+	leaves.Leave()
+	for len(leaves.Runs()) == 0 {
+		is.Equal(env.do(env.request(http.MethodPost, "/once/")).status, http.StatusOK)
+	}
+	before := len(stays.Runs())
+	for range 10 {
+		is.Equal(env.do(env.request(http.MethodPost, "/once/")).status, http.StatusOK)
+	}
+	is.Equal(len(leaves.Runs()), 1)
+	is.Equal(len(stays.Runs()), before+10)
+}
+
 // If another server has taken over an address, it must not run requests meant for the first.
 func TestReusedAddressRunsNothing(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -265,6 +265,16 @@
 	return changed
 }
 
+// HeardLeaving records that an upstream says that it leaves, in the answer to a request sent at a time.
+func (s *scheduler) HeardLeaving(id string, sentAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dir.HeardLeaving(id, sentAt) {
+		s.log.Info("An upstream says in an answer that it leaves.", "upstream", id)
+		s.configure()
+	}
+}
+
 // ServersRestored records that the upstreams' records up to an offset may be of a copy.
 func (s *scheduler) ServersRestored(end uint64) {
 	s.mu.Lock()
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -65,6 +65,7 @@
 	crashed bool
 	choose  func() Script // replaces the scripts; nil: none
 	limit   string        // named in answers; "": none
+	leaving bool          // it says so in its answers
 	reports int           // load reports served
 	scripts []Script
 	runs    []*Run
@@ -150,6 +151,23 @@
 	s.limit = limit
 }
 
+// Leave makes the server say in its answers that it leaves.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// leavingHeader returns the header line of a server that leaves, or "".
+func (s *Server) leavingHeader() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leaving {
+		return ""
+	}
+	return "Server-Leaving: 1\r\n"
+}
+
 // limitHeader returns the header line that names the limit, or "".
 func (s *Server) limitHeader() string {
 	s.mu.Lock()
@@ -288,7 +306,7 @@
 	if script == WrongAttempt {
 		id = "another"
 	}
-	header := "X-Attempt-Id: " + id + "\r\n" + s.limitHeader()
+	header := "X-Attempt-Id: " + id + "\r\n" + s.limitHeader() + s.leavingHeader()
 	if script != Unsealed {
 		header += "X-Response-Seal: seal-" + s.instance + "\r\n"
 	}
