Send nothing new to an upstream that leaves once the connection is there

Cause: an entry on a full link knew late that the upstream leaves, and its connection took a second. It looked when it chose the upstream, not when the connection was there, and the entry that opened the tunnel, which had known for 2 s, asked only whether the upstream is registered and not evacuated.

Change: what holds for evacuations holds for upstreams that leave: one more look before the connection and after. A tunnel for something new says so, and is refused where it leads to an upstream that leaves. Tunnels for what runs there are opened as before.

--- a/internal/gateway/directory/directory.go
+++ b/internal/gateway/directory/directory.go
@@ -258,6 +258,16 @@
 	return Server{}, false
 }
 
+// Takes reports whether there is an upstream at an address that does not leave.
+func (d *Directory) Takes(address string) bool {
+	for _, s := range d.servers {
+		if s.Address == address && !s.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // Services returns the addresses of the upstreams, in a list for each service.
 func (d *Directory) Services() [][]string {
 	lists := map[string][]string{}
--- a/internal/gateway/entry/call.go
+++ b/internal/gateway/entry/call.go
@@ -71,11 +71,11 @@
 	platform.EncodeAttempt(&req.Header, &c.callerReq.Header, a)
 	req.SetBodyRaw(c.callerReq.Body())
 	sentAt := time.Now()
-	x, err := httpconn.Do(ctx, c.s.work, address, req, httpconn.Limits{Header: limit, Read: limit, Buffer: maxAnswerHeadBytes, Bytes: bytes, Connected: func() {
+	x, err := httpconn.Do(withUpstream(ctx, a.Instance), c.s.work, address, req, httpconn.Limits{Header: limit, Read: limit, Buffer: maxAnswerHeadBytes, Bytes: bytes, Connected: func() {
 		platform.SetTimeLeft(&req.Header, c.remaining()) // connecting took some
 	}})
 	if fault.Is(err, httpconn.KindUnsent) {
-		if c.ctx.Err() == nil && !errors.Is(err, errEvacuated) {
+		if c.ctx.Err() == nil && !takesNothingNew(err) {
 			c.s.reach.ReportFailure(address)
 		}
 		c.s.sched.warmup.Return(a.Instance)
--- a/internal/gateway/entry/cutoff_test.go
+++ b/internal/gateway/entry/cutoff_test.go
@@ -8,10 +8,13 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/tunnel"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/server"
 )
 
@@ -170,6 +173,44 @@
 	env.requireServed("later-0", "/ask/", server.Events(testEvents))
 }
 
+// An entry with a full link, cut off from a server, did not know yet that it leaves, and sent it a request
+// through another entry, which knew. The other one has to refuse that, but not what runs there needs.
+func TestTunnelForWorkToALeavingServerIsRefused(t *testing.T) {
+	is := is.New(t)
+	env, network, other, list := newCutEnv(t)
+	network.set(cutRefuse)
+	env.await(func() bool { return env.do(env.request(http.MethodPost, "/once/")).status == http.StatusOK })
+	leaving := list[0] // of the plain service
+	for _, s := range list[1:] {
+		env.entry.sched.HeardLeaving(s.Instance(), time.Now()) // what is left is the one of which it does not know
+	}
+	other.sched.HeardLeaving(leaving.Instance(), time.Now())
+	before := len(leaving.Runs())
+	is.Equal(env.do(env.request(http.MethodPost, "/once/")).status, http.StatusServiceUnavailable)
+	is.Equal(len(leaving.Runs()), before)
+	conn, err := tunnel.Dial(t.Context(), env.entry.direct, other.own.Address, leaving.Addr())
+	is.NoErr(err)
+	is.NoErr(conn.Close())
+}
+
+// A server says that it leaves between the choice of it and the send. It must get nothing and must not
+// count as failed.
+func TestServerLeavesBeforeSend(t *testing.T) {
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.configure()
+	s := env.serve("desk", "i-1")
+	ctx := withUpstream(t.Context(), "i-1")
+	conn, err := env.entry.dialForWork(ctx, s.Addr())
+	is.NoErr(err)
+	is.NoErr(conn.Close())
+	env.entry.sched.HeardLeaving("i-1", time.Now())
+	conn, err = env.entry.dialForWork(ctx, s.Addr())
+	is.True(conn == nil)
+	is.True(fault.Is(err, KindUnsent) && takesNothingNew(err))
+	is.True(!env.entry.reach.IsUnreachable(s.Addr()))
+}
+
 // All entries are cut off from the servers: none hands a connection on to another, which would hand it
 // back, and callers are told at once that nothing ran.
 func TestEntriesThatAreAllCutOffRefuse(t *testing.T) {
--- a/internal/gateway/entry/detour.go
+++ b/internal/gateway/entry/detour.go
@@ -52,6 +52,11 @@
 	return ok && !s.stopping.Load() && !s.sched.Evacuated(address)
 }
 
+// tunnelsWorkTo is tunnelsTo for something new, which an upstream that leaves does not take.
+func (s *Server) tunnelsWorkTo(address string) bool {
+	return s.tunnelsTo(address) && s.sched.Takes(address)
+}
+
 // detour connects to an upstream through another entry.
 func (s *Server) detour(ctx context.Context, address string) (net.Conn, error) {
 	list := s.detours(ctx, address)
--- a/internal/gateway/entry/enginestream.go
+++ b/internal/gateway/entry/enginestream.go
@@ -131,7 +131,7 @@
 		es.checkCrash(err, false)
 		err = heldOr(watch, err)
 		c.s.log.Warn("An engine did not answer.", "id", c.req.ID, "upstream", name, "segments", c.req.Segments.String(), "status", ans.Status, "fault", ans.Fault, "err", err)
-		es.failUnless(errors.Is(err, errEvacuated), ans.Fault)
+		es.failUnless(takesNothingNew(err), ans.Fault)
 		return nil, ans, err
 	}
 	es.exchange, es.splitter.anything = x, ans.Status >= fasthttp.StatusMultipleChoices
--- a/internal/gateway/entry/evacuation.go
+++ b/internal/gateway/entry/evacuation.go
@@ -10,6 +10,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/evacuation"
 	"github.com/dogwoodmill/dogwoodmill/internal/gateway/route"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/sends"
+	"github.com/dogwoodmill/dogwoodmill/internal/peer/tunnel"
 	"github.com/dogwoodmill/dogwoodmill/platform"
 )
 
@@ -17,7 +18,10 @@
 // an evacuation or its home regions.
 const noUpstreamRetryAfter = time.Second
 
-var errEvacuated = errors.New("the failure domain is evacuated")
+var (
+	errEvacuated = errors.New("the failure domain is evacuated")
+	errLeaves    = errors.New("the upstream leaves")
+)
 
 // decodeEvacuations returns the evacuations among records of the configuration's topic.
 func decodeEvacuations(records []platform.Keyed) []evacuation.Record {
@@ -183,18 +187,46 @@
 	return s.reach.Dial(ctx, address)
 }
 
+// upstreamKey is the key of the id of the upstream that a request is sent to.
+type upstreamKey struct{}
+
+// withUpstream returns a context for connections to the upstream with the id.
+func withUpstream(ctx context.Context, id string) context.Context {
+	return context.WithValue(ctx, upstreamKey{}, id)
+}
+
+// refusesWork returns why nothing new goes to an upstream, or nil.
+func (s *Server) refusesWork(ctx context.Context, address string) error {
+	if s.sched.Evacuated(address) {
+		return errEvacuated
+	}
+	if id, ok := ctx.Value(upstreamKey{}).(string); ok && s.sched.Leaves(id) {
+		return errLeaves
+	}
+	return nil
+}
+
+// takesNothingNew reports whether err is for an upstream that gets nothing new. It says nothing about how
+// the upstream does.
+func takesNothingNew(err error) bool {
+	return errors.Is(err, errEvacuated) || errors.Is(err, errLeaves)
+}
+
 // dialForWork connects to an upstream to send it something new. The upstream may have been evacuated
-// since it was chosen.
+// since it was chosen, or have said that it leaves, also while the connection was made.
 func (s *Server) dialForWork(ctx context.Context, address string) (net.Conn, error) {
-	if s.sched.Evacuated(address) {
-		return nil, fail("connect", KindUnsent, errEvacuated)
+	if err := s.refusesWork(ctx, address); err != nil {
+		return nil, fail("connect", KindUnsent, err)
+	}
+	conn, err := s.dialUpstream(tunnel.ForWork(ctx), address)
+	if err != nil {
+		return nil, err
 	}
-	conn, err := s.dialUpstream(ctx, address)
-	if err == nil && s.sched.Evacuated(address) {
+	if err := s.refusesWork(ctx, address); err != nil {
 		_ = conn.Close() // unused
-		return nil, fail("connect", KindUnsent, errEvacuated)
+		return nil, fail("connect", KindUnsent, err)
 	}
-	return conn, err
+	return conn, nil
 }
 
 // needsEvacuated reports whether an engine of the request is evacuated.
--- a/internal/gateway/entry/lease.go
+++ b/internal/gateway/entry/lease.go
@@ -55,7 +55,7 @@
 		close(l.done)
 		l.reservations = nil
 		for i, r := range reservations {
-			if !errors.Is(errs[i], errEvacuated) { // that engine got nothing, and gets nothing new
+			if !takesNothingNew(errs[i]) { // that engine got nothing, and gets nothing new
 				l.reservations = append(l.reservations, r)
 			}
 		}
--- a/internal/gateway/entry/plain.go
+++ b/internal/gateway/entry/plain.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -212,7 +211,7 @@
 		return plain.Untimed // an error is faster than an answer, a detour slower than the server
 	case err == nil:
 		return plain.Answered
-	case errors.Is(err, errEvacuated):
+	case takesNothingNew(err):
 		return plain.CallerLeft // it says nothing about the server
 	case c.callerGone.Load() || watch.Aborted():
 		return plain.CallerLeft
--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -581,6 +581,21 @@
 	return s.dir.Services()
 }
 
+// Takes reports whether an upstream at an address does not leave.
+func (s *scheduler) Takes(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dir.Takes(address)
+}
+
+// Leaves reports whether the upstream with the id leaves or is gone.
+func (s *scheduler) Leaves(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u, ok := s.dir.Get(id)
+	return !ok || u.Leaving
+}
+
 // UpstreamDomain returns the failure domain of the upstream at an address, and whether there is one.
 func (s *scheduler) UpstreamDomain(address string) (string, bool) {
 	s.mu.Lock()
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -178,7 +178,7 @@
 	s.engines = platform.NewEngines(s.upstreams)
 	s.work = netio.New(s.dialForWork, nil)
 	s.workEngines = platform.NewEngines(s.work)
-	s.tunnels = tunnel.NewServer(tunnel.Settings{Network: s.direct, Known: s.tunnelsTo, Most: maxTunnels, Log: s.log.WithPrefix("tunnel")})
+	s.tunnels = tunnel.NewServer(tunnel.Settings{Network: s.direct, Known: s.tunnelsTo, TakesWork: s.tunnelsWorkTo, Most: maxTunnels, Log: s.log.WithPrefix("tunnel")})
 	s.sched.regions = s.cfg.Regions
 	s.sched.unreachable, s.sched.queryPace = s.reach.IsUnreachable, s.queryPace
 	s.quarantine = quarantine.New(quarantine.Settings{
--- a/internal/gateway/follow/latest_test.go
+++ b/internal/gateway/follow/latest_test.go
@@ -140,55 +140,61 @@
 	})
 }
 
+// history returns the records between two offsets that are kept, with an error if some are not.
+func (s *fakeStore) history(_ context.Context, _ string, from, until uint64) ([]platform.Keyed, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if from < s.first {
+		return s.records[s.first:until], errDown
+	}
+	return s.records[from:until], nil
+}
+
+// putNumbers adds records of a key. An empty value deletes it.
+func (s *fakeStore) putNumbers(key string, list ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, value := range list {
+		s.records = append(s.records, number(key, value, uint64(len(s.records))))
+	}
+}
+
+func newOrdered(t *testing.T, s *fakeStore) *Follower {
+	t.Helper()
+	f := New(Settings{Topic: "t", Wait: time.Second}, Seams{
+		Newest: s.newestOfKeys, Read: s.read, Apply: s.apply, Outdated: numberOutdated, History: s.history,
+	}, log.New(io.Discard))
+	t.Cleanup(f.Close)
+	return f
+}
+
 // An entry that starts, or that missed records, reads the newest of each key, which may be one that the
 // store carried out late. It took that one for the last word.
 func TestHistoryShowsALateWrite(t *testing.T) {
 	for name, missed := range map[string]bool{"at the start": false, "after missed records": true} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				s := &fakeStore{}
-				put := func(key string, list ...string) {
-					s.set(func() {
-						for _, value := range list {
-							s.records = append(s.records, number(key, value, uint64(len(s.records))))
-						}
-					})
-				}
-				put("old", "1")
-				start := func() *Follower {
-					f := New(Settings{Topic: "t", Wait: time.Second}, Seams{
-						Newest: s.newestOfKeys, Read: s.read, Apply: s.apply, Outdated: numberOutdated,
-						History: func(_ context.Context, _ string, from, until uint64) ([]platform.Keyed, error) {
-							s.mu.Lock()
-							defer s.mu.Unlock()
-							if from < s.first {
-								return s.records[s.first:until], errDown // the oldest are gone
-							}
-							return s.records[from:until], nil
-						},
-					}, log.New(io.Discard))
-					t.Cleanup(f.Close)
-					return f
-				}
-				var f *Follower
-				if missed {
-					f = start()
-					time.Sleep(time.Second)
-					s.set(func() { s.down = true })
-					time.Sleep(10 * time.Second)
-				}
-				put("a", "4", "6", "5")
-				put("gone", "6", "", "5")
-				put("b", "1", "2")
-				s.set(func() { s.down, s.first = false, 2 })
-				if !missed {
-					f = start()
-				}
-				time.Sleep(2 * time.Second)
-				records, _ := f.Newest()
-				is.Equal(values(records), []string{"a=6", "b=2", "old=1"})
-			})
-		})
+		t.Run(name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { playHistory(t, missed) }) })
+	}
+}
+
+func playHistory(t *testing.T, missed bool) {
+	t.Helper()
+	s := &fakeStore{}
+	s.putNumbers("old", "1")
+	var f *Follower
+	if missed {
+		f = newOrdered(t, s)
+		time.Sleep(time.Second)
+		s.set(func() { s.down = true })
+		time.Sleep(10 * time.Second)
+	}
+	s.putNumbers("a", "4", "6", "5")
+	s.putNumbers("gone", "6", "", "5")
+	s.putNumbers("b", "1", "2")
+	s.set(func() { s.down, s.first = false, 2 })
+	if !missed {
+		f = newOrdered(t, s)
 	}
+	time.Sleep(2 * time.Second)
+	records, _ := f.Newest()
+	is.New(t).Equal(values(records), []string{"a=6", "b=2", "old=1"})
 }
--- a/internal/peer/tunnel/tunnel.go
+++ b/internal/peer/tunnel/tunnel.go
@@ -31,14 +31,19 @@
 	// opened the tunnel has shorter limits, unless its VM is lost.
 	idleTimeout = time.Minute
 	bufferBytes = 8 << 10
+	// argWork is the query argument of a tunnel that is for something new.
+	argWork = "work"
 )
 
 // Settings are the settings and dependencies of a Server.
 type Settings struct {
 	Network *netio.Network            // to upstreams, without tunnels; dials must have a time limit
 	Known   func(address string) bool // whether tunnels may lead to the address
-	Most    int                       // open tunnels
-	Log     *log.Logger
+	// TakesWork reports whether a tunnel that was asked for with ForWork may lead to the address. If
+	// it is nil, Known decides.
+	TakesWork func(address string) bool
+	Most      int // open tunnels
+	Log       *log.Logger
 }
 
 // Server opens tunnels for other entries. It is safe for concurrent use.
@@ -80,14 +85,19 @@
 // Serve serves a request for a tunnel.
 func (s *Server) Serve(ctx *fasthttp.RequestCtx) {
 	address := strings.TrimPrefix(string(ctx.Path()), Path)
+	work := ctx.QueryArgs().Has(argWork)
 	ctx.HijackSetNoResponse(true) // the head of the response depends on the dial
-	ctx.Hijack(func(c net.Conn) { s.serve(c, address) })
+	ctx.Hijack(func(c net.Conn) { s.serve(c, address, work) })
 }
 
 // serve connects to the upstream and copies until either side ends.
-func (s *Server) serve(c net.Conn, address string) {
-	if !s.cfg.Known(address) {
-		s.reject(c, fasthttp.StatusNotFound, address, "not an upstream, or stopping")
+func (s *Server) serve(c net.Conn, address string, work bool) {
+	allowed := s.cfg.Known
+	if work && s.cfg.TakesWork != nil {
+		allowed = s.cfg.TakesWork
+	}
+	if !allowed(address) {
+		s.reject(c, fasthttp.StatusNotFound, address, "takes nothing more, no upstream, or stopping")
 		return
 	}
 	upstream, err := s.cfg.Network.Dial(context.Background(), address)
@@ -192,6 +202,13 @@
 // it, or the other entry, has not.
 func (c *conn) Read(p []byte) (int, error) { return c.answer.Read(p) }
 
+// workKey is the key of ForWork.
+type workKey struct{}
+
+// ForWork returns a context for tunnels to send an upstream something new, which one that leaves does not
+// take.
+func ForWork(ctx context.Context) context.Context { return context.WithValue(ctx, workKey{}, true) }
+
 // Dial connects to the upstream at an address through another entry, until ctx ends. Nothing has been
 // sent to the upstream if it fails.
 func Dial(ctx context.Context, network *netio.Network, entry, address string) (net.Conn, error) {
@@ -201,7 +218,11 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // unblocks open
 	br := bufio.NewReaderSize(c, bufferBytes)
-	err = open(c, br, entry, address)
+	uri := Path + address
+	if ctx.Value(workKey{}) != nil {
+		uri += "?" + argWork // earlier versions ignore it
+	}
+	err = open(c, br, entry, uri)
 	if !stop() && err == nil {
 		err = fail("open", KindUnreachable, ctx.Err())
 	}
@@ -213,10 +234,10 @@
 }
 
 // open sends the request for the tunnel and reads the head of the response.
-func open(c net.Conn, br *bufio.Reader, entry, address string) error {
+func open(c net.Conn, br *bufio.Reader, entry, uri string) error {
 	var req fasthttp.Request
 	req.Header.SetHost(entry)
-	req.Header.SetRequestURI(Path + address)
+	req.Header.SetRequestURI(uri)
 	bw := bufio.NewWriter(c)
 	if err := errors.Join(req.Write(bw), bw.Flush()); err != nil {
 		return fail("open", KindUnreachable, err)
