--- a/internal/gateway/entry/entry_test.go
+++ b/internal/gateway/entry/entry_test.go
@@ -828,6 +828,14 @@
 	}
 }
 
+// newServer starts a server that the store does not list.
+func (env *testEnv) newServer(instance string) *server.Server {
+	env.t.Helper()
+	s := server.New(listen(env.t), instance, testEvents)
+	env.t.Cleanup(s.Close)
+	return s
+}
+
 // putHeartbeat writes the record of a server that started at born with a sequence number.
 func (env *testEnv) putHeartbeat(s *server.Server, state string, born, sequence int) {
 	env.store.Put("keyed.servers", s.Instance(), fmt.Appendf(nil,
@@ -879,9 +887,7 @@
 			is := is.New(t)
 			env := newTestEnv(t)
 			env.configure()
-			stays := env.serve("desk", "i-stays")
-			s := server.New(listen(t), "i-leaves", testEvents)
-			t.Cleanup(s.Close)
+			stays, s := env.serve("desk", "i-stays"), env.newServer("i-leaves")
 			env.putHeartbeat(s, "ready", 1, 5)
 			env.await(func() bool { return env.known("desk", s.Instance()) })
 			play(env, s, func() { env.putHeartbeat(s, "ready", 1, 8) })
@@ -910,9 +916,7 @@
 	is := is.New(t)
 	env := newTestEnv(t)
 	env.configure()
-	stays := env.serve("desk", "i-stays")
-	s := server.New(listen(t), "i-leaves", testEvents)
-	t.Cleanup(s.Close)
+	stays, s := env.serve("desk", "i-stays"), env.newServer("i-leaves")
 	env.putHeartbeat(s, "ready", 1, 7)
 	env.store.Expire("keyed.servers", 2) // only the newest of these is kept
 	env.putHeartbeat(s, "draining", 1, 9)
--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -161,6 +161,13 @@
 	})
 }
 
+// sendHints sends hints of an offset, as an entry that leads does, for a time.
+func sendHints(f *Follower, offset int, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
+		f.Hint("other", at(0, offset))
+	}
+}
+
 // An entry that gets hints reads the store only for a new hint and once every
 // minSafetyPollInterval.
 func TestFollowerReadsOnHint(t *testing.T) {
@@ -169,14 +176,9 @@
 		s := &fakeStore{}
 		s.put("a")
 		f := newFollower(t, s, false)
-		hint := func(offset int, d time.Duration) {
-			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
-				f.Hint("other", at(0, offset))
-			}
-		}
-		hint(1, 2*time.Second)
+		sendHints(f, 1, 2*time.Second)
 		before := s.callCount()
-		hint(1, 20*time.Second)
+		sendHints(f, 1, 20*time.Second)
 		is.True(s.callCount()-before <= int(20*time.Second/minSafetyPollInterval))
 		s.put("b")
 		f.Hint("other", at(0, 2))
@@ -280,19 +282,14 @@
 			},
 		}, log.New(io.Discard))
 		defer f.Close()
-		hint := func(offset int, d time.Duration) {
-			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
-				f.Hint("other", at(0, offset))
-			}
-		}
-		hint(1, 3*time.Second)
+		sendHints(f, 1, 3*time.Second)
 		time.Sleep(maxHintGap + 300*time.Millisecond)
-		hint(1, 3*time.Second)
+		sendHints(f, 1, 3*time.Second)
 		s.set(func() { s.down = true }) // for this entry
 		s.put("b")
-		hint(2, time.Second)
+		sendHints(f, 2, time.Second)
 		s.set(func() { s.down = false })
-		hint(2, 3*time.Second)
+		sendHints(f, 2, 3*time.Second)
 		is.Equal(s.lastKey(), "b")
 		mu.Lock()
 		defer mu.Unlock()
@@ -318,15 +315,10 @@
 			},
 		}, log.New(io.Discard))
 		defer f.Close()
-		hint := func(offset int, d time.Duration) {
-			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
-				f.Hint("other", at(0, offset))
-			}
-		}
-		hint(1, 3*time.Second)
+		sendHints(f, 1, 3*time.Second)
 		s.put("b")
 		s.set(func() { s.down = true })
-		hint(2, answerTimeout)
+		sendHints(f, 2, answerTimeout)
 		time.Sleep(2 * maxHintGap)
 		select {
 		case <-unreachable:
