Let no poll put off the polls of all other entries

Cause: where all entries that read the store for the others are cut off from it, the others poll 2.6 s after the last hint, all at once, and what the first one reads is announced for 2.6 s, which puts off all polls.

Change: an entry that does not read for the others announces a poll for 0.6 s, and the time without hints after which it polls is drawn from 1 s on, with the same mean.

Measured: TestConfigurationIsKnownInTimeWithoutLeaders failed before, with the announcements of before.

--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -48,6 +48,9 @@
 	// storeAnswerTimeout is the time within which a working store answers a read of some topic: the
 	// shortest wait, and a margin for a slow store.
 	storeAnswerTimeout = serversWait + 600*time.Millisecond
+	// pollAnnounceTime is how long an entry that does not read for others announces what its poll
+	// read. Others put off their polls meanwhile, so it is two messages long.
+	pollAnnounceTime = 600 * time.Millisecond
 	// storeReaders is how many entries read the store with long waits; the others read when those
 	// announce new offsets. Calls are priced, and one of four entries nearly always reaches the
 	// store.
@@ -297,7 +300,11 @@
 			answered = at
 		}
 	}
-	if time.Since(answered) > storeAnswerTimeout {
+	limit := storeAnswerTimeout
+	if !s.readsStore() {
+		limit = pollAnnounceTime
+	}
+	if time.Since(answered) > limit {
 		return nil
 	}
 	return out
--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -311,12 +311,20 @@
 	return f.seams.Entries()
 }
 
+// spreadPoll returns a poll interval between minPollInterval and what makes its mean the given one, for
+// a spread from 0 to 1. Of many entries that hear of nobody, the first one polls soon, and announces
+// what it reads to the others.
+func spreadPoll(mean time.Duration, spread float64) time.Duration {
+	return minPollInterval + time.Duration(2*spread*float64(mean-minPollInterval))
+}
+
 // awaitRead blocks an entry that does not lead until a hint or a timeout calls for a read. After a
 // failed call the store counts as away until it answers, so hints don't put off the next poll.
 func (f *Follower) awaitRead(ctx context.Context, p *progress) {
+	spread := rand.Float64()
 	for ctx.Err() == nil && !f.seams.Leads() {
 		f.mu.Lock()
-		poll := f.pollInterval()
+		poll := spreadPoll(f.pollInterval(), spread)
 		polls := p.failing || time.Since(f.lastHint) >= poll
 		due := f.hint.After(p.next) || polls && time.Since(p.lastCall) >= poll || time.Since(p.lastCall) > f.safetyPollInterval()
 		f.mu.Unlock()
--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -558,7 +558,11 @@
 		f := New(Settings{Topic: "t", Wait: 2 * time.Second}, Seams{
 			Newest: s.newest, Read: s.read, Apply: applied.apply, Leads: func() bool { return leads(i) }, Entries: func() int { return entries },
 			Ask: func(_ context.Context, entry, _ string) ([]platform.Keyed, platform.Position, error) {
-				list, next := fleet[entry[0]-'a'].Newest()
+				i, err := strconv.Atoi(entry)
+				if err != nil {
+					return nil, platform.Position{}, err
+				}
+				list, next := fleet[i].Newest()
 				return list, next, nil
 			},
 		}, log.New(io.Discard))
@@ -574,19 +578,31 @@
 				return
 			case <-time.After(300 * time.Millisecond):
 			}
-			for i := range fleet {
-				p, healthy := fleet[i].Position()
-				for j := range fleet {
-					if healthy && time.Since(fleet[i].Answered()) < answerTimeout && j != i {
-						fleet[j].Hint(string(rune('a'+i)), p)
-					}
-				}
-			}
+			announce(fleet, leads)
 		}
 	}()
 	return fleet
 }
 
+// announce sends the hints of the followers that the store has answered lately.
+func announce(fleet []member, leads func(i int) bool) {
+	for i := range fleet {
+		p, healthy := fleet[i].Position()
+		limit := answerTimeout
+		if !leads(i) {
+			limit = pollAnnounceTime
+		}
+		if !healthy || time.Since(fleet[i].Answered()) >= limit {
+			continue
+		}
+		for j := range fleet {
+			if j != i {
+				fleet[j].Hint(strconv.Itoa(i), p)
+			}
+		}
+	}
+}
+
 // config returns the value of "config" that was delivered last.
 func (m member) config() string {
 	m.applied.mu.Lock()
@@ -628,6 +644,34 @@
 	})
 }
 
+// All entries that lead were cut off from the store. The others polled together, 2.6 s after the last hint,
+// and took what the first one announced for 2.6 s for hints of entries that lead: a configuration was
+// known only 4.6 s after the store had it, and 3 s are allowed.
+func TestConfigurationIsKnownInTimeWithoutLeaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const allowed = 3 * time.Second
+		s := &fakeStore{}
+		s.putConfig("0")
+		fleet := newFleet(t, s, 65, func(int) bool { return false })
+		time.Sleep(10 * time.Second)
+		before, start := s.callCount(), time.Now()
+		for i := range 20 {
+			want := strconv.Itoa(i + 1)
+			s.putConfig(want)
+			time.Sleep(allowed)
+			for j, m := range fleet {
+				if got := m.config(); got != want {
+					t.Fatalf("entry %d has %q, want %q", j, got, want)
+				}
+			}
+			time.Sleep(time.Duration(i) * 137 * time.Millisecond) // another moment of the polls
+		}
+		if calls := s.callCount() - before; calls > int(time.Since(start)/pollIntervalPerEntry) {
+			t.Errorf("%d calls in %v", calls, time.Since(start))
+		}
+	})
+}
+
 // A restored store had given out an entry's offsets again, and more, before the entry read on: it
 // never got the records that took the place of the lost ones.
 func TestReusedOffsetsAreNotSkipped(t *testing.T) {
@@ -658,8 +702,10 @@
 	propagation = 2 * time.Second
 	// restoreTime is the least time for which the store is away when it is restored.
 	restoreTime = 20 * time.Millisecond
-	// answerTimeout is how long after the store's last answer a follower sends hints.
-	answerTimeout = 2600 * time.Millisecond
+	// answerTimeout is how long after the store's last answer a follower that leads sends hints, and
+	// pollAnnounceTime how long another one does.
+	answerTimeout    = 2600 * time.Millisecond
+	pollAnnounceTime = 600 * time.Millisecond
 )
 
 // restoreStep is a step of TestRapidRestores: what happens, and the time until the next one.
