--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -239,16 +239,11 @@
 				},
 			}, log.New(io.Discard))
 			defer f.Close()
-			hint := func(d time.Duration) {
-				for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
-					f.Hint("other", at(0, 1))
-				}
-			}
-			hint(3 * time.Second)
+			sendHints(f, 1, 3*time.Second)
 			start := time.Now()
 			s.set(func() { s.down = true })
 			time.AfterFunc(c.down, func() { s.set(func() { s.down = false }) })
-			hint(c.hinted)
+			sendHints(f, 1, c.hinted)
 			time.Sleep(c.down + time.Second - time.Since(start))
 			mu.Lock()
 			defer mu.Unlock()
