Take an answer with a blank in the name of a field for none

Callers: a server in trouble sent a head in which the name of a field held a blank. Callers got the line as it came (X Bad: v), or without its blank (X-Bad : v); a line with a blank in front became a part of the value of the field before it, of the server's seal, too (seal-i-1 X-Bad: v). Where the field was the framing (Transfer Encoding: chunked), its chunks were passed on as the body.

Cause: the HTTP library tolerates blanks within a name, takes those before the colon away and joins folded lines; nothing checked the names. net/http tolerates the first two as well, so the calls between entries share it: a length that is not used lets a message end early, and the rest of it decodes.

Ruled out: control bytes in names, names without characters and lines without a colon were refused before; the tests keep them. Nothing of trailers reaches callers (TestTrailersAreDropped, passes before and after).

Change: the reader of heads checks each byte of a name against RFC 9110, in interim heads, too. A folded line is no answer either: RFC 9112, 5.2 forbids servers to send it and lets a gateway refuse it, and an entry can't tell it from a field whose name has a blank in front.

--- a/internal/base/http1/errors.go
+++ b/internal/base/http1/errors.go
@@ -9,8 +9,12 @@
 // Kind classifies the errors of this package.
 type Kind string
 
-// KindStatus means that a response has no valid status.
-const KindStatus Kind = "invalid status"
+const (
+	// KindStatus means that a response has no valid status.
+	KindStatus Kind = "invalid status"
+	// KindField means that the name of a header field is not valid.
+	KindField Kind = "invalid field name"
+)
 
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
--- a/internal/base/http1/http1.go
+++ b/internal/base/http1/http1.go
@@ -7,11 +7,15 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"strings"
 )
 
 const (
 	// maxStatusBytes is how much of a status line is kept for its check. The status is at its start.
 	maxStatusBytes = 64
+	// maxNameBytes is how much of a field's name is kept for the error.
+	maxNameBytes = 64
 
 	minFinalStatus     = 200
 	maxStatus          = 599
@@ -23,7 +27,8 @@
 
 const (
 	partStatusLine part = iota
-	partFields
+	partName            // of a field, or the empty line that ends the head
+	partValue           // of a field, to the end of its line
 	partBody
 )
 
@@ -33,8 +38,9 @@
 	r     io.Reader
 	part  part
 	line  []byte // the start of the status line
+	name  []byte // the start of a field's name
+	cr    bool   // the line began with a CR
 	final bool   // no other head follows this one
-	blank bool   // the line has nothing so far but perhaps its CR
 	err   error
 }
 
@@ -58,22 +64,71 @@
 
 // check takes the next byte of a head.
 func (r *Reader) check(c byte) error {
-	if r.part == partStatusLine {
+	switch r.part {
+	case partStatusLine:
 		return r.checkStatusLine(c)
+	case partName:
+		return r.checkName(c)
+	case partValue:
+		if c == '\n' {
+			r.beginLine()
+		}
 	}
+	return nil
+}
+
+// beginLine expects a field, or the end of the head.
+func (r *Reader) beginLine() {
+	r.part, r.name, r.cr = partName, r.name[:0], false
+}
+
+// checkName takes the next byte of a field's name, or of the line that ends the head. A line that begins
+// with a blank is no name either: servers must not fold fields (RFC 9112, 5.2), and a field whose name has a
+// blank in front would become a part of the value of the one before.
+func (r *Reader) checkName(c byte) error {
 	switch {
-	case c == '\n' && !r.blank:
-		r.blank = true
-	case c == '\n' && r.final:
-		r.part = partBody
-	case c == '\n':
+	case c == '\n' && len(r.name) == 0:
 		r.part = partStatusLine
-	case c != '\r':
-		r.blank = false
+		if r.final {
+			r.part = partBody
+		}
+	case c == '\r' && len(r.name) == 0 && !r.cr:
+		r.cr = true
+	case c == ':' && len(r.name) > 0:
+		r.part = partValue
+	case r.cr || !isTokenByte(c):
+		return fail(KindField, fmt.Errorf("byte %q after %q", c, r.name))
+	case len(r.name) < maxNameBytes:
+		r.name = append(r.name, c)
+	}
+	return nil
+}
+
+// isTokenByte reports whether names of fields may have the byte (RFC 9110, 5.6.2).
+func isTokenByte(c byte) bool {
+	return '0' <= c && c <= '9' || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
+}
+
+// CheckHeader returns an error of KindField if a name in a header is not valid. net/http keeps names
+// with blanks as they came.
+func CheckHeader(h http.Header) error {
+	for name := range h {
+		if !isToken(name) {
+			return fail(KindField, fmt.Errorf("name %q", name))
+		}
 	}
 	return nil
 }
 
+func isToken(name string) bool {
+	for i := range len(name) {
+		if !isTokenByte(name[i]) {
+			return false
+		}
+	}
+	return name != ""
+}
+
 // checkStatusLine takes the next byte of a status line, which empty lines may precede.
 func (r *Reader) checkStatusLine(c byte) error {
 	if c != '\n' {
@@ -91,7 +146,8 @@
 	if !ok {
 		return fail(KindStatus, fmt.Errorf("%q", line))
 	}
-	r.part, r.final, r.blank = partFields, status >= minFinalStatus, true
+	r.final = status >= minFinalStatus
+	r.beginLine()
 	return nil
 }
 
--- a/internal/base/http1/http1_test.go
+++ b/internal/base/http1/http1_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -60,3 +61,23 @@
 	}
 	is.NoErr(c.Close())
 }
+
+// A head may have bare LF line ends, as the library takes them. Its fields are checked all the same.
+func TestBareLineFeeds(t *testing.T) {
+	is := is.New(t)
+	const sound = "HTTP/1.1 200 OK\nX-A: b\n\nX Bad: v\n"
+	b, err := read(t, sound)
+	is.NoErr(err)
+	is.Equal(b, sound)
+	_, err = read(t, "HTTP/1.1 200 OK\nX Bad: v\n\n")
+	is.True(fault.Is(err, http1.KindField))
+}
+
+// net/http leaves names with blanks in a header.
+func TestCheckHeader(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(http1.CheckHeader(http.Header{"X-Good": {"v"}, "Content-Length": {"5"}}))
+	for _, name := range []string{"X Bad", "X-Bad ", ""} {
+		is.True(fault.Is(http1.CheckHeader(http.Header{"X-Good": {"v"}, name: {"v"}}), http1.KindField))
+	}
+}
--- a/internal/base/rest/broken_test.go
+++ b/internal/base/rest/broken_test.go
@@ -34,3 +34,11 @@
 		is.True(fault.Is(call(t, "HTTP/1.1 "+status+after), rest.KindNoAnswer))
 	}
 }
+
+// An answer with a blank in the name of a field passed for sound.
+func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
+	is := is.New(t)
+	for _, field := range []string{"X Bad: v", "X-Bad : v", " X-Bad: v", "X\x01Bad: v"} {
+		is.True(fault.Is(call(t, "HTTP/1.1 200 OK\r\nX-A: b\r\n"+field+"\r\nContent-Length: 13\r\n\r\n{\"A\":2,\"B\":1}"), rest.KindNoAnswer))
+	}
+}
--- a/internal/gateway/entry/broken_test.go
+++ b/internal/gateway/entry/broken_test.go
@@ -84,3 +84,32 @@
 		})
 	}
 }
+
+// A server sends a head in which the name of a field holds a blank or a control byte. Callers got the
+// line, or the framing of the body as a part of it.
+func TestInvalidFieldNameReachesNoCaller(t *testing.T) {
+	const body = "Content-Length: 16\r\n\r\nid: 1\ndata: xx\n\n"
+	for name, rest := range map[string]string{
+		"blank within": "X Bad: v\r\n" + body, "blank at the end": "X-Bad : v\r\n" + body, "blank before": " X-Bad: v\r\n" + body, "control byte": "X\x01Bad: v\r\n" + body,
+		"framing": "Transfer Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: xx\n\n\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			requireNoAnswer(t, "HTTP/1.1 200 OK\r\nHEADER"+rest)
+		})
+	}
+}
+
+// Callers get nothing of a trailer, whatever is in it.
+func TestTrailersAreDropped(t *testing.T) {
+	for _, field := range []string{"X-Good: v", "X Bad: v", "X-Bad : v", "X-Response-Seal: another"} {
+		is := is.New(t)
+		env := newTestEnv(t)
+		env.configure()
+		a := env.serve("desk", "i-1", server.Raw)
+		a.SetRaw(raw("HTTP/1.1 200 OK\r\nHEADERTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" + field + "\r\n\r\n"))
+		r := env.do(env.request(http.MethodPost, "/once/"))
+		is.Equal(r.body, "whole")
+		is.Equal(r.header.Get("X-Response-Seal"), "seal-i-1")
+		is.Equal(len(r.header.Values("X-Good"))+len(r.header.Values("X Bad"))+len(r.header.Values("X-Bad")), 0)
+	}
+}
--- a/internal/peer/link/broken_test.go
+++ b/internal/peer/link/broken_test.go
@@ -33,3 +33,13 @@
 		is.True(err != nil)
 	}
 }
+
+// An answer of another entry with a blank in the name of a field passed for sound. The field may be the
+// length of a message that decodes also where a part of it is missing.
+func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
+	is := is.New(t)
+	for _, field := range []string{"X Bad: v", "X-Bad : v", "X\x01Bad: v", "Content-Length : 100"} {
+		_, err := exchange(t, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n"+field+"\r\n\r\n")
+		is.True(err != nil)
+	}
+}
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -21,6 +21,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/http1"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 )
 
@@ -119,6 +120,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := http1.CheckHeader(res.Header); err != nil {
+		return nil, errors.Join(err, res.Body.Close())
+	}
 	res.Body = &countingBody{ReadCloser: res.Body, count: &l.counters.received}
 	l.counters.received.Add(answerHeadBytes)
 	return res, nil
--- a/internal/peer/tunnel/tunnel_test.go
+++ b/internal/peer/tunnel/tunnel_test.go
@@ -124,3 +124,15 @@
 		is.NoErr(s.Close())
 	}
 }
+
+// Another entry sends a head with a blank in the name of a field, which may be the framing.
+func TestInvalidFieldNameOpensNoTunnel(t *testing.T) {
+	is := is.New(t)
+	for _, field := range []string{"X Bad: v", "X-Bad : v", " X-Bad: v", "X\x01Bad: v"} {
+		s, err := rawserver.Start(rawserver.Answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + field + "\r\n\r\n5\r\nbytes\r\n0\r\n\r\n"))
+		is.NoErr(err)
+		_, err = Dial(t.Context(), netio.TCP(), s.Addr(), "127.0.0.1:1")
+		is.True(fault.Is(err, KindUnreachable))
+		is.NoErr(s.Close())
+	}
+}
--- a/internal/upstream/httpconn/broken_test.go
+++ b/internal/upstream/httpconn/broken_test.go
@@ -64,3 +64,42 @@
 		}
 	}
 }
+
+// invalidFields are header fields whose name holds what no name may.
+var invalidFields = []string{
+	"X Bad: v", "X-Bad : v", " X-Bad: v", "\tX-Bad: v", "X\tBad: v", "X-Bad\t: v", "X\x00Bad: v", "X-Bad\x01: v", "X\x7fBad: v", "X\rBad: v", "\rX-Bad: v", "X\x0bBad: v",
+	": v", " : v", "X-Bad", "X\xe4: v", "Content Length: 5", "Content-Length : 5", " Content-Length: 5",
+	"Transfer Encoding: chunked", "Transfer-Encoding : chunked", " Transfer-Encoding: chunked", "X-Response-Seal : s",
+}
+
+// A name with a blank or a control byte was passed on, or its field was not used, so that the framing of
+// a body was taken for the body. An answer with such a head must be none, wherever the field stands.
+func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for _, field := range invalidFields {
+		for name, answer := range map[string]string{
+			"only":    ok + field + "\r\n\r\nwrong",
+			"first":   ok + field + "\r\nX-A: b\r\n\r\nwrong",
+			"last":    ok + "X-A: b\r\n" + field + "\r\n\r\nwrong",
+			"between": ok + "Content-Length: 5\r\n" + field + "\r\nX-A: b\r\n\r\nwrong",
+			"chunked": ok + "Transfer-Encoding: chunked\r\n" + field + "\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
+			"interim": "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n" + field + "\r\n\r\n" + ok + "Content-Length: 5\r\n\r\nwrong",
+			"bare LF": ok + "X-A: b\n" + field + "\n\r\nwrong\r\n\r\n",
+		} {
+			if status, body, err := ask(t, answer); !fault.Is(err, httpconn.KindNoAnswer) {
+				t.Errorf("%s, %q: status %d, body %q, %v", name, field, status, body, err)
+			}
+		}
+	}
+}
+
+// Names of all characters that RFC 9110 allows, and values with blanks and colons, are sound.
+func TestValidFieldsAreAnAnswer(t *testing.T) {
+	is := is.New(t)
+	for _, field := range []string{"X-Good: v", "x!#$%&'*+-.^_`|~09AZaz: v", "X-Good:v", "X-Good:", "X-Good: a b: c\td ", "X-Good: \xe4", "X: "} {
+		status, body, err := ask(t, "HTTP/1.1 200 OK\r\n"+field+"\r\nContent-Length: 5\r\n\r\nwhole")
+		is.NoErr(err)
+		is.Equal(status, 200)
+		is.Equal(body, "whole")
+	}
+}
--- a/internal/upstream/httpconn/conn_test.go
+++ b/internal/upstream/httpconn/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -181,7 +182,8 @@
 }
 
 // FuzzResponse reads arbitrary bytes as a response. It must end, with at most as many bytes as
-// allowed and a status that a final response may have, and a body shorter than declared is an error.
+// allowed, a status that a final response may have and no blank in the name of a field, and a body
+// shorter than declared is an error.
 func FuzzResponse(f *testing.F) {
 	for _, text := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirstHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst",
@@ -190,6 +192,7 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfi", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxy", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "\r\n\r\n", "HTTP/1.1 ",
 		"HTTP/1.1 000 Odd\r\nContent-Length: 5\r\n\r\nfirst", "HTTP/1.1 101 Odd\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX Bad: v\r\n\r\nfirst", "HTTP/1.1 200 OK\r\nX-A: b\r\n X-Bad : v\r\nContent-Length : 5\r\n\r\nfirst",
 	} {
 		f.Add([]byte(text))
 	}
@@ -216,6 +219,11 @@
 		if x.Status() < 200 || x.Status() > 599 {
 			t.Errorf("status %d", x.Status())
 		}
+		for name := range x.Header().All() {
+			if bytes.ContainsAny(name, " \t") {
+				t.Errorf("name %q", name)
+			}
+		}
 		body, err := x.ReadAll(most, time.Now().Add(time.Minute), nil)
 		if declared := x.Header().ContentLength(); err == nil && (len(body) > most || declared >= 0 && declared != len(body)) {
 			t.Errorf("%d bytes of %d declared pass for a whole body", len(body), declared)
