Read a reset as a reset where a write was told of it

Callers: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. Callers got the part as a complete answer, with the server's seal.

Cause: Linux reports the error of a socket to one call only. The entry writes the request and reads the answer at the same time; where the write gets ECONNRESET, the read that follows the part returns io.EOF, as at an end in order. The comment in Exchange said otherwise. Everything shares this that writes to and reads from a dialled connection at once: requests to servers and engines, calls of the store, and the copying of a tunnel, behind which the other entry closed the chunks as complete. A time-out of the connection (ETIMEDOUT) is lost in the same way.

Ruled out: answers with a length or chunks, whose end is told by their framing. base/rest stops at a failed write and reads nothing, and net/http fails a call whose write fails; their tests pass before and after. A server that closes while it has read all that arrived ends its connection in order (FIN): what it sent is whole as far as can be known.

Change: connections that netio dials keep what a write failed with. At io.EOF a read ends a write in progress, waits for it, and returns that failure instead. EPIPE is none: the other end had ended its side before. So an answer that was ended in order stays whole, also if the rest of the upload is refused or never read. It works because the read gets io.EOF only after the write's call has taken the error.

Measured: the tests read a connection only once a write to it has failed, which is the moment, on any machine. All pass now, with TestEarlyAnswerIsWhole, TestAnswerEndsBeforeUpload and TestReadWaitsForFailingWrite, also under the race detector.

--- a/internal/base/netio/netio.go
+++ b/internal/base/netio/netio.go
@@ -21,11 +21,19 @@
 	return &Network{dial: dial, listen: listen}
 }
 
-// TCP returns a network over the TCP stack of the machine, with a dial timeout of one second.
+// TCP returns a network over the TCP stack of the machine, with a dial timeout of one second. A read of a
+// connection that it dialled returns io.EOF only if the other end has closed its side in order, and writes
+// fail after that.
 func TCP() *Network {
 	d := net.Dialer{Timeout: dialTimeout}
 	return New(
-		func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
+		func(ctx context.Context, addr string) (net.Conn, error) {
+			c, err := d.DialContext(ctx, "tcp", addr)
+			if err != nil {
+				return nil, err
+			}
+			return newConn(c), nil
+		},
 		func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) },
 	)
 }
--- a/internal/base/rest/broken_test.go
+++ b/internal/base/rest/broken_test.go
@@ -1,6 +1,7 @@
 package rest_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -42,3 +43,16 @@
 		is.True(fault.Is(call(t, "HTTP/1.1 200 OK\r\nX-A: b\r\n"+field+"\r\nContent-Length: 13\r\n\r\n{\"A\":2,\"B\":1}"), rest.KindNoAnswer))
 	}
 }
+
+// A server answers a long call without a length, sends a whole JSON value and resets the connection
+// while the call is being written. The value may be a part of the answer.
+func TestResetOfCallIsNoAnswer(t *testing.T) {
+	is := is.New(t)
+	s, err := rawserver.Start(rawserver.Reset("HTTP/1.1 200 OK\r\n\r\n{}"))
+	is.NoErr(err)
+	defer func() { _ = s.Close() }()
+	in := strings.Repeat("x", 16<<20) // more than the buffers of a connection take
+	var out pair
+	err = rest.Call(t.Context(), rest.New(netio.TCP(), "http://"+s.Addr(), 10*time.Second), "POST", "/swap", &in, &out)
+	is.True(fault.Is(err, rest.KindNoAnswer))
+}
--- a/internal/gateway/entry/broken_test.go
+++ b/internal/gateway/entry/broken_test.go
@@ -8,7 +8,11 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/ports"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/rawserver"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/server"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/slowread"
 )
 
 // requireNoAnswer checks that callers of an entry get nothing of an answer that servers and engines
@@ -113,3 +117,69 @@
 		is.Equal(len(r.header.Values("X-Good"))+len(r.header.Values("X Bad"))+len(r.header.Values("X-Bad")), 0)
 	}
 }
+
+// A server answers a long upload without a length, sends a part of the body and resets the connection
+// while the upload is being written, directly or through another entry. Callers got the part as a whole
+// answer.
+func TestResetOfUploadReachesNoCaller(t *testing.T) {
+	for _, path := range []string{"/look/", "/once/", "/ask/"} {
+		for name, isDirect := range map[string]bool{"direct": true, "through another entry": false} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				s, err := rawserver.Start(rawserver.Reset("HTTP/1.1 200 OK\r\nX-Attempt-Id: request-1\r\nX-Response-Seal: seal-i-1\r\n\r\nid: 1\ndata: x\n\n"))
+				is.NoErr(err)
+				defer func() { _ = s.Close() }()
+				env := newUploadEnv(t, s.Addr(), isDirect)
+				service := "desk"
+				if path == "/ask/" {
+					service = "engines"
+				}
+				env.register(service, "i-1", s.Addr())
+				r := env.upload(path)
+				for r.status == http.StatusServiceUnavailable { // no other entry is known to reach the server yet
+					r = env.upload(path)
+				}
+				if path == "/ask/" && r.err != nil {
+					return // an event was passed on, and the stream broke off
+				}
+				requireBadGateway(t, r)
+			})
+		}
+	}
+}
+
+// uploadBytes is more than the buffers of a connection to a server take that does not read.
+const uploadBytes = 8 << 20
+
+// newUploadEnv returns an environment that takes long uploads. Its entry reads connections to the server
+// once a write to them has failed, or connects to it through another entry that does so.
+func newUploadEnv(t *testing.T, server string, isDirect bool) *testEnv {
+	t.Helper()
+	env := newTestEnv(t)
+	_ = env.entry.Shutdown(cancelledContext())
+	network := slowread.Network(netio.TCP(), func(addr string) bool { return addr == server })
+	if !isDirect {
+		startEntryOn(t, "vm-2", "b", env.store.Addr(), ports.Free(t, 1)[0], network)
+		cut := &cutNetwork{servers: map[string]bool{server: true}, kind: cutRefuse}
+		network = cut.network()
+	}
+	env.entry = startEntryOn(t, "vm-1", "a", env.store.Addr(), env.entry.cfg.PeerPort, network)
+	env.config["limits"] = map[string]any{"max_header_bytes": 16384, "max_body_bytes": uploadBytes}
+	env.configure()
+	if !isDirect {
+		env.await(func() bool {
+			staying, _ := env.entry.exchange.Staying()
+			return staying
+		})
+	}
+	return env
+}
+
+// upload sends a request with a long body.
+func (env *testEnv) upload(path string) reply {
+	env.t.Helper()
+	req := env.request(http.MethodPost, path)
+	req.Body, req.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", uploadBytes))), uploadBytes
+	return env.do(req)
+}
--- a/internal/peer/link/broken_test.go
+++ b/internal/peer/link/broken_test.go
@@ -1,6 +1,7 @@
 package link_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -9,6 +10,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/link"
 	"github.com/dogwoodmill/dogwoodmill/internal/peer/memberwire"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/rawserver"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/slowread"
 )
 
 // exchange calls an entry that sends the answer.
@@ -43,3 +45,19 @@
 		is.True(err != nil)
 	}
 }
+
+// Another entry resets the connection while a long message is being written, after a part of an answer
+// without a length. An empty message decodes.
+func TestResetOfMessageIsNoAnswer(t *testing.T) {
+	is := is.New(t)
+	s, err := rawserver.Start(rawserver.Reset("HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n\r\n"))
+	is.NoErr(err)
+	defer func() { _ = s.Close() }()
+	long := &memberwire.Message{Vm: strings.Repeat("x", 16<<20)} // more than the buffers of a connection take
+	for name, network := range map[string]*netio.Network{"at once": netio.TCP(), "write fails first": slowread.Network(netio.TCP(), func(string) bool { return true })} {
+		_, err = memberwire.NewMemberProtobufClient("http://"+s.Addr(), link.New(network, "a", "key")).Exchange(t.Context(), long)
+		if err == nil {
+			t.Errorf("%s: taken for an answer", name)
+		}
+	}
+}
--- a/internal/peer/tunnel/tunnel_test.go
+++ b/internal/peer/tunnel/tunnel_test.go
@@ -1,8 +1,11 @@
 package tunnel
 
 import (
+	"context"
 	"io"
 	"net"
+	"strings"
+	"sync"
 	"testing"
 
 	"github.com/charmbracelet/log"
@@ -12,6 +15,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/rawserver"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/slowread"
 )
 
 // listen serves each connection on loopback, and returns the address.
@@ -35,7 +39,13 @@
 // newServer returns a server for a few tunnels to one upstream, and the address of its entry.
 func newServer(t *testing.T, upstream string) (*Server, string) {
 	t.Helper()
-	s := NewServer(Settings{Network: netio.TCP(), Known: func(a string) bool { return a == upstream }, Most: most, Log: log.New(io.Discard)})
+	return newServerOn(t, netio.TCP(), upstream)
+}
+
+// newServerOn is newServer with the network to the upstream.
+func newServerOn(t *testing.T, network *netio.Network, upstream string) (*Server, string) {
+	t.Helper()
+	s := NewServer(Settings{Network: network, Known: func(a string) bool { return a == upstream }, Most: most, Log: log.New(io.Discard)})
 	t.Cleanup(s.Close)
 	web := &fasthttp.Server{Handler: s.Serve}
 	return s, listen(t, func(c net.Conn) { _ = web.ServeConn(c) })
@@ -136,3 +146,50 @@
 		is.NoErr(s.Close())
 	}
 }
+
+// patientConn is a connection that is closed once it has been read to its end.
+type patientConn struct {
+	net.Conn
+
+	once  sync.Once
+	ended chan struct{}
+}
+
+func (c *patientConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.once.Do(func() { close(c.ended) })
+	}
+	return n, err
+}
+
+func (c *patientConn) Close() error {
+	<-c.ended
+	return c.Conn.Close()
+}
+
+// A server answers a long upload without a length, sends a part of the body and resets the connection
+// while the other entry writes the upload to it. The write gets the error, and the part must not look
+// complete behind the tunnel.
+func TestResetOfUploadThroughTunnelIsNoEnd(t *testing.T) {
+	is := is.New(t)
+	upstream, err := rawserver.Start(rawserver.Reset("HTTP/1.1 200 OK\r\n\r\npart of it"))
+	is.NoErr(err)
+	defer func() { _ = upstream.Close() }()
+	slow := slowread.Network(netio.TCP(), func(string) bool { return true })
+	_, entry := newServerOn(t, netio.New(func(ctx context.Context, addr string) (net.Conn, error) {
+		c, err := slow.Dial(ctx, addr)
+		return &patientConn{Conn: c, ended: make(chan struct{})}, err
+	}, nil), upstream.Addr())
+	c, err := Dial(t.Context(), netio.TCP(), entry, upstream.Addr())
+	is.NoErr(err)
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 16777216\r\n\r\n"+strings.Repeat("x", 16<<20)) // fails when the tunnel ends
+	}()
+	_, err = io.ReadAll(c)
+	is.True(err != nil)
+	is.NoErr(c.Close())
+	<-sent
+}
--- a/internal/upstream/httpconn/broken_test.go
+++ b/internal/upstream/httpconn/broken_test.go
@@ -1,6 +1,9 @@
 package httpconn_test
 
 import (
+	"errors"
+	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -10,6 +13,7 @@
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/rawserver"
+	"github.com/dogwoodmill/dogwoodmill/internal/standin/slowread"
 	"github.com/dogwoodmill/dogwoodmill/internal/upstream/httpconn"
 )
 
@@ -103,3 +107,73 @@
 		is.Equal(body, "whole")
 	}
 }
+
+// uploadBytes is more than the buffers of a connection take.
+const uploadBytes = 16 << 20
+
+// slow is a network whose connections are read once a write to them has failed.
+func slow() *netio.Network { return slowread.Network(netio.TCP(), func(string) bool { return true }) }
+
+// upload sends a long body to a server over the network, and reads the answer.
+func upload(t *testing.T, network *netio.Network, serve func(net.Conn)) (body string, err error) {
+	t.Helper()
+	s, err := rawserver.Start(serve)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	req := fasthttp.AcquireRequest()
+	req.SetRequestURI("http://" + s.Addr() + "/")
+	req.Header.SetMethod("POST")
+	req.SetBody(make([]byte, uploadBytes))
+	x, err := httpconn.Do(t.Context(), network, s.Addr(), req, limits)
+	if err != nil {
+		return "", err
+	}
+	defer x.Close()
+	b, err := x.ReadAll(100, time.Now().Add(10*time.Second), nil)
+	return string(b), err
+}
+
+// A server answers a long upload without a length, sends a part of the body and resets the connection
+// while the upload is being written. The write gets the error, and the part passed for the whole body.
+func TestResetOfUploadIsNoEnd(t *testing.T) {
+	is := is.New(t)
+	body, err := upload(t, slow(), rawserver.Reset("HTTP/1.1 200 OK\r\n\r\npart of it"))
+	is.Equal(body, "")
+	is.True(fault.Is(err, httpconn.KindNoAnswer))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
+
+// A server answers a long upload early and whole: with its length or chunked, though it resets the
+// connection then, or without, and ends it in order before it resets it.
+func TestEarlyAnswerIsWhole(t *testing.T) {
+	const unframed = "HTTP/1.1 200 OK\r\n\r\nwhole"
+	for name, c := range map[string]struct {
+		network *netio.Network
+		serve   func(net.Conn)
+	}{
+		"length":                         {slow(), rawserver.Reset("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")},
+		"chunked":                        {slow(), rawserver.Reset("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")},
+		"reset after its end":            {netio.TCP(), rawserver.EndThenReset(unframed)},
+		"reset after its end, read late": {slow(), rawserver.EndThenReset(unframed)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			body, err := upload(t, c.network, c.serve)
+			is.NoErr(err)
+			is.Equal(body, "whole")
+		})
+	}
+}
+
+// A server ends its answer and keeps the connection without reading the rest of the upload. The answer is
+// whole at once, though the write of the upload waits.
+func TestAnswerEndsBeforeUpload(t *testing.T) {
+	is := is.New(t)
+	done := make(chan struct{})
+	body, err := upload(t, netio.TCP(), rawserver.EndAndKeep("HTTP/1.1 200 OK\r\n\r\nwhole", done))
+	close(done)
+	is.NoErr(err)
+	is.Equal(body, "whole")
+}
--- a/internal/upstream/httpconn/conn.go
+++ b/internal/upstream/httpconn/conn.go
@@ -89,7 +89,7 @@
 	}
 	go func() {
 		defer close(x.writeDone)
-		_ = x.write(req) // the response may come before the end of the write; a failed write shows as a failed read
+		_ = x.write(req) // the response may be whole though the write fails; if it is not, the connection fails reads, too
 	}()
 	x.resp.StreamBody = true
 	size := x.limits.Buffer
