Pass on an early answer through another entry

Callers: a server answers a long upload whole and takes no more of it, which is sound. Where the entry reached the server through another entry, callers got 502, with a length, with chunks and without. Found while the places were looked through where a reset of an upload is read.

Cause: the other entry closed its connection to the server as soon as a write of the upload failed, with the answer unread. It also closed the connection of the tunnel with bytes of the upload unread, which resets it under the answer.

Change: once the server takes no more, the other entry discards the rest of the upload and reads the answer to its end. After it the tunnel stays until the entry that opened it closes it, a second at most.

--- a/internal/gateway/entry/broken_test.go
+++ b/internal/gateway/entry/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -183,3 +184,33 @@
 	req.Body, req.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", uploadBytes))), uploadBytes
 	return env.do(req)
 }
+
+// A server answers a long upload early and whole, though it takes no more of it. Callers get the answer,
+// also through another entry.
+func TestEarlyAnswerReachesCaller(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: request-1\r\nX-Response-Seal: seal-i-1\r\n"
+	for name, serve := range map[string]func(net.Conn){
+		"length, then reset":  rawserver.Reset(head + "Content-Length: 12\r\n\r\nplain answer"),
+		"chunked, then reset": rawserver.Reset(head + "Transfer-Encoding: chunked\r\n\r\nc\r\nplain answer\r\n0\r\n\r\n"),
+		"end, then reset":     rawserver.EndThenReset(head + "\r\nplain answer"),
+	} {
+		for how, isDirect := range map[string]bool{"direct": true, "through another entry": false} {
+			t.Run(how+", "+name, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				s, err := rawserver.Start(serve)
+				is.NoErr(err)
+				defer func() { _ = s.Close() }()
+				env := newUploadEnv(t, s.Addr(), isDirect)
+				env.register("desk", "i-1", s.Addr())
+				r := env.upload("/once/")
+				for r.status == http.StatusServiceUnavailable { // no other entry is known to reach the server yet
+					r = env.upload("/once/")
+				}
+				is.NoErr(r.err)
+				is.Equal(r.status, http.StatusOK)
+				is.Equal(r.body, "plain answer")
+			})
+		}
+	}
+}
--- a/internal/peer/tunnel/tunnel.go
+++ b/internal/peer/tunnel/tunnel.go
@@ -31,7 +31,9 @@
 	// idleTimeout is how long an upstream may send nothing, or the other entry take nothing. Whoever
 	// opened the tunnel has shorter limits, unless its VM is lost.
 	idleTimeout = time.Minute
-	bufferBytes = 8 << 10
+	// lingerTimeout is how long the other entry may take to close its connection after an answer.
+	lingerTimeout = time.Second
+	bufferBytes   = 8 << 10
 	// argWork is the query argument of a tunnel that is for something new.
 	argWork = "work"
 )
@@ -119,17 +121,32 @@
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
-		_, _ = io.Copy(upstream, c) // ends when either side is closed
-		_ = upstream.Close()        // the other entry has given the request up
+		_, _ = io.Copy(upstream, c)
+		// An upstream that takes no more may have answered. Closing either connection would lose that: the
+		// other entry's is reset if bytes of it are unread.
+		_, _ = io.Copy(io.Discard, c)
+		_ = upstream.Close() // the other entry has given the request up, or has its answer
 	}()
-	if err := copyAnswer(c, upstream); err != nil {
+	err = copyAnswer(c, upstream)
+	_ = upstream.Close()
+	if err != nil {
 		s.cfg.Log.Debug("A tunnel broke off.", "entry", c.RemoteAddr().String(), "address", address, "err", err)
+		interrupt(c)
+	} else {
+		s.linger(c)
 	}
-	interrupt(c)
-	_ = upstream.Close()
 	<-sent
 }
 
+// linger limits the time in which the other entry reads the end of an answer and closes its connection.
+func (s *Server) linger(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed { // Close has interrupted it
+		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout)) // it fails on a closed connection only
+	}
+}
+
 // interrupt ends the reads and writes of a hijacked connection: the HTTP library closes it only after
 // its handler has returned.
 func interrupt(c net.Conn) { _ = c.SetDeadline(time.Now()) }
--- a/internal/peer/tunnel/tunnel_test.go
+++ b/internal/peer/tunnel/tunnel_test.go
@@ -1,11 +1,9 @@
 package tunnel
 
 import (
-	"context"
 	"io"
 	"net"
 	"strings"
-	"sync"
 	"testing"
 
 	"github.com/charmbracelet/log"
@@ -147,49 +145,47 @@
 	}
 }
 
-// patientConn is a connection that is closed once it has been read to its end.
-type patientConn struct {
-	net.Conn
-
-	once  sync.Once
-	ended chan struct{}
-}
-
-func (c *patientConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if err != nil {
-		c.once.Do(func() { close(c.ended) })
-	}
-	return n, err
-}
-
-func (c *patientConn) Close() error {
-	<-c.ended
-	return c.Conn.Close()
-}
-
-// A server answers a long upload without a length, sends a part of the body and resets the connection
-// while the other entry writes the upload to it. The write gets the error, and the part must not look
-// complete behind the tunnel.
-func TestResetOfUploadThroughTunnelIsNoEnd(t *testing.T) {
+// upload sends a long request to a server through a tunnel, whose connection to the server is read once a
+// write to it has failed, and returns what comes back.
+func upload(t *testing.T, serve func(net.Conn)) (string, error) {
+	t.Helper()
 	is := is.New(t)
-	upstream, err := rawserver.Start(rawserver.Reset("HTTP/1.1 200 OK\r\n\r\npart of it"))
+	upstream, err := rawserver.Start(serve)
 	is.NoErr(err)
-	defer func() { _ = upstream.Close() }()
-	slow := slowread.Network(netio.TCP(), func(string) bool { return true })
-	_, entry := newServerOn(t, netio.New(func(ctx context.Context, addr string) (net.Conn, error) {
-		c, err := slow.Dial(ctx, addr)
-		return &patientConn{Conn: c, ended: make(chan struct{})}, err
-	}, nil), upstream.Addr())
+	t.Cleanup(func() { _ = upstream.Close() })
+	_, entry := newServerOn(t, slowread.Network(netio.TCP(), func(string) bool { return true }), upstream.Addr())
 	c, err := Dial(t.Context(), netio.TCP(), entry, upstream.Addr())
 	is.NoErr(err)
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
-		_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 16777216\r\n\r\n"+strings.Repeat("x", 16<<20)) // fails when the tunnel ends
+		_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 16777216\r\n\r\n"+strings.Repeat("x", 16<<20)) // may fail when the tunnel ends
 	}()
-	_, err = io.ReadAll(c)
-	is.True(err != nil)
+	b, err := io.ReadAll(c)
 	is.NoErr(c.Close())
 	<-sent
+	return string(b), err
+}
+
+// A server answers a long upload without a length, sends a part of the body and resets the connection
+// while the other entry writes the upload to it. The write gets the error, and the part must not look
+// complete behind the tunnel.
+func TestResetOfUploadThroughTunnelIsNoEnd(t *testing.T) {
+	is := is.New(t)
+	_, err := upload(t, rawserver.Reset("HTTP/1.1 200 OK\r\n\r\npart of it"))
+	is.True(err != nil)
+}
+
+// A server answers a long upload whole, and takes no more of it. The other entry closed the tunnel when the
+// write of the upload failed, and the answer was lost.
+func TestEarlyAnswerThroughTunnelIsWhole(t *testing.T) {
+	is := is.New(t)
+	const answer = "HTTP/1.1 200 OK\r\n\r\nwhole"
+	b, err := upload(t, rawserver.EndThenReset(answer))
+	is.NoErr(err)
+	is.Equal(b, answer)
+	const framed = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+	b, err = upload(t, rawserver.Reset(framed))
+	is.True(err != nil)
+	is.Equal(b, framed) // its own length tells that it is whole
 }
