Name the version of a change that is applied while it is awaited

Operators: rarely, an accepted change was answered with the version 0 instead of its own.

Cause: Submit looks for the outcome of its change and then for its fate. A change that was applied between the two has a fate, and the outcome, which has the version, was not looked for again.

Change: both are read of one state.

The tests of operator pass.

--- a/internal/operator/config/store.go
+++ b/internal/operator/config/store.go
@@ -170,15 +170,30 @@
 func (s *Store) Since(offset uint64) ([]resource.Outcome, <-chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.outcomesSince(offset), s.updated, offset >= s.outcomesAfter
+}
+
+// outcomesSince returns the retained outcomes after the offset, or nil if not all are retained. s.mu is
+// held.
+func (s *Store) outcomesSince(offset uint64) []resource.Outcome {
 	if offset < s.outcomesAfter {
-		return nil, s.updated, false
+		return nil
 	}
 	for i, out := range s.outcomes {
 		if out.Offset() > offset {
-			return append([]resource.Outcome(nil), s.outcomes[i:]...), s.updated, true
+			return append([]resource.Outcome(nil), s.outcomes[i:]...)
 		}
 	}
-	return nil, s.updated, true
+	return nil
+}
+
+// progress returns the outcomes after the offset and the fate of the change with the id as of one state:
+// a change that was applied has both. The channel is closed when the state changes.
+func (s *Store) progress(offset uint64, id string) (outs []resource.Outcome, fate resource.Fate, known bool, updated <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fate, known = s.fold.Fate(id)
+	return s.outcomesSince(offset), fate, known, s.updated
 }
 
 // Earliest returns the offset after which all outcomes are retained.
--- a/internal/operator/config/submit.go
+++ b/internal/operator/config/submit.go
@@ -99,14 +99,14 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for {
-		outs, updated, _ := s.Since(from)
+		outs, fate, known, updated := s.progress(from, c.ID)
 		for _, out := range outs {
 			from = out.Offset()
 			if out.Change().ID == c.ID && !fault.Is(out.Err(), resource.KindSettled) {
 				return out, nil
 			}
 		}
-		if fate, ok := s.Fate(c.ID); ok { // voided, or part of a state that was loaded
+		if known { // voided, or part of a state that was loaded
 			return resource.OutcomeOf(fate, c), nil
 		}
 		select {
