Log why a head is no answer

Operators: an answer with an invalid status or field name was logged as "no answer: EOF", as if the server had sent nothing.

Cause: the HTTP library returns io.EOF in place of an error before the first byte, and the reader of heads passes on nothing of a read in which it finds one.

Change: httpconn and the tunnel return the reader's own error, such as "http/1: read head: invalid status: ...". base/rest still returns the library's, as it does not see the connection.

Measured: the tests of invalid statuses and names also ask for the kind of the error, which failed before; they pass now.

--- a/internal/base/http1/http1.go
+++ b/internal/base/http1/http1.go
@@ -62,6 +62,9 @@
 	return n, err
 }
 
+// Err returns the error of a head that is not valid, or nil. HTTP libraries return others in its place.
+func (r *Reader) Err() error { return r.err }
+
 // check takes the next byte of a head.
 func (r *Reader) check(c byte) error {
 	switch r.part {
--- a/internal/peer/tunnel/tunnel.go
+++ b/internal/peer/tunnel/tunnel.go
@@ -235,13 +235,18 @@
 		return nil, fail("dial", KindUnreachable, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // unblocks open
-	br := bufio.NewReaderSize(http1.NewReader(c), bufferBytes)
+	r := http1.NewReader(c)
+	br := bufio.NewReaderSize(r, bufferBytes)
 	uri := Path + address
 	if ctx.Value(workKey{}) != nil {
 		uri += "?" + argWork // earlier versions ignore it
 	}
 	err = open(c, br, entry, uri)
-	if !stop() && err == nil {
+	stopped := !stop()
+	switch {
+	case r.Err() != nil:
+		err = fail("open", KindUnreachable, r.Err())
+	case stopped && err == nil:
 		err = fail("open", KindUnreachable, ctx.Err())
 	}
 	if err != nil {
--- a/internal/peer/tunnel/tunnel_test.go
+++ b/internal/peer/tunnel/tunnel_test.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/http1"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/rawserver"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/slowread"
@@ -125,7 +126,7 @@
 		is.NoErr(err)
 		c, err := Dial(t.Context(), netio.TCP(), s.Addr(), "127.0.0.1:1")
 		is.Equal(err == nil, opens)
-		is.True(opens || fault.Is(err, KindUnreachable))
+		is.True(opens || fault.Is(err, KindUnreachable) && fault.Is(err, http1.KindStatus))
 		if err == nil {
 			is.NoErr(c.Close())
 		}
@@ -140,7 +141,7 @@
 		s, err := rawserver.Start(rawserver.Answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + field + "\r\n\r\n5\r\nbytes\r\n0\r\n\r\n"))
 		is.NoErr(err)
 		_, err = Dial(t.Context(), netio.TCP(), s.Addr(), "127.0.0.1:1")
-		is.True(fault.Is(err, KindUnreachable))
+		is.True(fault.Is(err, KindUnreachable) && fault.Is(err, http1.KindField))
 		is.NoErr(s.Close())
 	}
 }
--- a/internal/upstream/httpconn/broken_test.go
+++ b/internal/upstream/httpconn/broken_test.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/dogwoodmill/dogwoodmill/internal/base/fault"
+	"github.com/dogwoodmill/dogwoodmill/internal/base/http1"
 	"github.com/dogwoodmill/dogwoodmill/internal/base/netio"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/rawserver"
 	"github.com/dogwoodmill/dogwoodmill/internal/standin/slowread"
@@ -46,7 +47,7 @@
 	} {
 		for _, framing := range []string{"Content-Length: 5\r\n", ""} {
 			status, body, err := ask(t, line+"\r\n"+framing+"\r\nwrong")
-			if !fault.Is(err, httpconn.KindNoAnswer) {
+			if !fault.Is(err, httpconn.KindNoAnswer) || !fault.Is(err, http1.KindStatus) {
 				t.Errorf("%q with %q: status %d, body %q, %v", line, framing, status, body, err)
 			}
 		}
@@ -90,7 +91,7 @@
 			"interim": "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n" + field + "\r\n\r\n" + ok + "Content-Length: 5\r\n\r\nwrong",
 			"bare LF": ok + "X-A: b\n" + field + "\n\r\nwrong\r\n\r\n",
 		} {
-			if status, body, err := ask(t, answer); !fault.Is(err, httpconn.KindNoAnswer) {
+			if status, body, err := ask(t, answer); !fault.Is(err, httpconn.KindNoAnswer) || !fault.Is(err, http1.KindField) {
 				t.Errorf("%s, %q: status %d, body %q, %v", name, field, status, body, err)
 			}
 		}
--- a/internal/upstream/httpconn/conn.go
+++ b/internal/upstream/httpconn/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -96,9 +97,9 @@
 	if size == 0 {
 		size = defaultReadBufferBytes
 	}
-	br := bufio.NewReaderSize(http1.NewReader(x.conn), size)
-	if err := x.resp.ReadLimitBody(br, maxBufferedBodyBytes); err != nil {
-		return err
+	r := http1.NewReader(x.conn)
+	if err := x.resp.ReadLimitBody(bufio.NewReaderSize(r, size), maxBufferedBodyBytes); err != nil {
+		return cmp.Or(r.Err(), err)
 	}
 	if x.body = x.resp.BodyStream(); x.body == nil {
 		x.body = &emptyBody{}
