Take chunks in an answer of HTTP/1.0 for none

Callers: a server answered with HTTP/1.0 and Transfer-Encoding: chunked. Callers got the chunks as the body, with the server's seal, or as much of them as a length allowed. Found while the heads of broken answers were tried.

Cause: as with a blank in the name, the framing of the body is a field that is not used: the HTTP library leaves transfer codings out for every version but HTTP/1.1. RFC 9112, 6.1 has such a framing taken for faulty.

Change: the reader of heads refuses the field in other versions.

Measured: before, TestChunkedAnswerOfEarlierVersionIsNoAnswer failed for all four heads (body "5\r\nwrong\r\n0\r\n\r\n") and TestChunkedAnswerOfEarlierVersionReachesNoCaller on plain routes, directly and through another entry (200 != 502; streams have refused the chunks as events before). Both pass now, and answers of HTTP/1.0 with a length or without stay served.

--- a/internal/base/http1/errors.go
+++ b/internal/base/http1/errors.go
@@ -14,6 +14,8 @@
 	KindStatus Kind = "invalid status"
 	// KindField means that the name of a header field is not valid.
 	KindField Kind = "invalid field name"
+	// KindFraming means that the head does not tell where the body ends.
+	KindFraming Kind = "faulty framing"
 )
 
 // Error is the error type of this package.
--- a/internal/base/http1/http1.go
+++ b/internal/base/http1/http1.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -22,6 +23,10 @@
 	switchingProtocols = 101
 )
 
+// errTransferCoding means that the framing is faulty (RFC 9112, 6.1): HTTP libraries use the length, or the
+// end of the connection, and take the chunks for the body.
+var errTransferCoding = errors.New("transfer coding in a version without any")
+
 // part is the part of a response that the next byte belongs to.
 type part int
 
@@ -35,13 +40,14 @@
 // Reader reads the bytes of a response and fails where its head is not valid. Reads after its body
 // are not checked.
 type Reader struct {
-	r     io.Reader
-	part  part
-	line  []byte // the start of the status line
-	name  []byte // the start of a field's name
-	cr    bool   // the line began with a CR
-	final bool   // no other head follows this one
-	err   error
+	r       io.Reader
+	part    part
+	line    []byte // the start of the status line
+	name    []byte // the start of a field's name
+	cr      bool   // the line began with a CR
+	final   bool   // no other head follows this one
+	codings bool   // the version has transfer codings
+	err     error
 }
 
 // NewReader returns a reader of the response that r begins with. Interim responses may precede it.
@@ -97,6 +103,8 @@
 		}
 	case c == '\r' && len(r.name) == 0 && !r.cr:
 		r.cr = true
+	case c == ':' && !r.codings && bytes.EqualFold(r.name, []byte("Transfer-Encoding")):
+		return fail(KindFraming, errTransferCoding)
 	case c == ':' && len(r.name) > 0:
 		r.part = partValue
 	case r.cr || !isTokenByte(c):
@@ -149,7 +157,7 @@
 	if !ok {
 		return fail(KindStatus, fmt.Errorf("%q", line))
 	}
-	r.final = status >= minFinalStatus
+	r.final, r.codings = status >= minFinalStatus, bytes.HasPrefix(line, []byte("HTTP/1.1 "))
 	r.beginLine()
 	return nil
 }
--- a/internal/gateway/entry/broken_test.go
+++ b/internal/gateway/entry/broken_test.go
@@ -104,6 +104,11 @@
 	}
 }
 
+// A server sends chunks in an answer of HTTP/1.0, which has none. Callers got them as the body.
+func TestChunkedAnswerOfEarlierVersionReachesNoCaller(t *testing.T) {
+	requireNoAnswer(t, "HTTP/1.0 200 OK\r\nHEADERTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: xx\n\n\r\n0\r\n\r\n")
+}
+
 // Callers get nothing of a trailer, whatever is in it.
 func TestTrailersAreDropped(t *testing.T) {
 	for _, field := range []string{"X-Good: v", "X Bad: v", "X-Bad : v", "X-Response-Seal: another"} {
--- a/internal/upstream/httpconn/broken_test.go
+++ b/internal/upstream/httpconn/broken_test.go
@@ -98,6 +98,26 @@
 	}
 }
 
+// HTTP/1.0 has no transfer codings. The library left the field out, and chunks were passed on as the body,
+// or cut at the length.
+func TestChunkedAnswerOfEarlierVersionIsNoAnswer(t *testing.T) {
+	const chunks = "5\r\nwrong\r\n0\r\n\r\n"
+	for _, head := range []string{
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.0 200 OK\r\ntransfer-encoding:chunked\r\nContent-Length: 5\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nContent-Length: 15\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", "HTTP/2.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		if status, body, err := ask(t, head+chunks); !fault.Is(err, httpconn.KindNoAnswer) {
+			t.Errorf("%q: status %d, body %q, %v", head, status, body, err)
+		}
+	}
+	is := is.New(t)
+	for _, head := range []string{"HTTP/1.0 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\nContent-Length: 5\r\nConnection: keep-alive\r\n\r\n"} {
+		_, body, err := ask(t, head+"whole")
+		is.NoErr(err)
+		is.Equal(body, "whole")
+	}
+}
+
 // Names of all characters that RFC 9110 allows, and values with blanks and colons, are sound.
 func TestValidFieldsAreAnAnswer(t *testing.T) {
 	is := is.New(t)
