Share the wait of the upload tests, and state what three tests guard against

Cause: reading the diff as a newcomer: one comment claimed reads byte by byte that http1 tests elsewhere, and two tests had the same loop.

Change: tests only; what they check is the same.

--- a/internal/gateway/entry/broken_test.go
+++ b/internal/gateway/entry/broken_test.go
@@ -91,7 +91,7 @@
 }
 
 // A server sends a head in which the name of a field holds a blank or a control byte. Callers got the
-// line, or the framing of the body as a part of it.
+// line, or chunks as the body where the line was its framing.
 func TestInvalidFieldNameReachesNoCaller(t *testing.T) {
 	const body = "Content-Length: 16\r\n\r\nid: 1\ndata: xx\n\n"
 	for name, rest := range map[string]string{
@@ -143,9 +143,6 @@
 				}
 				env.register(service, "i-1", s.Addr())
 				r := env.upload(path)
-				for r.status == http.StatusServiceUnavailable { // no other entry is known to reach the server yet
-					r = env.upload(path)
-				}
 				if path == "/ask/" && r.err != nil {
 					return // an event was passed on, and the stream broke off
 				}
@@ -182,12 +179,16 @@
 	return env
 }
 
-// upload sends a request with a long body.
+// upload sends a request with a long body, and again while no other entry is known to reach the server.
 func (env *testEnv) upload(path string) reply {
 	env.t.Helper()
-	req := env.request(http.MethodPost, path)
-	req.Body, req.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", uploadBytes))), uploadBytes
-	return env.do(req)
+	for {
+		req := env.request(http.MethodPost, path)
+		req.Body, req.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", uploadBytes))), uploadBytes
+		if r := env.do(req); r.status != http.StatusServiceUnavailable {
+			return r
+		}
+	}
 }
 
 // A server answers a long upload early and whole, though it takes no more of it. Callers get the answer,
@@ -209,9 +210,6 @@
 				env := newUploadEnv(t, s.Addr(), isDirect)
 				env.register("desk", "i-1", s.Addr())
 				r := env.upload("/once/")
-				for r.status == http.StatusServiceUnavailable { // no other entry is known to reach the server yet
-					r = env.upload("/once/")
-				}
 				is.NoErr(r.err)
 				is.Equal(r.status, http.StatusOK)
 				is.Equal(r.body, "plain answer")
--- a/internal/upstream/httpconn/broken_test.go
+++ b/internal/upstream/httpconn/broken_test.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// Statuses and status lines that servers may send, in one piece or byte by byte, are answers.
+// Status lines that servers may send begin an answer.
 func TestValidStatusIsAnAnswer(t *testing.T) {
 	is := is.New(t)
 	for line, want := range map[string]int{
@@ -77,8 +77,8 @@
 	"Transfer Encoding: chunked", "Transfer-Encoding : chunked", " Transfer-Encoding: chunked", "X-Response-Seal : s",
 }
 
-// A name with a blank or a control byte was passed on, or its field was not used, so that the framing of
-// a body was taken for the body. An answer with such a head must be none, wherever the field stands.
+// A field with a blank in its name was passed on, or, if it was the framing of the body, not used. An answer
+// with such a head must be none, wherever the field stands.
 func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n"
 	for _, field := range invalidFields {
@@ -166,8 +166,8 @@
 	is.True(errors.Is(err, syscall.ECONNRESET))
 }
 
-// A server answers a long upload early and whole: with its length or chunked, though it resets the
-// connection then, or without, and ends it in order before it resets it.
+// A server answers a long upload early and whole, and resets the connection then: the answer has a length
+// or chunks, or was ended in order before.
 func TestEarlyAnswerIsWhole(t *testing.T) {
 	const unframed = "HTTP/1.1 200 OK\r\n\r\nwhole"
 	for name, c := range map[string]struct {
