Keep one start of a line in the reader of heads, and share what its tests set up

Cause: read once more. Reader had two buffers that are never in use at once, and Conn set its fields from outside; a network with late reads on all connections was written four times; the close of a stand-in returned an error that is always nil.

Change: no behaviour, and no check of a test. One buffer and a method of Reader, slowread.TCP, Server.Close as other stand-ins have it.

--- a/internal/base/http1/http1.go
+++ b/internal/base/http1/http1.go
@@ -13,10 +13,8 @@
 )
 
 const (
-	// maxStatusBytes is how much of a status line is kept for its check. The status is at its start.
-	maxStatusBytes = 64
-	// maxNameBytes is how much of a field's name is kept for the error.
-	maxNameBytes = 64
+	// maxLineBytes is how much of the start of a line is kept. It holds the status.
+	maxLineBytes = 64
 
 	minFinalStatus     = 200
 	maxStatus          = 599
@@ -42,8 +40,7 @@
 type Reader struct {
 	r       io.Reader
 	part    part
-	line    []byte // the start of the status line
-	name    []byte // the start of a field's name
+	line    []byte // the start of the status line, or of a field's name
 	cr      bool   // the line began with a CR
 	final   bool   // no other head follows this one
 	codings bool   // the version has transfer codings
@@ -90,9 +87,7 @@
 // checkStatusLine takes the next byte of a status line, which empty lines may precede.
 func (r *Reader) checkStatusLine(c byte) error {
 	if c != '\n' {
-		if len(r.line) < maxStatusBytes {
-			r.line = append(r.line, c)
-		}
+		r.keep(c)
 		return nil
 	}
 	line := bytes.TrimSuffix(r.line, []byte("\r"))
@@ -111,7 +106,17 @@
 
 // beginLine expects a field, or the end of the head.
 func (r *Reader) beginLine() {
-	r.part, r.name, r.cr = partName, r.name[:0], false
+	r.part, r.line, r.cr = partName, r.line[:0], false
+}
+
+// beginResponse expects a status line.
+func (r *Reader) beginResponse() { r.part, r.line = partStatusLine, r.line[:0] }
+
+// keep adds a byte to the start of the line.
+func (r *Reader) keep(c byte) {
+	if len(r.line) < maxLineBytes {
+		r.line = append(r.line, c)
+	}
 }
 
 // checkName takes the next byte of a field's name, or of the empty line that ends the head. It refuses
@@ -119,21 +124,20 @@
 // name begins with a blank looks the same.
 func (r *Reader) checkName(c byte) error {
 	switch {
-	case c == '\n' && len(r.name) == 0:
-		r.part = partStatusLine
-		if r.final {
-			r.part = partBody
-		}
-	case c == '\r' && len(r.name) == 0 && !r.cr:
+	case c == '\n' && len(r.line) == 0 && r.final:
+		r.part = partBody
+	case c == '\n' && len(r.line) == 0:
+		r.beginResponse()
+	case c == '\r' && len(r.line) == 0 && !r.cr:
 		r.cr = true
-	case c == ':' && !r.codings && bytes.EqualFold(r.name, []byte("Transfer-Encoding")):
+	case c == ':' && !r.codings && bytes.EqualFold(r.line, []byte("Transfer-Encoding")):
 		return fail(KindFraming, errTransferCoding)
-	case c == ':' && len(r.name) > 0:
+	case c == ':' && len(r.line) > 0:
 		r.part = partValue
 	case r.cr || !isTokenByte(c):
-		return fail(KindField, fmt.Errorf("byte %q after %q", c, r.name))
-	case len(r.name) < maxNameBytes:
-		r.name = append(r.name, c)
+		return fail(KindField, fmt.Errorf("byte %q after %q", c, r.line))
+	default:
+		r.keep(c)
 	}
 	return nil
 }
@@ -193,7 +197,6 @@
 
 // Write writes a part of a request. What is read after it begins with the response.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.responses.part = partStatusLine
-	c.responses.line = c.responses.line[:0]
+	c.responses.beginResponse()
 	return c.Conn.Write(p)
 }
--- a/internal/base/rest/broken_test.go
+++ b/internal/base/rest/broken_test.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = s.Close() }()
+	defer s.Close()
 	c := rest.New(netio.TCP(), "http://"+s.Addr(), 10*time.Second)
 	var out pair
 	return rest.Call(t.Context(), c, "POST", "/swap", &pair{1, 2}, &out)
@@ -50,7 +50,7 @@
 	is := is.New(t)
 	s, err := rawserver.Start(rawserver.Reset("HTTP/1.1 200 OK\r\n\r\n{}"))
 	is.NoErr(err)
-	defer func() { _ = s.Close() }()
+	defer s.Close()
 	in := strings.Repeat("x", 16<<20) // more than the buffers of a connection take
 	var out pair
 	err = rest.Call(t.Context(), rest.New(netio.TCP(), "http://"+s.Addr(), 10*time.Second), "POST", "/swap", &in, &out)
--- a/internal/gateway/entry/broken_test.go
+++ b/internal/gateway/entry/broken_test.go
@@ -135,7 +135,7 @@
 				is := is.New(t)
 				s, err := rawserver.Start(rawserver.Reset("HTTP/1.1 200 OK\r\nX-Attempt-Id: request-1\r\nX-Response-Seal: seal-i-1\r\n\r\nid: 1\ndata: x\n\n"))
 				is.NoErr(err)
-				defer func() { _ = s.Close() }()
+				defer s.Close()
 				env := newUploadEnv(t, s.Addr(), isDirect)
 				service := "desk"
 				if path == "/ask/" {
@@ -206,7 +206,7 @@
 				is := is.New(t)
 				s, err := rawserver.Start(serve)
 				is.NoErr(err)
-				defer func() { _ = s.Close() }()
+				defer s.Close()
 				env := newUploadEnv(t, s.Addr(), isDirect)
 				env.register("desk", "i-1", s.Addr())
 				r := env.upload("/once/")
--- a/internal/peer/link/broken_test.go
+++ b/internal/peer/link/broken_test.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = s.Close() }()
+	defer s.Close()
 	return memberwire.NewMemberProtobufClient("http://"+s.Addr(), link.New(netio.TCP(), "a", "key")).Exchange(t.Context(), &memberwire.Message{})
 }
 
@@ -52,9 +52,9 @@
 	is := is.New(t)
 	s, err := rawserver.Start(rawserver.Reset("HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n\r\n"))
 	is.NoErr(err)
-	defer func() { _ = s.Close() }()
+	defer s.Close()
 	long := &memberwire.Message{Vm: strings.Repeat("x", 16<<20)} // more than the buffers of a connection take
-	for name, network := range map[string]*netio.Network{"at once": netio.TCP(), "write fails first": slowread.Network(netio.TCP(), func(string) bool { return true })} {
+	for name, network := range map[string]*netio.Network{"at once": netio.TCP(), "write fails first": slowread.TCP()} {
 		_, err = memberwire.NewMemberProtobufClient("http://"+s.Addr(), link.New(network, "a", "key")).Exchange(t.Context(), long)
 		if err == nil {
 			t.Errorf("%s: taken for an answer", name)
--- a/internal/peer/tunnel/tunnel_test.go
+++ b/internal/peer/tunnel/tunnel_test.go
@@ -130,7 +130,7 @@
 		if err == nil {
 			is.NoErr(c.Close())
 		}
-		is.NoErr(s.Close())
+		s.Close()
 	}
 }
 
@@ -142,7 +142,7 @@
 		is.NoErr(err)
 		_, err = Dial(t.Context(), netio.TCP(), s.Addr(), "127.0.0.1:1")
 		is.True(fault.Is(err, KindUnreachable) && fault.Is(err, http1.KindField))
-		is.NoErr(s.Close())
+		s.Close()
 	}
 }
 
@@ -153,8 +153,8 @@
 	is := is.New(t)
 	upstream, err := rawserver.Start(serve)
 	is.NoErr(err)
-	t.Cleanup(func() { _ = upstream.Close() })
-	_, entry := newServerOn(t, slowread.Network(netio.TCP(), func(string) bool { return true }), upstream.Addr())
+	t.Cleanup(upstream.Close)
+	_, entry := newServerOn(t, slowread.TCP(), upstream.Addr())
 	c, err := Dial(t.Context(), netio.TCP(), entry, upstream.Addr())
 	is.NoErr(err)
 	sent := make(chan struct{})
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -41,11 +41,10 @@
 // Addr returns the server's host:port.
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
-// Close stops the server and waits for its connections to end. It always returns nil.
-func (s *Server) Close() error {
+// Close stops the server and waits for its connections to end.
+func (s *Server) Close() {
 	_ = s.ln.Close() // ends accepting
 	s.wg.Wait()
-	return nil
 }
 
 // Answer returns a function for Start that reads a request to its end and writes the answer.
--- a/internal/standin/slowread/slowread.go
+++ b/internal/standin/slowread/slowread.go
@@ -22,6 +22,9 @@
 	}, network.Listen)
 }
 
+// TCP returns a network over the TCP stack on which all connections are read late.
+func TCP() *netio.Network { return Network(netio.TCP(), func(string) bool { return true }) }
+
 // conn is a connection that is read late.
 type conn struct {
 	net.Conn
--- a/internal/upstream/httpconn/broken_test.go
+++ b/internal/upstream/httpconn/broken_test.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = s.Close() }()
+	defer s.Close()
 	req := fasthttp.AcquireRequest()
 	req.SetRequestURI("http://" + s.Addr() + "/")
 	x, err := httpconn.Do(t.Context(), netio.TCP(), s.Addr(), req, limits)
@@ -132,9 +132,6 @@
 // uploadBytes is more than the buffers of a connection take.
 const uploadBytes = 16 << 20
 
-// slow is a network whose connections are read once a write to them has failed.
-func slow() *netio.Network { return slowread.Network(netio.TCP(), func(string) bool { return true }) }
-
 // upload sends a long body to a server over the network, and reads the answer.
 func upload(t *testing.T, network *netio.Network, serve func(net.Conn)) (body string, err error) {
 	t.Helper()
@@ -142,7 +139,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = s.Close() })
+	t.Cleanup(s.Close)
 	req := fasthttp.AcquireRequest()
 	req.SetRequestURI("http://" + s.Addr() + "/")
 	req.Header.SetMethod("POST")
@@ -160,7 +157,7 @@
 // while the upload is being written. The write gets the error, and the part passed for the whole body.
 func TestResetOfUploadIsNoEnd(t *testing.T) {
 	is := is.New(t)
-	body, err := upload(t, slow(), rawserver.Reset("HTTP/1.1 200 OK\r\n\r\npart of it"))
+	body, err := upload(t, slowread.TCP(), rawserver.Reset("HTTP/1.1 200 OK\r\n\r\npart of it"))
 	is.Equal(body, "")
 	is.True(fault.Is(err, httpconn.KindNoAnswer))
 	is.True(errors.Is(err, syscall.ECONNRESET))
@@ -174,10 +171,10 @@
 		network *netio.Network
 		serve   func(net.Conn)
 	}{
-		"length":                         {slow(), rawserver.Reset("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")},
-		"chunked":                        {slow(), rawserver.Reset("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")},
+		"length":                         {slowread.TCP(), rawserver.Reset("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")},
+		"chunked":                        {slowread.TCP(), rawserver.Reset("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")},
 		"reset after its end":            {netio.TCP(), rawserver.EndThenReset(unframed)},
-		"reset after its end, read late": {slow(), rawserver.EndThenReset(unframed)},
+		"reset after its end, read late": {slowread.TCP(), rawserver.EndThenReset(unframed)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
