Show that an entry forgets what an upstream said about leaving

Cause: the directory forgets an upstream's Server-Leaving when its record is removed, and takes a beat that the store carries out late for a registration.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -18,6 +18,7 @@
 type scenario func(w *world, trouble bool) (broken int, err error)
 
 var scenarios = map[string]scenario{
+	"late-beat":   lateBeat,
 	"retry-after": retryAfter,
 	"stale-route": staleRoute,
 }
--- a/review/rig3/world.go
+++ b/review/rig3/world.go
@@ -282,7 +282,10 @@
 	return s, nil
 }
 
-func (w *world) register(s *server, state string) {
+func (w *world) register(s *server, state string) { w.store.Put(topicServers, s.id, w.beat(s, state)) }
+
+// beat returns the next entry that a server writes.
+func (w *world) beat(s *server, state string) []byte {
 	s.sequence++
 	b, err := json.Marshal(map[string]any{
 		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 16, "state": state, "cold_remaining_ms": 0,
@@ -291,7 +294,7 @@
 	if err != nil {
 		panic(err) // only maps and strings
 	}
-	w.store.Put(topicServers, s.id, b)
+	return b
 }
 
 // answer is what a client got.
