Show that requests that crash engines are let through after a restart of all

Cause: what is held in quarantine is only in the memory of the entries, so it is gone when all of them have been killed.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -18,9 +18,10 @@
 type scenario func(w *world, trouble bool) (broken int, err error)
 
 var scenarios = map[string]scenario{
-	"late-beat":   lateBeat,
-	"retry-after": retryAfter,
-	"stale-route": staleRoute,
+	"late-beat":        lateBeat,
+	"poison-forgotten": poisonForgotten,
+	"retry-after":      retryAfter,
+	"stale-route":      staleRoute,
 }
 
 func main() { os.Exit(play(os.Args)) }
--- a/review/rig3/server.go
+++ b/review/rig3/server.go
@@ -25,6 +25,7 @@
 	w                          *world
 	id, service, zone, address string
 	sequence                   int
+	crashed                    bool // guarded by the service
 	born                       time.Time
 	ln                         net.Listener
 	wg                         sync.WaitGroup
@@ -40,9 +41,14 @@
 	if err != nil {
 		return nil, err
 	}
+	return serveOn(w, ln, id, service, zone), nil
+}
+
+// serveOn starts a server on a listener.
+func serveOn(w *world, ln net.Listener, id, service, zone string) *server {
 	s := &server{w: w, id: id, service: service, zone: zone, address: ln.Addr().String(), born: time.Now(), ln: ln, conns: map[net.Conn]bool{}}
 	s.wg.Go(func() { s.accept(ln) })
-	return s, nil
+	return s
 }
 
 func (s *server) accept(ln net.Listener) {
