--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -21,6 +21,7 @@
 	"late-beat":        lateBeat,
 	"poison-forgotten": poisonForgotten,
 	"retry-after":      retryAfter,
+	"silent-release":   silentRelease,
 	"stale-route":      staleRoute,
 }
 
--- a/review/rig3/poison.go
+++ b/review/rig3/poison.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"time"
@@ -28,8 +27,7 @@
 
 // engines is a service of engines that crash as they begin to write an answer on the poisoned part.
 type engines struct {
-	w         *world
-	headFirst bool // they send the head of the answer before they crash
+	w *world
 
 	mu       sync.Mutex
 	crashes  []time.Time
@@ -39,7 +37,7 @@
 	wg       sync.WaitGroup
 }
 
-// answer streams events, or crashes the engine.
+// answer streams events, or crashes the engine after the head of the answer.
 func (g *engines) answer(s *server, c net.Conn, req *http.Request, _ string) {
 	poisoned := strings.Contains(req.Header.Get("X-Prompt-Prefix"), poisonPart+":")
 	if poisoned {
@@ -50,10 +48,6 @@
 		s.reached(req, true, "poisoned")
 	}
 	time.Sleep(passTime)
-	if poisoned && !g.headFirst {
-		g.crash(s)
-		return
-	}
 	if _, err := io.WriteString(c, s.head(req, "200 OK")+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
 		return // the caller is gone
 	}
@@ -119,7 +113,7 @@
 		most         = 3 // requests of the rule
 		fifth        = 5 // crash of the rule
 	)
-	g := &engines{w: w, headFirst: os.Getenv("HEAD") != "0"}
+	g := &engines{w: w}
 	zones := []string{"waco-a", "temple-b", "bryan-c"}
 	for i := range engineCount {
 		s, err := w.addServer(fmt.Sprintf("i-llm-%d", i), "llm", zones[i%len(zones)])
