State the case of a shared part that is held, with two callers in turn

Cause: the hold of the part at fault is put off while crashes follow each other, until the score of a part that was just answered suffices as well.

--- a/review/rig3/poison.go
+++ b/review/rig3/poison.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	poisonPart = "bad0c0de" // the part of a prompt on which engines crash
+	poisonPart = "bad0c0de" // with which the parts begin on which engines crash
 	events     = 6
 	passTime   = 40 * time.Millisecond
 	backAfter  = 3 * time.Second // an engine that crashed is back
@@ -32,7 +32,7 @@
 
 // answer streams events, or crashes the engine after the head of the answer.
 func (g *engines) answer(s *server, c net.Conn, req *http.Request) {
-	poisoned := strings.Contains(req.Header.Get("X-Prompt-Prefix"), poisonPart+":")
+	poisoned := strings.Contains(req.Header.Get("X-Prompt-Prefix"), poisonPart)
 	if poisoned {
 		g.mu.Lock()
 		g.arrivals = append(g.arrivals, time.Now())
@@ -106,7 +106,7 @@
 func (p *prompts) ask(i int, id, kind, parts, tokens string) answer {
 	e := p.w.entries[i]
 	a := p.w.ask(e, id, http.MethodPost, "/step/"+id, "prompt "+id, 10*time.Second, map[string]string{
-		"X-Model": "m", "X-Token-Counts": tokens, "X-Prompt-Prefix": "5c1e07a2:40," + parts + ",f0" + id[2:] + ":60",
+		"X-Model": "m", "X-Token-Counts": tokens, "X-Prompt-Prefix": parts + ",f0" + id[2:] + ":60",
 	})
 	p.w.note("client: %s %s sent to %s: status %d, whole %t", kind, id, e.name, a.status, a.whole)
 	return a
@@ -122,7 +122,7 @@
 				case <-p.end:
 					return
 				case <-time.After(pause):
-					p.ask(i, fmt.Sprintf("%d-%06x", i, 0x100000+n), "sound", "91bd3f06:4900", "5000,460")
+					p.ask(i, fmt.Sprintf("%d-%06x", i, 0x100000+n), "sound", "5c1e07a2:40,91bd3f06:4900", "5000,460")
 				}
 			}
 		})
@@ -136,7 +136,7 @@
 		i := n / each
 		p.poisoned++
 		id := fmt.Sprintf("%d-%06x", i, 0x900000+p.poisoned)
-		wg.Go(func() { p.ask(i, id, "poisoned", poisonPart+":410,91bd3f06:44490", "45000,460") })
+		wg.Go(func() { p.ask(i, id, "poisoned", "5c1e07a2:40,"+poisonPart+":410,91bd3f06:44490", "45000,460") })
 	}
 	wg.Wait()
 }
--- a/review/rig3/sharedpart.go
+++ b/review/rig3/sharedpart.go
@@ -18,37 +18,39 @@
 	}
 }
 
-// soundPrompts are the sound prompts of a caller, and how many of them began.
-type soundPrompts struct {
+// caller sends sound prompts with a first part and a shared one, and poisoned prompts with a part between them.
+type caller struct {
 	p        *prompts
-	answered chan struct{} // one was
+	n        int // tells its parts from those of others
+	answered chan struct{}
+	end      chan struct{}
 	wg       sync.WaitGroup
 
 	mu     sync.Mutex
-	before begun
-	beside begun
-	to     time.Time // the end of the time before the poisoned requests
+	before begun     // sound prompts before the poisoned ones
+	beside begun     // sound prompts beside them that count
+	to     time.Time // the end of the time before
 	again  time.Time // from then on those beside them count
 }
 
-// start sends sound prompts to the entries by turns until the end.
-func (q *soundPrompts) start(interval time.Duration) {
+// startSound sends sound prompts to the entries by turns until the end.
+func (q *caller) startSound(interval time.Duration) {
 	q.wg.Go(func() {
-		for n := 0; ; n++ {
+		for k := 0; ; k++ {
 			select {
-			case <-q.p.end:
+			case <-q.end:
 				return
 			case <-time.After(interval):
-				i := n % len(q.p.w.entries)
-				q.wg.Go(func() { q.ask(i, fmt.Sprintf("%d-%06x", i, 0x100000+n)) })
+				i := k % len(q.p.w.entries)
+				q.wg.Go(func() { q.ask(i, fmt.Sprintf("%d-%x%05x", i, q.n, 0x10000+k)) })
 			}
 		}
 	})
 }
 
-func (q *soundPrompts) ask(i int, id string) {
+func (q *caller) ask(i int, id string) {
 	sentAt := time.Now()
-	a := q.p.ask(i, id, "sound", "91bd3f06:4900", "5000,460")
+	a := q.p.ask(i, id, "sound", fmt.Sprintf("5c1e07a%d:40,91bd3f0%d:4900", q.n, q.n), "5000,460")
 	select {
 	case q.answered <- struct{}{}:
 	default: // nobody waits
@@ -63,49 +65,51 @@
 	}
 }
 
-// sharedPart lets a caller send prompts with a part on which engines crash, one shortly after the other, and
-// some more later, while its sound prompts go on, which share another part.
-func sharedPart(w *world, trouble bool) (int, error) {
+// poison sends a poisoned prompt to the next entry, and doesn't wait for the answer.
+func (q *caller) poison() {
+	p := q.p
+	p.poisoned++
+	i := p.poisoned % len(p.w.entries)
+	id := fmt.Sprintf("%d-%x%05x", i, q.n, 0x90000+p.poisoned)
+	parts := fmt.Sprintf("5c1e07a%d:40,%s%d:410,91bd3f0%d:44490", q.n, poisonPart, q.n, q.n)
+	q.wg.Go(func() { p.ask(i, id, "poisoned", parts, "45000,460") })
+}
+
+// play sends sound prompts, then some poisoned ones shortly after each other, and single ones later.
+func (q *caller) play() {
 	const (
 		soundInterval = 900 * time.Millisecond
 		beforeTime    = 21 * time.Second
 		burst         = 8
 		burstInterval = 30 * time.Millisecond
 		laterInterval = time.Second
-		besideTime    = 21 * time.Second
-		enough        = 20 // requests of the rule
+		besideTime    = 20 * time.Second
 	)
-	g, p, err := w.addEngines(!trouble)
-	if err != nil {
-		return 0, err
-	}
-	q := &soundPrompts{p: p, answered: make(chan struct{})}
-	q.start(soundInterval)
+	q.startSound(soundInterval)
 	time.Sleep(beforeTime)
 	<-q.answered // the next one is answered most of a second later
 	q.mu.Lock()
 	q.to = time.Now()
 	q.mu.Unlock()
 	for range burst {
-		p.poison()
+		q.poison()
 		time.Sleep(burstInterval)
 	}
-	until := time.Now().Add(2*stabilityWindow + besideTime)
-	for time.Now().Before(until) {
-		time.Sleep(laterInterval)
-		p.poison()
-		if q.again.IsZero() && time.Until(until) < besideTime {
-			q.mu.Lock()
-			q.again = time.Now()
-			q.mu.Unlock()
-			w.note("sound requests count from now on; engines have crashed %d times", g.count())
-		}
+	time.Sleep(2 * stabilityWindow)
+	q.mu.Lock()
+	q.again = time.Now()
+	q.mu.Unlock()
+	for until := time.Now().Add(besideTime); time.Now().Before(until); time.Sleep(laterInterval) {
+		q.poison()
 	}
-	close(p.end)
+	close(q.end)
 	q.wg.Wait()
-	p.sound.Wait()
-	g.wg.Wait()
-	w.note("of sound requests began: %d of %d before, %d of %d beside the poisoned ones; %d crashes", q.before.began, q.before.all, q.beside.began, q.beside.all, g.count())
+}
+
+// lost returns how many sound prompts that count didn't begin, if less than half as many began as before.
+func (q *caller) lost() (int, error) {
+	const enough = 20 // requests of the rule
+	q.p.w.note("caller %d: of sound requests began: %d of %d before, %d of %d beside the poisoned ones", q.n, q.before.began, q.before.all, q.beside.began, q.beside.all)
 	if q.before.all < enough || q.beside.all < enough {
 		return 0, fmt.Errorf("too few sound requests")
 	}
@@ -115,17 +119,24 @@
 	return 0, nil
 }
 
-// poison sends a poisoned request to the next entry, and doesn't wait for the answer.
-func (p *prompts) poison() {
-	p.poisoned++
-	i := p.poisoned % len(p.w.entries)
-	id := fmt.Sprintf("%d-%06x", i, 0x900000+p.poisoned)
-	p.sound.Go(func() { p.ask(i, id, "poisoned", poisonPart+":410,91bd3f06:44490", "45000,460") })
-}
-
-// count returns how often engines have crashed.
-func (g *engines) count() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.crashes)
+// sharedPart lets two callers, one after the other, send prompts with a part on which engines crash, while
+// their sound prompts go on, which share another part.
+func sharedPart(w *world, trouble bool) (int, error) {
+	g, p, err := w.addEngines(!trouble)
+	if err != nil {
+		return 0, err
+	}
+	broken := 0
+	for n := range 2 {
+		q := &caller{p: p, n: n, answered: make(chan struct{}), end: make(chan struct{})}
+		q.play()
+		lost, err := q.lost()
+		if err != nil {
+			return 0, err
+		}
+		broken += lost
+	}
+	g.wg.Wait()
+	w.note("engines crashed %d times", len(g.crashes))
+	return broken, nil
 }
