Hold segments that crashes can't tell apart only together

Cause: where a deadly segment and a sound one were in all crashes, the tracker took the one that stands later in the prompt. Its hold explained all crashes, so the deadly one was never held, and it ended the only evidence that could correct it: prompts with the sound segment were no longer sent, so none was answered. When an answer did end a hold, nothing weighed again what it had explained.

Evidence: with the new tests the former code fails at tracker_test.go 147 (a sound prompt with the shared segment is refused at an entry that saw no crash), 180 and 209.

Ruled out: taking an unanswered segment before an answered one alone.

Change: segments without an answer that were in all crashes are held together: requests with only some of them pass, and an answer or a crash tells them apart. Of equal scores an unanswered segment goes first. The end of a hold reviews the crashes. Where two segments are deadly beside a third unanswered one, requests with the third alone are probed about once a second, up to seven crashes. The report on the wire is unchanged.

--- a/internal/prompt/quarantine/report.go
+++ b/internal/prompt/quarantine/report.go
@@ -40,6 +40,9 @@
 	for _, id := range q.wantedVerdicts(now) {
 		r.Verdicts = append(r.Verdicts, Verdict{Segment: id, Term: q.term(id)})
 		questioned[id] = true
+		for _, other := range q.verdicts[id].companions {
+			questioned[other] = true
+		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(questioned)) {
 		if at := q.seenAnswered(id); !at.IsZero() && len(r.Answers) < maxReportedAnswers {
@@ -103,7 +106,7 @@
 			}
 		}
 		q.reported[a.Segment] = a.At
-		q.release(a.Segment, now)
+		q.weighAnswers(segment.List{a.Segment}, now)
 	}
 }
 
--- a/internal/prompt/quarantine/tracker.go
+++ b/internal/prompt/quarantine/tracker.go
@@ -5,9 +5,11 @@
 // An upstream that crashes had requests without an answer: suspects, which may have begun to run, and
 // bystanders, prompts that were still read. A request counts as the last of its own segments, since
 // one that is sent again has it in common with the first. Held are the fewest segments that all
-// crashes have in common and that no request was answered with since. Entries report to each other
-// the crashes that they saw, which of the segments in question they have seen answered, and which
-// they hold.
+// crashes have in common and that no request was answered with since. A segment that always crashed
+// together with others that were never answered is held only in requests that have these, too: the
+// others pass, and their answers show which segments are sound. Entries report to each other the
+// crashes that they saw, which of the segments in question they have seen answered, and which they
+// hold.
 package quarantine
 
 import (
@@ -54,6 +56,12 @@
 	// together send about one in meanProbeDelay: each may cost an upstream.
 	minProbeDelay  = 5 * time.Minute
 	meanProbeDelay = 10 * time.Minute
+	// The same for a doubted segment, and requests without the others that it crashed with. Each such
+	// probe may be the one that shows it sound, so they come sooner, until there were
+	// maxDoubtedCrashes: the users accept five crashes and three more requests.
+	minDoubtProbeDelay  = 500 * time.Millisecond
+	meanDoubtProbeDelay = time.Second
+	maxDoubtedCrashes   = 7
 
 	// Bounds of memory and of a report.
 	maxCrashes          = 128
@@ -99,19 +107,36 @@
 	probeAt   time.Time
 	forgetAt  time.Time
 	reportEnd time.Time // while requests with the segment come here
+	// companions are the segments that crashes can't tell from this one. The hold covers requests that
+	// have all of them.
+	companions segment.List
+	// doubted is set if each crash was under a request that has other segments without an answer, too,
+	// and there were fewer than maxDoubtedCrashes.
+	doubted      bool
+	doubtProbeAt time.Time
 }
 
 func (v *verdict) held() bool { return v.term%2 == 1 }
 
+// unsettled reports whether answers or crashes may show that the segment is not the one to hold, or the
+// only one.
+func (v *verdict) unsettled() bool { return v.held() && (v.doubted || len(v.companions) > 0) }
+
+// covers reports whether requests with the given segments, among them the verdict's own, are held.
+func (v *verdict) covers(list segment.List) bool {
+	return v.held() && list.ContainsAll(v.companions)
+}
+
 // New returns a tracker that holds nothing.
 func New(cfg Settings) *Tracker {
 	return &Tracker{cfg: cfg, reported: map[segment.ID]time.Time{}, verdicts: map[segment.ID]*verdict{}, unproven: map[*Attempt]struct{}{}}
 }
 
-// nextProbe returns when this entry may send a request with a held segment.
-func (q *Tracker) nextProbe(now time.Time) time.Time {
-	spread := 2 * meanProbeDelay * time.Duration(max(1, q.cfg.Entries()))
-	return now.Add(minProbeDelay + time.Duration(q.cfg.Rand()*float64(spread)))
+// nextProbe returns when this entry may send a request with a held segment: after the shortest delay, and
+// so that all entries together send one in the mean one.
+func (q *Tracker) nextProbe(now time.Time, shortest, mean time.Duration) time.Time {
+	spread := 2 * mean * time.Duration(max(1, q.cfg.Entries()))
+	return now.Add(shortest + time.Duration(q.cfg.Rand()*float64(spread)))
 }
 
 // HeldSegments returns the segments that are held.
@@ -148,7 +173,7 @@
 	now := q.cfg.Now()
 	list = append(slices.Clone(list), digest)
 	for _, id := range list {
-		if !q.passes(id, now) {
+		if !q.passes(id, list, now) {
 			return nil, id
 		}
 	}
@@ -157,18 +182,22 @@
 	return a, segment.None
 }
 
-// passes reports whether requests with the segment are not held, or one is due as a probe. q.mu
-// must be held.
-func (q *Tracker) passes(id segment.ID, now time.Time) bool {
+// passes reports whether the hold of a segment does not cover a request that has it, or the request
+// is due as a probe. q.mu must be held.
+func (q *Tracker) passes(id segment.ID, request segment.List, now time.Time) bool {
 	v := q.verdicts[id]
-	if v == nil || !v.held() {
+	if v == nil || !v.covers(request) {
 		return true
 	}
 	v.forgetAt, v.reportEnd = now.Add(2*holdTTL), now.Add(holdTTL)
-	if now.Before(v.probeAt) {
+	switch {
+	case !now.Before(v.probeAt):
+		v.probeAt = q.nextProbe(now, minProbeDelay, meanProbeDelay)
+	case v.doubted && !now.Before(v.doubtProbeAt) && q.suspectsOnly(id, request):
+		v.doubtProbeAt = q.nextProbe(now, minDoubtProbeDelay, meanDoubtProbeDelay)
+	default:
 		return false
 	}
-	v.probeAt = q.nextProbe(now)
 	q.cfg.Log.Info("Sending a request with a held segment as a probe.", "segment", id)
 	return true
 }
@@ -248,7 +277,28 @@
 		} else {
 			q.requests.add(id, now)
 		}
-		q.release(id, now)
+	}
+	q.weighAnswers(a.segments, now)
+}
+
+// weighAnswers changes the holds that answers to requests with the given segments speak against. q.mu
+// must be held.
+func (q *Tracker) weighAnswers(list segment.List, now time.Time) {
+	if len(q.verdicts) == 0 {
+		return
+	}
+	released, answered := false, make(map[segment.ID]bool, len(list))
+	for _, id := range list {
+		answered[id] = true
+		released = q.release(id, now) || released
+	}
+	for id, v := range q.verdicts {
+		if v.held() && slices.ContainsFunc(v.companions, func(o segment.ID) bool { return answered[o] }) {
+			q.updateHold(id, v)
+		}
+	}
+	if released { // what the hold explained has another cause
+		q.review(now)
 	}
 }
 
@@ -299,10 +349,10 @@
 
 func (b *blame) suffices() bool { return b.open && b.score >= b.need() }
 
-// compare orders segments by what speaks against them. Of those that are in the same requests, the
-// one comes first that fewer other requests have.
+// compare orders segments by what speaks against them. Of those that are in the same requests, one
+// that was never answered comes first, then the one that fewer other requests have.
 func (b *blame) compare(o *blame) int {
-	return cmp.Or(cmp.Compare(o.score, b.score), cmp.Compare(o.position, b.position), cmp.Compare(b.id, o.id))
+	return cmp.Or(cmp.Compare(o.score, b.score), cmp.Compare(b.need(), o.need()), cmp.Compare(o.position, b.position), cmp.Compare(b.id, o.id))
 }
 
 // newBlame returns the blame of a segment that no crash speaks against yet. q.mu must be held.
@@ -310,10 +360,13 @@
 	return &blame{id: id, since: q.lastAnswered(id)}
 }
 
-// add counts a crash under a request that has the segment at a position, after which no request with it
-// was answered.
+// counts reports whether a crash is apart from the latest one, and no request with the segment was
+// answered since.
+func (b *blame) counts(c *Crash) bool { return c.At.After(b.since) && c.isApart(b.last) }
+
+// add adds a crash under a request that has the segment at a position, if it counts.
 func (b *blame) add(c *Crash, request segment.List, position int, explained bool) {
-	if !c.At.After(b.since) || !c.isApart(b.last) {
+	if !b.counts(c) {
 		return
 	}
 	b.score, b.position, b.last = b.score+c.score(), max(b.position, position), c.At
@@ -349,11 +402,82 @@
 	return false
 }
 
+// updateHold updates what the crashes that speak against a held segment tell of others, aborts the requests
+// that the hold covers, and returns their number. q.mu must be held.
+func (q *Tracker) updateHold(id segment.ID, v *verdict) (aborted int) {
+	if companions, doubted, known := q.companions(id); known {
+		v.companions, v.doubted = companions, doubted
+	}
+	for a := range q.unproven {
+		if slices.Contains(a.segments, id) && v.covers(a.segments) && a.firstAt.IsZero() && !a.aborted {
+			a.aborted = true
+			a.abort()
+			aborted++
+		}
+	}
+	return aborted
+}
+
+// companions returns the segments without an answer that are beside the given one in all crashes that
+// speak against it, and whether the hold is doubted. known is false if there is no such crash. q.mu must
+// be held.
+func (q *Tracker) companions(id segment.ID) (out segment.List, doubted, known bool) {
+	b, n := q.newBlame(id), 0
+	for i := range q.crashes {
+		c := &q.crashes[i]
+		others, blamed := q.unansweredBeside(c, id)
+		if !blamed || !b.counts(c) {
+			continue
+		}
+		if n++; n == 1 {
+			out, doubted = others, true
+		}
+		b.last = c.At
+		doubted = doubted && len(others) > 0
+		out = slices.DeleteFunc(out, func(o segment.ID) bool { return !slices.Contains(others, o) })
+	}
+	return out, doubted && n < maxDoubtedCrashes, n > 0
+}
+
+// unansweredBeside returns the other segments that were never answered in the request with the most of
+// them, of those that a crash speaks against and that have the segment. blamed is false if there is none.
+// A digest has none beside it: no other request has it. q.mu must be held.
+func (q *Tracker) unansweredBeside(c *Crash, id segment.ID) (others segment.List, blamed bool) {
+	for _, request := range c.blamed() {
+		at, digest := slices.Index(request, id), len(request)-1
+		if at < 0 {
+			continue
+		}
+		blamed = true
+		if at == digest {
+			continue
+		}
+		list := slices.DeleteFunc(slices.Clone(request[:digest]), func(o segment.ID) bool { return o == id || !q.lastAnswered(o).IsZero() })
+		if len(list) > len(others) {
+			others = list
+		}
+	}
+	return others, blamed
+}
+
+// suspectsOnly reports whether no crash speaks against the other segments of a request, or they were
+// answered. q.mu must be held.
+func (q *Tracker) suspectsOnly(id segment.ID, request segment.List) bool {
+	return !slices.ContainsFunc(request, func(o segment.ID) bool {
+		return o != id && q.lastAnswered(o).IsZero() && q.blameOf(o).score > 0
+	})
+}
+
 // review holds the segments that crashes speak against, once other entries had time to object.
 // q.mu must be held.
 func (q *Tracker) review(now time.Time) {
 	q.crashes = slices.DeleteFunc(q.crashes, func(c Crash) bool { return now.Sub(c.At) > evidenceTTL })
 	maps.DeleteFunc(q.verdicts, func(_ segment.ID, v *verdict) bool { return now.After(v.forgetAt) })
+	for id, v := range q.verdicts {
+		if v.unsettled() {
+			q.updateHold(id, v)
+		}
+	}
 	for {
 		worst := q.mostBlamed()
 		if worst == nil {
@@ -443,21 +567,16 @@
 		v = &verdict{}
 		q.verdicts[id] = v
 	}
-	v.term, v.changedAt, v.forgetAt, v.probeAt = term, now, now.Add(2*holdTTL), q.nextProbe(now)
+	v.term, v.changedAt, v.forgetAt, v.probeAt = term, now, now.Add(2*holdTTL), q.nextProbe(now, minProbeDelay, meanProbeDelay)
+	v.doubtProbeAt = q.nextProbe(now, minDoubtProbeDelay, meanDoubtProbeDelay)
 	if !v.held() {
 		q.cfg.Log.Info("A segment is no longer held: a request with it was answered.", "segment", id, "term", term)
 		return v
 	}
-	aborted := 0
-	for a := range q.unproven {
-		if slices.Contains(a.segments, id) && a.firstAt.IsZero() && !a.aborted {
-			a.aborted = true
-			a.abort()
-			aborted++
-		}
-	}
+	v.companions, v.doubted = nil, false
+	aborted := q.updateHold(id, v)
 	q.cfg.Log.Warn("Upstreams crash on a segment; requests with it are held back.", "segment", id, "term", term,
-		"score", q.blameOf(id).score, "answered_before", !q.lastAnswered(id).IsZero(), "aborted", aborted)
+		"score", q.blameOf(id).score, "answered_before", !q.lastAnswered(id).IsZero(), "together_with", v.companions.String(), "aborted", aborted)
 	return v
 }
 
@@ -494,13 +613,16 @@
 	return id, least
 }
 
-// release ends the hold of a segment if answers speak for it. q.mu must be held.
-func (q *Tracker) release(id segment.ID, now time.Time) {
+// release ends the hold of a segment if answers speak for it, and reports whether it did. q.mu must be
+// held.
+func (q *Tracker) release(id segment.ID, now time.Time) bool {
 	v := q.verdicts[id]
-	if v != nil && v.held() && q.refutes(id) {
-		q.setTerm(id, v.term+1, now)
-		v.reportEnd = now.Add(holdTTL)
+	if v == nil || !v.held() || !q.refutes(id) {
+		return false
 	}
+	q.setTerm(id, v.term+1, now)
+	v.reportEnd = now.Add(holdTTL)
+	return true
 }
 
 // refutes reports whether answers speak against holding a segment. q.mu must be held.
--- a/internal/prompt/quarantine/tracker_test.go
+++ b/internal/prompt/quarantine/tracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -127,6 +128,97 @@
 	})
 }
 
+// Neither segment that all crashes have in common was answered yet, and the sound one stands behind the
+// deadly one. Holding it alone explains all crashes, so that the deadly one is never held, and prompts
+// with the sound one, which would show that it is sound, are refused for minutes.
+func TestUnansweredSegmentBesideDeadlyOneIsReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(4)
+		for i := range 3 {
+			time.Sleep(passTime)
+			f[i].crash(fmt.Sprint(i), true, segment.List{deadly, shared})
+			f.exchange()
+		}
+		settle()
+		for _, q := range f {
+			is.True(!q.answer(deadly, shared))
+		}
+		is.True(f[3].answer(shared, other)) // at an entry that saw no crash
+		f.exchange()
+		settle()
+		for _, q := range f {
+			is.Equal(q.HeldSegments(), segment.List{deadly})
+			is.True(q.answer(shared))
+			is.True(!q.answer(deadly, other))
+		}
+	})
+}
+
+// A deadly segment comes with another unanswered one each time. Each combination costs a crash, so that
+// engines would go on to crash if the deadly segment were never held by itself.
+func TestDeadlySegmentBesideChangingOnesIsHeld(t *testing.T) {
+	for _, repeats := range []int{1, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(2)
+			crashes := 0
+			for i := range 200 {
+				time.Sleep(passTime)
+				if a := f[i%2].watch(segment.List{deadly, segment.ID(100 + i/repeats)}, func() {}); a != nil {
+					crashes++
+					a.Crashed(fmt.Sprint(i), time.Now(), true)
+					a.End(false)
+				}
+				f.exchange()
+				settle()
+			}
+			is.True(crashes <= 5+3) // the users accept five crashes and three more requests
+			for _, q := range f {
+				is.True(slices.Contains(q.HeldSegments(), deadly))
+				is.True(!q.answer(deadly, other))
+				is.True(q.answer(100))
+			}
+		})
+	}
+}
+
+// Two segments are deadly, beside one that all prompts share and that was not answered yet. Holding
+// the shared one by itself, which all crashes have in common, would refuse all sound prompts for minutes.
+func TestTwoDeadlySegmentsBesideUnansweredOneAreHeld(t *testing.T) {
+	const secondDeadly = segment.ID(4)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2)
+		crashes := 0
+		crash := func(i int) {
+			time.Sleep(passTime)
+			list := segment.List{[]segment.ID{deadly, secondDeadly}[i/2%2], shared}
+			if a := f[i%2].watch(list, func() {}); a != nil {
+				crashes++
+				a.Crashed(fmt.Sprint(i), time.Now(), true)
+				a.End(false)
+			}
+			f.exchange()
+			settle()
+		}
+		for i := range 8 {
+			crash(i)
+		}
+		time.Sleep(minDoubtProbeDelay + 2*time.Duration(len(f))*meanDoubtProbeDelay)
+		is.True(f[0].answer(shared, other))
+		f.exchange()
+		for i := range 8 {
+			crash(i)
+		}
+		is.True(crashes <= 5)
+		for _, q := range f {
+			is.Equal(q.HeldSegments(), segment.List{deadly, secondDeadly})
+			is.True(q.answer(shared))
+		}
+	})
+}
+
 // One request of a caller crashes upstreams, and is sent again by the entry and the caller. Holding a
 // segment that others share with it would take from them what only this one does.
 func TestRepeatedRequestIsHeldWithoutItsSegments(t *testing.T) {
--- a/internal/prompt/segment/segment.go
+++ b/internal/prompt/segment/segment.go
@@ -3,6 +3,7 @@
 package segment
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 
@@ -31,6 +32,11 @@
 // List is the segments of a prompt that others may have, in order.
 type List []ID
 
+// ContainsAll reports whether the list has all segments of another one.
+func (l List) ContainsAll(other List) bool {
+	return !slices.ContainsFunc(other, func(id ID) bool { return !slices.Contains(l, id) })
+}
+
 // String returns the IDs for log lines.
 func (l List) String() string {
 	names := make([]string, len(l))
