Don't put off a hold while crashes go on

Cause: a hold waits settleDelay (40 ms) for other entries to object with answers, counted from the latest crash. Crashes that follow each other sooner put it off again and again.

Change: the delay counts from the crash that made the evidence sufficient. Later crashes add nothing that an objection would have to answer.

--- a/internal/prompt/quarantine/tracker.go
+++ b/internal/prompt/quarantine/tracker.go
@@ -333,6 +333,7 @@
 	whole    bool      // it is the digest of the requests
 	open     bool      // no other held segment explains one of the crashes
 	last     time.Time // latest crash
+	enoughAt time.Time // crash from which on it suffices
 }
 
 // need returns the score from which the segment is held.
@@ -372,6 +373,9 @@
 	b.score, b.position, b.last = b.score+c.score(), max(b.position, position), c.At
 	b.whole = position == len(request)-1
 	b.open = b.open || !explained
+	if b.enoughAt.IsZero() && b.suffices() {
+		b.enoughAt = c.At
+	}
 }
 
 // blameOf returns what speaks for holding a segment: the crashes since its latest answer. q.mu must
@@ -483,8 +487,8 @@
 		if worst == nil {
 			return
 		}
-		if now.Sub(worst.last) < settleDelay {
-			q.settleLater()
+		if rest := settleDelay - now.Sub(worst.enoughAt); rest > 0 {
+			q.settleLater(rest)
 			return
 		}
 		if q.verdicts[worst.id] == nil {
@@ -537,13 +541,13 @@
 	return out
 }
 
-// settleLater schedules a review. q.mu must be held.
-func (q *Tracker) settleLater() {
+// settleLater schedules a review after a delay. q.mu must be held.
+func (q *Tracker) settleLater(delay time.Duration) {
 	if q.settling {
 		return
 	}
 	q.settling = true
-	time.AfterFunc(settleDelay, func() {
+	time.AfterFunc(delay, func() {
 		q.mu.Lock()
 		q.settling = false
 		q.review(q.cfg.Now())
--- a/internal/prompt/quarantine/tracker_test.go
+++ b/internal/prompt/quarantine/tracker_test.go
@@ -219,6 +219,34 @@
 	})
 }
 
+// Crashes follow each other sooner than entries take to object, and with each of them the hold was put
+// off, until the shared segment, which was answered just before, had as much against it.
+func TestBurstOfCrashesDoesNotPutOffHold(t *testing.T) {
+	const interval = 30 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(4)
+		is.True(f[0].answer(shared))
+		sent := 0
+		for i := range 8 {
+			time.Sleep(interval)
+			if a := f[i%4].watch(segment.List{deadly, shared}, func() {}); a != nil {
+				sent++
+				a.Crashed(fmt.Sprint(i), time.Now(), true)
+				a.End(false)
+			}
+			f.exchange()
+		}
+		is.True(sent <= 4) // two crashes, and settleDelay after the second one
+		settle()
+		f.exchange()
+		for _, q := range f {
+			is.Equal(q.HeldSegments(), segment.List{deadly})
+			is.True(q.answer(shared))
+		}
+	})
+}
+
 // One request of a caller crashes upstreams, and is sent again by the entry and the caller. Holding a
 // segment that others share with it would take from them what only this one does.
 func TestRepeatedRequestIsHeldWithoutItsSegments(t *testing.T) {
