Tell a cut of an entry from an outage of the store

Cause: a removal read within 2.3 s of the store's first answer is put off, since it may be a registration that expired in an outage. Whether there was one was judged by this entry's own calls, and by hints that others sent while they failed. An entry that is cut off with its zone hears no hints, so its cut was always an outage: it was back in touch 3 s after the cut, and obeyed removals up to 3.9 s after it.

Ruled out: a shorter delay (lapsed registrations need it), and reading it off the records (a scale-in removes many upstreams at once, too).

Change: reports carry since when the store has answered their sender without a gap in which registrations could expire (field 21; earlier versions pass over it and send none, and beside them removals are put off as before). If one of them covers what this entry missed, put-off removals take effect and later ones are not put off. An entry that saw an outage itself, or was cut off, reports from its return on only, so nobody vouches for a time in which all were unanswered.

--- a/internal/gateway/directory/directory.go
+++ b/internal/gateway/directory/directory.go
@@ -183,6 +183,10 @@
 	d.storeDown = !ok
 }
 
+// Uninterrupted records that the last time without an answer was no outage: the store served others, so
+// that no registration expired because of it.
+func (d *Directory) Uninterrupted() { d.recoveredAt = d.restoredAt }
+
 // StoreDown reports whether the last call to the store was not answered.
 func (d *Directory) StoreDown() bool { return d.storeDown }
 
--- a/internal/gateway/directory/directory_test.go
+++ b/internal/gateway/directory/directory_test.go
@@ -48,6 +48,28 @@
 	is.Equal(len(d.Servers("desk")), 2) // i-2 did not return
 }
 
+// An entry was cut off while the store served the others. Removals after its return are no expired
+// registrations, unless the store was restored as well.
+func TestRemoveAfterACutIsImmediate(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory()
+	d.Reached(false, at(time.Second))
+	d.Reached(true, at(7*time.Second))
+	is.True(!d.Remove("i-1", at(7*time.Second)))
+	d.Uninterrupted()
+	settle, ok := d.SettleAt()
+	is.True(ok)
+	is.True(!settle.After(at(7 * time.Second)))
+	is.True(d.Settle(at(7 * time.Second)))
+	is.True(d.Remove("i-2", at(7*time.Second)))
+
+	d.Reached(false, at(8*time.Second))
+	d.Restored(at(9 * time.Second))
+	d.Reached(true, at(9*time.Second))
+	d.Uninterrupted()
+	is.True(!d.Remove("i-3", at(10*time.Second)))
+}
+
 // A draining upstream that is removed has stopped, so its removal is not deferred.
 func TestRemoveOfDrainingServerIsImmediate(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/entry/recovery_test.go
+++ b/internal/gateway/entry/recovery_test.go
@@ -144,7 +144,10 @@
 	}
 	stale, staleStore := startOther("vm-2")
 	staleStore.SetOutage(true)
-	env.await(func() bool { return stale.positions() == nil })
+	env.await(func() bool {
+		list, _ := stale.positions()
+		return list == nil
+	})
 
 	_ = env.entry.Shutdown(cancelledContext()) // as after a power loss
 	address, calls := turnAway(t)
--- a/internal/gateway/entry/scheduler.go
+++ b/internal/gateway/entry/scheduler.go
@@ -292,6 +292,19 @@
 	s.scheduleSettle(now)
 }
 
+// StoreUninterrupted records that the store served others while it did not answer this entry.
+func (s *scheduler) StoreUninterrupted() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.dir.Uninterrupted()
+	if s.dir.Settle(now) {
+		s.log.Info("Settled the records of upstreams: the store served other entries all the while.")
+		s.configure()
+	}
+	s.scheduleSettle(now)
+}
+
 // configure passes the upstreams to the planners and pools of their services. s.mu must be held.
 func (s *scheduler) configure() {
 	s.throttle.Forget(s.dir.Has)
--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -239,7 +239,8 @@
 	config.Apply, config.Restored = s.applyConfig, s.sched.EvacuationsRestored
 	entries.Apply, entries.Restored = s.applyEntries, s.entriesRestored
 	servers.Outdated, servers.History = isOutdatedServer, s.store.History
-	servers.Apply, servers.Restored, servers.Reached = s.sched.ApplyServers, s.sched.ServersRestored, s.sched.StoreReached
+	servers.Apply, servers.Restored = s.sched.ApplyServers, s.sched.ServersRestored
+	servers.Reached, servers.Uninterrupted = s.sched.StoreReached, s.sched.StoreUninterrupted
 	list := []*follow.Follower{
 		follow.New(follow.Settings{Topic: platform.ConfigTopic, Wait: configWait}, config, logger),
 		follow.New(follow.Settings{Topic: platform.ServersTopic, Wait: serversWait, Pause: pause}, servers, logger),
@@ -279,21 +280,21 @@
 func (s *Server) readsStore() bool { return s.exchange.Rank() < storeReaders }
 
 // positions returns this entry's position in each topic, or nil if the store has not answered it
-// lately. Where it answers none of the entries that read for others, the first other one whose
+// lately, and since when the store has answered its reads of the upstreams. Where it answers none of the entries that read for others, the first other one whose
 // own read is answered announces it.
-func (s *Server) positions() []platform.Position {
+func (s *Server) positions() (out []platform.Position, served time.Time) {
 	list := s.followers.Load()
 	if list == nil {
-		return nil
+		return nil, time.Time{}
 	}
-	var (
-		out      []platform.Position
-		answered time.Time
-	)
+	var answered time.Time
 	for _, f := range *list {
 		next, healthy := f.Position()
 		if !healthy {
-			return nil
+			return nil, time.Time{}
+		}
+		if f.Topic() == platform.ServersTopic {
+			served = f.ServedSince()
 		}
 		out = append(out, next)
 		if at := f.Answered(); at.After(answered) {
@@ -305,19 +306,23 @@
 		limit = pollAnnounceTime
 	}
 	if time.Since(answered) > limit {
-		return nil
+		return nil, time.Time{}
 	}
-	return out
+	return out, served
 }
 
-// applyPositions applies the positions that another entry announced.
-func (s *Server) applyPositions(entry string, read []platform.Position) {
+// applyPositions applies the positions that another entry announced, and since when the store has
+// answered it.
+func (s *Server) applyPositions(entry string, read []platform.Position, served time.Time) {
 	list := s.followers.Load()
 	if list == nil || len(read) != len(*list) {
 		return
 	}
 	for i, f := range *list {
 		f.Hint(entry, read[i])
+		if f.Topic() == platform.ServersTopic {
+			f.ServedElsewhere(served)
+		}
 	}
 }
 
--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -46,6 +46,11 @@
 	maxHintedEntries = 4
 	// maxOlderTime is how long answers of an earlier epoch are taken for late ones.
 	maxOlderTime = 3 * time.Second
+	// outageSpacing is the time after which two outages are weighed apart: registrations that expired in
+	// the first are back.
+	outageSpacing = 3 * time.Second
+	// answerMargin is the longest time that an answer takes beyond the wait for records.
+	answerMargin = 600 * time.Millisecond
 )
 
 // Seams are the functions through which a follower reads the store, gets records from
@@ -73,6 +78,9 @@
 	// A store that rejects this entry but serves others throughout counts as
 	// answering.
 	Reached func(ok bool)
+	// Uninterrupted is called after Reached(true) if it turns out that the store served other entries
+	// throughout the time for which it was reported unreached. It may be nil.
+	Uninterrupted func()
 	// Ask returns the newest records of all keys that another entry has, and the position up
 	// to which it has read. It may be nil. It is called for the entry with the highest hint,
 	// if that is ahead: by an entry that does not lead, since each call to the store has a
@@ -113,6 +121,29 @@
 	lastHint   time.Time
 	hintsSince time.Time // of the first hint since the last gap longer than maxHintGap
 	lastAnswer time.Time // when the store last answered
+	served     span      // in which the store answered this entry without a long gap
+	elsewhere  span      // the same for other entries, as far as they have announced it
+	unreached  span      // the latest one in which the store did not answer this entry, unless it served others
+}
+
+// span is a time from one moment to another.
+type span struct{ from, to time.Time }
+
+// extend extends the span to a later one if there is no gap between them, and otherwise replaces it.
+func (s *span) extend(o span) {
+	if s.to.IsZero() || o.from.After(s.to) {
+		*s = o
+		return
+	}
+	if o.from.Before(s.from) {
+		s.from = o.from
+	}
+	s.to = o.to
+}
+
+// covers reports whether another span is inside of this one, whose end may be earlier by a margin.
+func (s *span) covers(o span, margin time.Duration) bool {
+	return !s.from.IsZero() && !s.from.After(o.from) && !s.to.Add(margin).Before(o.to)
 }
 
 // New starts a follower.
@@ -254,6 +285,46 @@
 	return f.lastAnswer
 }
 
+// ServedSince returns since when the store has answered this entry without a gap in which registrations
+// may have expired, or the zero time if it does not.
+func (f *Follower) ServedSince() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Since(f.served.to) > f.maxAnswerGap() {
+		return time.Time{}
+	}
+	return f.served.from
+}
+
+// maxAnswerGap returns the longest time between answers while this entry reads without failing.
+func (f *Follower) maxAnswerGap() time.Duration { return f.cfg.Wait + f.cfg.Pause + answerMargin }
+
+// ServedElsewhere records that the store has answered another entry since a time; zero if that is not
+// known.
+func (f *Follower) ServedElsewhere(since time.Time) {
+	if since.IsZero() {
+		return
+	}
+	f.mu.Lock()
+	f.elsewhere.extend(span{since, time.Now()})
+	f.mu.Unlock()
+	f.weighOutage()
+}
+
+// weighOutage calls Seams.Uninterrupted if the store served others while it did not answer this entry.
+func (f *Follower) weighOutage() {
+	f.mu.Lock()
+	served := !f.unreached.to.IsZero() && f.elsewhere.covers(f.unreached, maxHintGap)
+	if served {
+		f.unreached = span{}
+	}
+	f.mu.Unlock()
+	if served && f.seams.Uninterrupted != nil {
+		f.log.Info("The store served other entries while it did not answer.", "topic", f.cfg.Topic)
+		f.seams.Uninterrupted()
+	}
+}
+
 // reportReached passes the outcome of a call to Seams.Reached, and records when the store
 // answered.
 func (f *Follower) reportReached(ok bool, p *progress) {
@@ -267,9 +338,21 @@
 	if f.seams.Reached != nil {
 		f.seams.Reached(true)
 	}
+	now := time.Now()
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.lastAnswer = time.Now()
+	outage := !served && p.failing
+	if outage {
+		if p.failedAt.Sub(f.unreached.to) > outageSpacing {
+			f.unreached.from = p.failedAt
+		}
+		f.unreached.to = now
+	}
+	if outage || now.Sub(f.served.to) > f.maxAnswerGap() {
+		f.served.from = now
+	}
+	f.lastAnswer, f.served.to = now, now
+	f.mu.Unlock()
+	f.weighOutage()
 }
 
 // setHealthy records whether the last call to the store succeeded.
--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -323,6 +323,72 @@
 	})
 }
 
+// A zone was cut off while upstreams left. At its return its entries took that for an outage of the store and
+// put off the removals for seconds, though the store had served the other entries all the while.
+func TestStoreThatServedOthersDuringACutHadNoOutage(t *testing.T) {
+	const second = time.Second
+	for _, c := range []struct {
+		name                                 string
+		cutAt, cutUntil, outageAt, outageEnd time.Duration
+		uninterrupted                        bool
+	}{
+		{"cut off", 5 * second, 11 * second, 0, 0, true},
+		{"outage", 0, 0, 5 * second, 11 * second, false},
+		{"outage while cut off", 5 * second, 13 * second, 7 * second, 11 * second, false},
+		{"outage just before the cut", 8 * second, 14 * second, 4 * second, 7500 * time.Millisecond, false},
+		{"cut off long after an outage", 16 * second, 22 * second, 5 * second, 9 * second, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := &fakeStore{}
+			s.put("a")
+			var cut atomic.Bool
+			var unreachedUntil, uninterruptedAt time.Time
+			start := time.Now()
+			other := newFollower(t, s, true)
+			f := New(Settings{Topic: "t", Wait: 2 * time.Second}, Seams{
+				Newest: s.newest, Apply: s.apply,
+				Read: func(ctx context.Context, topic string, from uint64, wait time.Duration) ([]platform.Keyed, platform.Position, error) {
+					list, next, err := s.read(ctx, topic, from, wait)
+					if cut.Load() {
+						return nil, platform.Position{}, errDown
+					}
+					return list, next, err
+				},
+				Reached: func(ok bool) {
+					s.set(func() {
+						if !ok {
+							unreachedUntil = time.Now()
+						}
+					})
+				},
+				Uninterrupted: func() { s.set(func() { uninterruptedAt = time.Now() }) },
+			}, log.New(io.Discard))
+			defer f.Close()
+			for step := range 250 {
+				time.Sleep(100 * time.Millisecond)
+				d := time.Since(start)
+				cut.Store(d >= c.cutAt && d < c.cutUntil)
+				s.set(func() { s.down = d >= c.outageAt && d < c.outageEnd })
+				p, healthy := other.Position()
+				if step%3 == 0 && !cut.Load() && healthy && time.Since(other.Answered()) < answerTimeout {
+					f.Hint("other", p)
+					f.ServedElsewhere(other.ServedSince())
+				}
+			}
+			s.set(func() {
+				if got := !uninterruptedAt.IsZero(); got != c.uninterrupted {
+					t.Errorf("%s: uninterrupted %v, want %v", c.name, got, c.uninterrupted)
+				}
+				is.True(!unreachedUntil.IsZero())
+				if c.uninterrupted {
+					is.True(uninterruptedAt.Sub(start.Add(c.cutUntil)) < time.Second)
+				}
+			})
+		})
+	}
+}
+
 // Without hints, an entry that does not lead polls the store itself.
 func TestFollowerPollsWithoutHints(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/peer/sends/exchange.go
+++ b/internal/peer/sends/exchange.go
@@ -77,10 +77,11 @@
 	// Peers returns the other entries.
 	Peers func() []Peer
 	// Positions returns how far this entry has read each of the store's topics, or nil to leave
-	// that out of the message. OnPositions receives another entry's positions, which are in no
-	// epoch if it runs an earlier version.
-	Positions   func() []platform.Position
-	OnPositions func(entry string, list []platform.Position)
+	// that out of the message, and since when the store has answered this entry, or zero if that
+	// is not known. OnPositions receives those of another entry. If it runs an earlier version, its
+	// positions are in no epoch, and the time is zero.
+	Positions   func() (list []platform.Position, served time.Time)
+	OnPositions func(entry string, list []platform.Position, served time.Time)
 	// Held returns what this entry knows of segments on which upstreams crash. OnHeld receives what
 	// another entry knows. nil: nothing.
 	Held   func() quarantine.Report
@@ -302,7 +303,7 @@
 	x.expirePeers(now)
 	report := x.seams.Report()
 	sortByEngine(report.Sends)
-	read := x.seams.Positions()
+	read, served := x.seams.Positions()
 	var held quarantine.Report
 	if x.seams.Held != nil {
 		held = x.seams.Held()
@@ -315,7 +316,7 @@
 	loads := x.loads(now, changed)
 	x.mu.Lock()
 	x.seq++
-	m := message{start: x.start, seq: x.seq, leaving: x.leaving, cutOff: cutOff, sends: report.Sends, paces: report.Paces, waits: report.Waits, read: read, held: held, rates: rates, loads: loads}
+	m := message{start: x.start, seq: x.seq, leaving: x.leaving, cutOff: cutOff, sends: report.Sends, paces: report.Paces, waits: report.Waits, read: read, served: served, held: held, rates: rates, loads: loads}
 	parts := x.encode(&m, changed, now)
 	x.mu.Unlock()
 	if len(parts) > 1 {
@@ -557,7 +558,7 @@
 		x.seams.OnReport(from, report)
 	}
 	if len(m.read) > 0 {
-		x.seams.OnPositions(from, m.read)
+		x.seams.OnPositions(from, m.read, m.served)
 	}
 	if x.seams.OnHeld != nil {
 		x.seams.OnHeld(m.held)
--- a/internal/peer/sends/exchange_test.go
+++ b/internal/peer/sends/exchange_test.go
@@ -33,7 +33,7 @@
 		conns[i] = c
 	}
 	reports, offsets := make(chan []passes.Send, 16), make(chan []platform.Position, 16)
-	want := []platform.Position{{Epoch: 2, Offset: 4}, {Epoch: 1, Offset: 5}}
+	want, served := []platform.Position{{Epoch: 2, Offset: 4}, {Epoch: 1, Offset: 5}}, time.Now().Add(-time.Hour)
 	start := func(i int, sends []passes.Send) *Exchange {
 		x := New(conns[i], time.Now(), Seams{
 			Report: func() passes.Report { return passes.Report{Sends: sends} },
@@ -43,8 +43,11 @@
 				}
 			},
 			Peers:     func() []Peer { return []Peer{{Address: conns[1-i].LocalAddr().String()}} },
-			Positions: func() []platform.Position { return want },
-			OnPositions: func(_ string, o []platform.Position) {
+			Positions: func() ([]platform.Position, time.Time) { return want, served },
+			OnPositions: func(_ string, o []platform.Position, at time.Time) {
+				if at.Sub(served).Abs() > time.Second {
+					o = nil
+				}
 				select {
 				case offsets <- o:
 				default: // the test reads one only
--- a/internal/peer/sends/mesh_test.go
+++ b/internal/peer/sends/mesh_test.go
@@ -75,7 +75,7 @@
 		}
 		e.Exchange = New(e, time.Now(), Seams{
 			Domain: e.peer.Domain, Report: e.own, OnReport: e.received, Peers: e.others,
-			Positions: func() []platform.Position { return nil }, OnPositions: func(string, []platform.Position) {}, Log: log.New(io.Discard),
+			Positions: func() ([]platform.Position, time.Time) { return nil, time.Time{} }, OnPositions: func(string, []platform.Position, time.Time) {}, Log: log.New(io.Discard),
 		})
 		t.Cleanup(e.Exchange.Close)
 	}
--- a/internal/peer/sends/wire.go
+++ b/internal/peer/sends/wire.go
@@ -45,6 +45,7 @@
 	fieldEpoch = 18 // varint
 
 	fieldCutOff = 19 // varint: 1 if the sender connects to no upstream
+	fieldServed = 21 // varint: ms for which the store has answered the sender; earlier versions send none
 	fieldLoad   = 20 // bytes: a plain server's name, and the sender's load and measurements of it
 
 	fieldName = 1 // string
@@ -82,6 +83,7 @@
 	cutOff  bool                // connects to no upstream
 	passOn  bool                // asks the receiver to pass it on in its failure domain
 	read    []platform.Position // how far the sender has read each topic
+	served  time.Time           // since when the store has answered the sender; zero: not known
 	sends   []passes.Send
 	paces   []passes.Pace
 	waits   []passes.Wait
@@ -139,6 +141,9 @@
 		b = protowire.AppendVarint(b, 1)
 	}
 	b = appendPositions(b, m.read)
+	if !m.served.IsZero() {
+		b = appendAge(b, fieldServed, m.served, now)
+	}
 	for _, w := range m.waits {
 		b = protowire.AppendTag(b, fieldWait, protowire.BytesType)
 		b = protowire.AppendBytes(b, encodeWait(w, now))
@@ -470,6 +475,8 @@
 			offsets = append(offsets, v)
 		case fieldEpoch:
 			epochs = append(epochs, v)
+		case fieldServed:
+			m.served = now.Add(-millis(v))
 		case fieldBase:
 			m.base = v
 		case fieldPassOn:
--- a/internal/peer/sends/wire_test.go
+++ b/internal/peer/sends/wire_test.go
@@ -34,6 +34,9 @@
 	for range rapid.IntRange(0, 3).Draw(t, "topics") {
 		m.read = append(m.read, platform.Position{Epoch: rapid.Uint64Range(0, 2).Draw(t, "epoch"), Offset: rapid.Uint64().Draw(t, "offset")})
 	}
+	if rapid.Bool().Draw(t, "served") {
+		m.served = testNow.Add(-drawMillis("served for"))
+	}
 	for range rapid.IntRange(0, 8).Draw(t, "sends") {
 		s := passes.Send{
 			Engine: rapid.SampledFrom([]string{"i-1", "i-2", "i-3"}).Draw(t, "engine"),
