Make a read of the store again when its connection is silent

Cause: a long read learned nothing from a connection that had gone silent until 3.7 s (2.2 s of wait and a time limit of 1.5 s) had passed, longer than the stability window. After a change all entries begin their next read together, so that all were stuck alike and none could hint. For the directory the same silence was then taken for a store that was away, though it answered on new connections, so that removals were put off 2.3 s more.

Ruled out: a shorter time limit alone, since a slow store would count as away.

Change: a read without an answer 0.4 s after its wait is made again on a new connection, and the first answer counts. What another read shows to be silent is asked again at once (also the entries' topic, which waits 10 s). Reads wait 1.4 s instead of 2.2 and 2: with the report to the other entries 2.1 s, below 3 s. Calls without a wait are bounded by 1.5 s, fetches from another entry by 1 s; they need no repeat.

--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -37,17 +37,17 @@
 	// dialTimeout limits connecting to an upstream. Failure domains are a few milliseconds apart,
 	// and a full accept queue does not answer at all.
 	dialTimeout = 150 * time.Millisecond
-	// configWait is how long a read waits for a change of the configuration. A dead connection is
-	// noticed within this time.
-	configWait = 2200 * time.Millisecond
+	// storeWait is how long a read waits for a change of the configuration or of upstreams. Only the
+	// missing answer shows that its connection is silent: with the repeat of the read and the report to
+	// the entries that don't read for others it has to be below the shortest stability window, 3 s.
+	storeWait = 1400 * time.Millisecond
 	// serversPause batches changes of upstreams, because calls to the store are priced. A leaving
 	// upstream announces it 2 seconds before it must get no more work.
 	serversPause = 600 * time.Millisecond
-	serversWait  = 2 * time.Second
 	entriesWait  = 10 * time.Second
 	// storeAnswerTimeout is the time within which a working store answers a read of some topic: the
-	// shortest wait, and a margin for a slow store.
-	storeAnswerTimeout = serversWait + 600*time.Millisecond
+	// shortest wait, and a margin for the repeat of a read on a new connection to a slow store.
+	storeAnswerTimeout = storeWait + 1200*time.Millisecond
 	// pollAnnounceTime is how long an entry that does not read for others announces what its poll
 	// read. Others put off their polls meanwhile, so it is two messages long.
 	pollAnnounceTime = 600 * time.Millisecond
@@ -234,7 +234,7 @@
 
 func (s *Server) startFollowers(pause time.Duration) {
 	logger := s.log.WithPrefix("store")
-	seams := s.countStoreCalls(follow.Seams{Newest: s.store.Newest, Read: s.store.Read, Leads: s.readsStore, Entries: s.entryCount, Ask: s.askEntry})
+	seams := s.countStoreCalls(follow.Seams{Newest: s.store.Newest, Read: s.store.Read, Leads: s.readsStore, Entries: s.entryCount, Ask: s.askEntry, Silent: s.checkReads})
 	config, servers, entries := seams, seams, seams
 	config.Apply, config.Restored = s.applyConfig, s.sched.EvacuationsRestored
 	entries.Apply, entries.Restored = s.applyEntries, s.entriesRestored
@@ -242,13 +242,22 @@
 	servers.Apply, servers.Restored = s.sched.ApplyServers, s.sched.ServersRestored
 	servers.Reached, servers.Uninterrupted = s.sched.StoreReached, s.sched.StoreUninterrupted
 	list := []*follow.Follower{
-		follow.New(follow.Settings{Topic: platform.ConfigTopic, Wait: configWait}, config, logger),
-		follow.New(follow.Settings{Topic: platform.ServersTopic, Wait: serversWait, Pause: pause}, servers, logger),
+		follow.New(follow.Settings{Topic: platform.ConfigTopic, Wait: storeWait}, config, logger),
+		follow.New(follow.Settings{Topic: platform.ServersTopic, Wait: storeWait, Pause: pause}, servers, logger),
 		follow.New(follow.Settings{Topic: platform.EntriesTopic, Wait: entriesWait, Pause: pause}, entries, logger),
 	}
 	s.followers.Store(&list)
 }
 
+// checkReads makes all reads of the store again that wait for records.
+func (s *Server) checkReads() {
+	if list := s.followers.Load(); list != nil {
+		for _, f := range *list {
+			f.CheckRead()
+		}
+	}
+}
+
 // reportChanged makes the exchange tell the other entries of a change.
 func (s *Server) reportChanged() { s.exchange.Changed() }
 
--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -28,7 +28,7 @@
 	pollIntervalPerEntry = 40 * time.Millisecond
 	// minSafetyPollInterval is how often such an entry reads the store even while it gets
 	// hints, and safetyPollIntervalPerEntry stretches it. The entries that send the hints
-	// detect a stuck read of the configuration or the upstreams within 4 s.
+	// detect a stuck read of the configuration or the upstreams within 2 s.
 	minSafetyPollInterval      = 10 * time.Second
 	safetyPollIntervalPerEntry = 800 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call. Each call has a
@@ -38,6 +38,9 @@
 	// stuckReadTimeout is how long a read may go on after another entry has read further.
 	// The store answers a read immediately when there is a new record.
 	stuckReadTimeout = 500 * time.Millisecond
+	// repeatReadAfter is how long after the end of its wait a read without an answer is made again on a
+	// new connection: one that went silent gives no other sign. A slow store answers within 240 ms.
+	repeatReadAfter = 400 * time.Millisecond
 	// maxHintGap is the longest gap between hints while the leading entries reach the
 	// store. They send one every 300 ms, and some are lost.
 	maxHintGap = 1200 * time.Millisecond
@@ -81,6 +84,9 @@
 	// Uninterrupted is called after Reached(true) if it turns out that the store served other entries
 	// throughout the time for which it was reported unreached. It may be nil.
 	Uninterrupted func()
+	// Silent is called if a read was answered only when it was made again, so that other connections to
+	// the store may be silent, too. It may be nil.
+	Silent func()
 	// Ask returns the newest records of all keys that another entry has, and the position up
 	// to which it has read. It may be nil. It is called for the entry with the highest hint,
 	// if that is ahead: by an entry that does not lead, since each call to the store has a
@@ -108,6 +114,7 @@
 	stop  context.CancelFunc
 	done  chan struct{}
 	wake  chan struct{}
+	check chan struct{} // the read in progress is to be made again
 
 	mu         sync.Mutex
 	position   platform.Position // behind what was delivered
@@ -149,7 +156,7 @@
 // New starts a follower.
 func New(cfg Settings, seams Seams, logger *log.Logger) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Follower{cfg: cfg, seams: seams, log: logger, stop: cancel, done: make(chan struct{}), wake: make(chan struct{}, 1), latest: newLatest(seams.Outdated)}
+	f := &Follower{cfg: cfg, seams: seams, log: logger, stop: cancel, done: make(chan struct{}), wake: make(chan struct{}, 1), check: make(chan struct{}, 1), latest: newLatest(seams.Outdated)}
 	go f.run(ctx)
 	return f
 }
@@ -657,8 +664,8 @@
 			<-done
 		}()
 	}
-	records, next, err := f.seams.Read(ctx, f.cfg.Topic, from.Offset, wait)
-	if err != nil && !fault.Is(err, platform.KindTrimmed) {
+	records, next, err := f.readRepeatedly(ctx, from.Offset, wait)
+	if !isAnswer(err) {
 		return 0, err
 	}
 	next = next.In(from.Epoch)
@@ -676,6 +683,71 @@
 	return f.cfg.Pause, nil
 }
 
+// isAnswer reports whether the store answered a read that returned err.
+func isAnswer(err error) bool { return err == nil || fault.Is(err, platform.KindTrimmed) }
+
+// readResult is the result of Seams.Read.
+type readResult struct {
+	records []platform.Keyed
+	next    platform.Position
+	err     error
+}
+
+// readRepeatedly reads from an offset, and once more without a wait if there is no answer
+// repeatReadAfter the end of the wait, or at once if CheckRead is called. It returns the first answer,
+// or an error once each read has failed.
+func (f *Follower) readRepeatedly(ctx context.Context, from uint64, wait time.Duration) ([]platform.Keyed, platform.Position, error) {
+	if wait == 0 {
+		return f.seams.Read(ctx, f.cfg.Topic, from, 0)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var reads sync.WaitGroup
+	defer reads.Wait()
+	defer cancel()
+	results := make(chan readResult, 2)
+	read := func(wait time.Duration) {
+		reads.Go(func() {
+			records, next, err := f.seams.Read(ctx, f.cfg.Topic, from, wait)
+			results <- readResult{records, next, err}
+		})
+	}
+	select {
+	case <-f.check: // of an earlier read
+	default:
+	}
+	read(wait)
+	unanswered := time.NewTimer(wait + repeatReadAfter)
+	defer unanswered.Stop()
+	overdue := false
+	select {
+	case r := <-results:
+		return r.records, r.next, r.err
+	case <-unanswered.C:
+		overdue = true
+	case <-f.check:
+	}
+	read(0)
+	r := <-results
+	if !isAnswer(r.err) {
+		r = <-results
+	}
+	if overdue && isAnswer(r.err) {
+		f.log.Warn("A read of the store was answered only when it was made again; its connection may be silent.", "topic", f.cfg.Topic, "offset", from)
+		if f.seams.Silent != nil {
+			f.seams.Silent()
+		}
+	}
+	return r.records, r.next, r.err
+}
+
+// CheckRead makes a read that waits for records again, since its connection may be silent.
+func (f *Follower) CheckRead() {
+	select {
+	case f.check <- struct{}{}:
+	default: // it is about to be
+	}
+}
+
 // dropMalformed removes the malformed records, and logs the first of them.
 func (f *Follower) dropMalformed(records []platform.Keyed) []platform.Keyed {
 	malformed := func(r platform.Keyed) bool { return r.Malformed }
--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -389,6 +389,88 @@
 	}
 }
 
+// All connections to the store went silent after a change, when all entries that lead had just begun to
+// read on: the next change was unknown for longer than the stability window, and the store was taken for
+// away, though it answered on new connections.
+func TestSilentConnectionsDelayNoChange(t *testing.T) {
+	const (
+		stabilityWindow = 3 * time.Second // the shortest one
+		wait            = 2200 * time.Millisecond
+		callTimeout     = 1500 * time.Millisecond // beyond the wait
+	)
+	for _, silentAfter := range []time.Duration{0, 10 * time.Millisecond, 200 * time.Millisecond, wait - time.Millisecond, wait} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := &fakeStore{}
+			s.putConfig("0")
+			var silentFrom time.Time
+			var outages atomic.Int64
+			fleet := newFleetWith(t, 12, func(i int) bool { return i < 4 }, wait, func(seams *Seams) {
+				seams.Newest = s.newest
+				seams.Read = func(ctx context.Context, topic string, from uint64, wait time.Duration) ([]platform.Keyed, platform.Position, error) {
+					begunAt := time.Now()
+					list, next, err := s.read(ctx, topic, from, wait)
+					s.mu.Lock()
+					silent := !silentFrom.IsZero() && !begunAt.After(silentFrom)
+					s.mu.Unlock()
+					if silent {
+						pause.For(ctx, time.Until(begunAt.Add(wait+callTimeout)))
+						return nil, platform.Position{}, errDown
+					}
+					return list, next, err
+				}
+				seams.Reached = func(ok bool) {
+					if !ok {
+						outages.Add(1)
+					}
+				}
+			})
+			time.Sleep(5 * time.Second)
+			s.putConfig("1")
+			time.Sleep(silentAfter)
+			s.set(func() { silentFrom = time.Now() })
+			time.Sleep(130 * time.Millisecond)
+			s.putConfig("2")
+			time.Sleep(stabilityWindow - 130*time.Millisecond)
+			for i, m := range fleet {
+				if got := m.config(); got != "2" {
+					t.Errorf("silent after %v: entry %d has %q", silentAfter, i, got)
+				}
+			}
+			time.Sleep(2 * stabilityWindow)
+			is.Equal(outages.Load(), int64(0))
+		})
+	}
+}
+
+// One read was found to be on a silent connection. The others, which wait longer, are made again at once.
+func TestCheckReadMakesAWaitingReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &fakeStore{}
+		s.put("a")
+		reads := 0
+		f := New(Settings{Topic: "t", Wait: 10 * time.Second}, Seams{
+			Newest: s.newest, Apply: s.apply,
+			Read: func(ctx context.Context, topic string, from uint64, wait time.Duration) ([]platform.Keyed, platform.Position, error) {
+				s.set(func() { reads++ })
+				if wait > 0 {
+					<-ctx.Done()
+					return nil, platform.Position{}, ctx.Err()
+				}
+				return s.read(ctx, topic, from, wait)
+			},
+		}, log.New(io.Discard))
+		defer f.Close()
+		time.Sleep(time.Second)
+		s.put("b")
+		f.CheckRead()
+		synctest.Wait()
+		is.Equal(s.lastKey(), "b")
+		is.Equal(reads, 3) // the one that waits, the one made again, and the next one
+	})
+}
+
 // Without hints, an entry that does not lead polls the store itself.
 func TestFollowerPollsWithoutHints(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -612,12 +694,18 @@
 // newFleet returns followers that share a store. Those that the store has answered lately send the
 // others a hint each 300 ms.
 func newFleet(t *testing.T, s *fakeStore, entries int, leads func(i int) bool) []member {
+	t.Helper()
+	return newFleetWith(t, entries, leads, 2*time.Second, func(seams *Seams) { seams.Newest, seams.Read = s.newest, s.read })
+}
+
+// newFleetWith returns followers like newFleet, with the given wait. setStore sets the seams to the store.
+func newFleetWith(t *testing.T, entries int, leads func(i int) bool, wait time.Duration, setStore func(seams *Seams)) []member {
 	t.Helper()
 	var fleet []member
 	for i := range entries {
 		applied := &fakeStore{}
-		f := New(Settings{Topic: "t", Wait: 2 * time.Second}, Seams{
-			Newest: s.newest, Read: s.read, Apply: applied.apply, Leads: func() bool { return leads(i) }, Entries: func() int { return entries },
+		seams := Seams{
+			Apply: applied.apply, Leads: func() bool { return leads(i) }, Entries: func() int { return entries },
 			Ask: func(_ context.Context, entry, _ string) ([]platform.Keyed, platform.Position, error) {
 				i, err := strconv.Atoi(entry)
 				if err != nil {
@@ -626,7 +714,9 @@
 				list, next := fleet[i].Newest()
 				return list, next, nil
 			},
-		}, log.New(io.Discard))
+		}
+		setStore(&seams)
+		f := New(Settings{Topic: "t", Wait: wait}, seams, log.New(io.Discard))
 		t.Cleanup(f.Close)
 		fleet = append(fleet, member{f, applied})
 	}
