Test holds beside entries of earlier versions

An earlier version holds one segment in all prompts and reports it; nothing showed that entries of this version correct that. TestHoldOfEarlierVersionIsCorrected: sound prompts pass beside the reported hold, and their answers end it. No change of the code.

--- a/internal/prompt/quarantine/tracker_test.go
+++ b/internal/prompt/quarantine/tracker_test.go
@@ -219,6 +219,35 @@
 	})
 }
 
+// An entry of an earlier version holds the sound one of two unanswered segments, in all prompts. Entries that
+// saw the crashes must let sound prompts through, and their answers end the hold everywhere.
+func TestHoldOfEarlierVersionIsCorrected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2)
+		for i := range 2 {
+			time.Sleep(passTime)
+			f[0].crash(fmt.Sprint(i), true, segment.List{shared, deadly})
+			f.exchange()
+		}
+		earlier := Report{Verdicts: []Verdict{{Segment: shared, Term: 1}}}
+		for _, q := range f {
+			q.Merge(earlier)
+		}
+		settle()
+		is.True(!f[0].answer(shared, deadly))
+		is.True(f[0].answer(shared))
+		f.exchange()
+		settle()
+		for _, q := range f {
+			q.Merge(earlier)
+			is.Equal(q.HeldSegments(), segment.List{deadly})
+			is.True(q.answer(shared))
+		}
+		is.True(slices.Contains(f[1].Report().Verdicts, Verdict{Segment: shared, Term: 2}))
+	})
+}
+
 // Crashes follow each other sooner than entries take to object, and with each of them the hold was put
 // off, until the shared segment, which was answered just before, had as much against it.
 func TestBurstOfCrashesDoesNotPutOffHold(t *testing.T) {
