--- a/internal/gateway/entry/server.go
+++ b/internal/gateway/entry/server.go
@@ -289,8 +289,8 @@
 func (s *Server) readsStore() bool { return s.exchange.Rank() < storeReaders }
 
 // positions returns this entry's position in each topic, or nil if the store has not answered it
-// lately, and since when the store has answered its reads of the upstreams. Where it answers none of the entries that read for others, the first other one whose
-// own read is answered announces it.
+// lately, and since when the store has answered its reads of the upstreams. Where it answers none of
+// the entries that read for others, the first other one whose own read is answered announces it.
 func (s *Server) positions() (out []platform.Position, served time.Time) {
 	list := s.followers.Load()
 	if list == nil {
--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -136,7 +136,7 @@
 // span is a time from one moment to another.
 type span struct{ from, to time.Time }
 
-// extend extends the span to a later one if there is no gap between them, and otherwise replaces it.
+// extend joins the span with one that ends later, or replaces it if there is a gap between them.
 func (s *span) extend(o span) {
 	if s.to.IsZero() || o.from.After(s.to) {
 		*s = o
@@ -148,7 +148,7 @@
 	s.to = o.to
 }
 
-// covers reports whether another span is inside of this one, whose end may be earlier by a margin.
+// covers reports whether another span lies within this one, whose end may be earlier by a margin.
 func (s *span) covers(o span, margin time.Duration) bool {
 	return !s.from.IsZero() && !s.from.After(o.from) && !s.to.Add(margin).Before(o.to)
 }
