--- a/internal/gateway/follow/follow_test.go
+++ b/internal/gateway/follow/follow_test.go
@@ -323,72 +323,109 @@
 	})
 }
 
+// cutStore is a store that a follower is cut off from at times, and what the follower reports.
+type cutStore struct {
+	*fakeStore
+
+	cut             atomic.Bool
+	unreachedUntil  time.Time
+	uninterruptedAt time.Time
+}
+
+func (s *cutStore) read(ctx context.Context, topic string, from uint64, wait time.Duration) ([]platform.Keyed, platform.Position, error) {
+	list, next, err := s.fakeStore.read(ctx, topic, from, wait)
+	if s.cut.Load() {
+		return nil, platform.Position{}, errDown
+	}
+	return list, next, err
+}
+
+func (s *cutStore) reached(ok bool) {
+	if !ok {
+		s.set(func() { s.unreachedUntil = time.Now() })
+	}
+}
+
+func (s *cutStore) uninterrupted() { s.set(func() { s.uninterruptedAt = time.Now() }) }
+
+// during is a span of a test, from its start on.
+type during struct{ from, to time.Duration }
+
+func (d during) has(t time.Duration) bool { return t >= d.from && t < d.to }
+
 // A zone was cut off while upstreams left. At its return its entries took that for an outage of the store and
 // put off the removals for seconds, though the store had served the other entries all the while.
 func TestStoreThatServedOthersDuringACutHadNoOutage(t *testing.T) {
 	const second = time.Second
 	for _, c := range []struct {
-		name                                 string
-		cutAt, cutUntil, outageAt, outageEnd time.Duration
-		uninterrupted                        bool
+		name          string
+		cut, outage   during
+		uninterrupted bool
 	}{
-		{"cut off", 5 * second, 11 * second, 0, 0, true},
-		{"outage", 0, 0, 5 * second, 11 * second, false},
-		{"outage while cut off", 5 * second, 13 * second, 7 * second, 11 * second, false},
-		{"outage just before the cut", 8 * second, 14 * second, 4 * second, 7500 * time.Millisecond, false},
-		{"cut off long after an outage", 16 * second, 22 * second, 5 * second, 9 * second, true},
+		{"cut off", during{5 * second, 11 * second}, during{}, true},
+		{"outage", during{}, during{5 * second, 11 * second}, false},
+		{"outage while cut off", during{5 * second, 13 * second}, during{7 * second, 11 * second}, false},
+		{"outage just before the cut", during{8 * second, 14 * second}, during{4 * second, 7500 * time.Millisecond}, false},
+		{"cut off long after an outage", during{16 * second, 22 * second}, during{5 * second, 9 * second}, true},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			s := &fakeStore{}
+			s := &cutStore{fakeStore: &fakeStore{}}
 			s.put("a")
-			var cut atomic.Bool
-			var unreachedUntil, uninterruptedAt time.Time
 			start := time.Now()
-			other := newFollower(t, s, true)
+			other := newFollower(t, s.fakeStore, true)
 			f := New(Settings{Topic: "t", Wait: 2 * time.Second}, Seams{
-				Newest: s.newest, Apply: s.apply,
-				Read: func(ctx context.Context, topic string, from uint64, wait time.Duration) ([]platform.Keyed, platform.Position, error) {
-					list, next, err := s.read(ctx, topic, from, wait)
-					if cut.Load() {
-						return nil, platform.Position{}, errDown
-					}
-					return list, next, err
-				},
-				Reached: func(ok bool) {
-					s.set(func() {
-						if !ok {
-							unreachedUntil = time.Now()
-						}
-					})
-				},
-				Uninterrupted: func() { s.set(func() { uninterruptedAt = time.Now() }) },
+				Newest: s.newest, Read: s.read, Apply: s.apply, Reached: s.reached, Uninterrupted: s.uninterrupted,
 			}, log.New(io.Discard))
 			defer f.Close()
 			for step := range 250 {
 				time.Sleep(100 * time.Millisecond)
 				d := time.Since(start)
-				cut.Store(d >= c.cutAt && d < c.cutUntil)
-				s.set(func() { s.down = d >= c.outageAt && d < c.outageEnd })
+				s.cut.Store(c.cut.has(d))
+				s.set(func() { s.down = c.outage.has(d) })
 				p, healthy := other.Position()
-				if step%3 == 0 && !cut.Load() && healthy && time.Since(other.Answered()) < answerTimeout {
+				if step%3 == 0 && !s.cut.Load() && healthy && time.Since(other.Answered()) < answerTimeout {
 					f.Hint("other", p)
 					f.ServedElsewhere(other.ServedSince())
 				}
 			}
-			s.set(func() {
-				if got := !uninterruptedAt.IsZero(); got != c.uninterrupted {
-					t.Errorf("%s: uninterrupted %v, want %v", c.name, got, c.uninterrupted)
-				}
-				is.True(!unreachedUntil.IsZero())
-				if c.uninterrupted {
-					is.True(uninterruptedAt.Sub(start.Add(c.cutUntil)) < time.Second)
-				}
-			})
+			if got := !s.uninterruptedAt.IsZero(); got != c.uninterrupted {
+				t.Errorf("%s: uninterrupted %v, want %v", c.name, got, c.uninterrupted)
+			}
+			is.True(!s.unreachedUntil.IsZero())
+			is.True(!c.uninterrupted || s.uninterruptedAt.Sub(start.Add(c.cut.to)) < time.Second)
 		})
 	}
 }
 
+// silentStore is a store whose connections go silent: reads that began before get no answer.
+type silentStore struct {
+	*fakeStore
+
+	silentFrom time.Time
+	outages    atomic.Int64 // that followers reported
+}
+
+func (s *silentStore) read(ctx context.Context, topic string, from uint64, wait time.Duration) ([]platform.Keyed, platform.Position, error) {
+	const callTimeout = 1500 * time.Millisecond // beyond the wait
+	begunAt := time.Now()
+	list, next, err := s.fakeStore.read(ctx, topic, from, wait)
+	s.mu.Lock()
+	silent := !s.silentFrom.IsZero() && !begunAt.After(s.silentFrom)
+	s.mu.Unlock()
+	if silent {
+		pause.For(ctx, time.Until(begunAt.Add(wait+callTimeout)))
+		return nil, platform.Position{}, errDown
+	}
+	return list, next, err
+}
+
+func (s *silentStore) reached(ok bool) {
+	if !ok {
+		s.outages.Add(1)
+	}
+}
+
 // All connections to the store went silent after a change, when all entries that lead had just begun to
 // read on: the next change was unknown for longer than the stability window, and the store was taken for
 // away, though it answered on new connections.
@@ -396,49 +433,30 @@
 	const (
 		stabilityWindow = 3 * time.Second // the shortest one
 		wait            = 2200 * time.Millisecond
-		callTimeout     = 1500 * time.Millisecond // beyond the wait
+		changeAfter     = 130 * time.Millisecond
 	)
 	for _, silentAfter := range []time.Duration{0, 10 * time.Millisecond, 200 * time.Millisecond, wait - time.Millisecond, wait} {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			s := &fakeStore{}
+			s := &silentStore{fakeStore: &fakeStore{}}
 			s.putConfig("0")
-			var silentFrom time.Time
-			var outages atomic.Int64
 			fleet := newFleetWith(t, 12, func(i int) bool { return i < 4 }, wait, func(seams *Seams) {
-				seams.Newest = s.newest
-				seams.Read = func(ctx context.Context, topic string, from uint64, wait time.Duration) ([]platform.Keyed, platform.Position, error) {
-					begunAt := time.Now()
-					list, next, err := s.read(ctx, topic, from, wait)
-					s.mu.Lock()
-					silent := !silentFrom.IsZero() && !begunAt.After(silentFrom)
-					s.mu.Unlock()
-					if silent {
-						pause.For(ctx, time.Until(begunAt.Add(wait+callTimeout)))
-						return nil, platform.Position{}, errDown
-					}
-					return list, next, err
-				}
-				seams.Reached = func(ok bool) {
-					if !ok {
-						outages.Add(1)
-					}
-				}
+				seams.Newest, seams.Read, seams.Reached = s.newest, s.read, s.reached
 			})
 			time.Sleep(5 * time.Second)
 			s.putConfig("1")
 			time.Sleep(silentAfter)
-			s.set(func() { silentFrom = time.Now() })
-			time.Sleep(130 * time.Millisecond)
+			s.set(func() { s.silentFrom = time.Now() })
+			time.Sleep(changeAfter)
 			s.putConfig("2")
-			time.Sleep(stabilityWindow - 130*time.Millisecond)
+			time.Sleep(stabilityWindow - changeAfter)
 			for i, m := range fleet {
 				if got := m.config(); got != "2" {
 					t.Errorf("silent after %v: entry %d has %q", silentAfter, i, got)
 				}
 			}
 			time.Sleep(2 * stabilityWindow)
-			is.Equal(outages.Load(), int64(0))
+			is.Equal(s.outages.Load(), int64(0))
 		})
 	}
 }
