Don't abort probes of a held segment

Change: an attempt knows the segment that it is a probe of, and the hold of that segment doesn't abort it. TestProbeIsNotAborted fails before (tracker_test.go 240: aborted by a crash elsewhere) and passes now.

--- a/internal/prompt/quarantine/tracker.go
+++ b/internal/prompt/quarantine/tracker.go
@@ -160,6 +160,7 @@
 	abort    func()
 	sentAt   time.Time
 	firstAt  time.Time
+	probed   segment.ID // the held segment that it is a probe of
 	proven   bool
 	aborted  bool
 }
@@ -172,23 +173,25 @@
 	defer q.mu.Unlock()
 	now := q.cfg.Now()
 	list = append(slices.Clone(list), digest)
+	probed := segment.None
 	for _, id := range list {
-		if !q.passes(id, list, now) {
+		if v := q.verdicts[id]; v == nil || !v.covers(list) {
+			continue
+		}
+		if !q.startProbe(id, list, now) {
 			return nil, id
 		}
+		probed = id
 	}
-	a = &Attempt{tracker: q, segments: list, abort: abort}
+	a = &Attempt{tracker: q, segments: list, abort: abort, probed: probed}
 	q.unproven[a] = struct{}{}
 	return a, segment.None
 }
 
-// passes reports whether the hold of a segment does not cover a request that has it, or the request
-// is due as a probe. q.mu must be held.
-func (q *Tracker) passes(id segment.ID, request segment.List, now time.Time) bool {
+// startProbe reports whether a request that the hold of a segment covers is due as a probe. q.mu must be
+// held.
+func (q *Tracker) startProbe(id segment.ID, request segment.List, now time.Time) bool {
 	v := q.verdicts[id]
-	if v == nil || !v.covers(request) {
-		return true
-	}
 	v.forgetAt, v.reportEnd = now.Add(2*holdTTL), now.Add(holdTTL)
 	switch {
 	case !now.Before(v.probeAt):
@@ -413,7 +416,7 @@
 		v.companions, v.doubted = companions, doubted
 	}
 	for a := range q.unproven {
-		if slices.Contains(a.segments, id) && v.covers(a.segments) && a.firstAt.IsZero() && !a.aborted {
+		if a.probed != id && slices.Contains(a.segments, id) && v.covers(a.segments) && a.firstAt.IsZero() && !a.aborted {
 			a.aborted = true
 			a.abort()
 			aborted++
--- a/internal/prompt/quarantine/tracker_test.go
+++ b/internal/prompt/quarantine/tracker_test.go
@@ -219,6 +219,30 @@
 	})
 }
 
+// A probe is at an engine when another answer or crash changes what is known of the hold. Aborting it
+// would take away the answer that it was sent for.
+func TestProbeIsNotAborted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := newFleet(1)[0]
+		for i := range 3 {
+			time.Sleep(passTime)
+			q.crash(fmt.Sprint(i), true, segment.List{deadly + segment.ID(100*i), shared})
+			settle()
+		}
+		time.Sleep(minDoubtProbeDelay + 2*meanDoubtProbeDelay)
+		aborted := false
+		probe := q.watch(segment.List{shared, other}, func() { aborted = true })
+		is.True(probe != nil)
+		q.crash("elsewhere", true, segment.List{50, 51})
+		is.True(q.answer(52))
+		settle()
+		is.True(!aborted)
+		probe.End(true)
+		is.Equal(q.HeldSegments(), segment.List{})
+	})
+}
+
 // An entry of an earlier version holds the sound one of two unanswered segments, in all prompts. Entries that
 // saw the crashes must let sound prompts through, and their answers end the hold everywhere.
 func TestHoldOfEarlierVersionIsCorrected(t *testing.T) {
