--- a/internal/gateway/follow/follow.go
+++ b/internal/gateway/follow/follow.go
@@ -127,7 +127,6 @@
 	latest     *latest
 	lastHint   time.Time
 	hintsSince time.Time // of the first hint since the last gap longer than maxHintGap
-	lastAnswer time.Time // when the store last answered
 	served     span      // in which the store answered this entry without a long gap
 	elsewhere  span      // the same for other entries, as far as they have announced it
 	unreached  span      // the latest one in which the store did not answer this entry, unless it served others
@@ -289,7 +288,7 @@
 func (f *Follower) Answered() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.lastAnswer
+	return f.served.to
 }
 
 // ServedSince returns since when the store has answered this entry without a gap in which registrations
@@ -357,7 +356,7 @@
 	if outage || now.Sub(f.served.to) > f.maxAnswerGap() {
 		f.served.from = now
 	}
-	f.lastAnswer, f.served.to = now, now
+	f.served.to = now
 	f.mu.Unlock()
 	f.weighOutage()
 }
--- a/internal/peer/sends/wire.go
+++ b/internal/peer/sends/wire.go
@@ -45,7 +45,7 @@
 	fieldEpoch = 18 // varint
 
 	fieldCutOff = 19 // varint: 1 if the sender connects to no upstream
-	fieldServed = 21 // varint: ms for which the store has answered the sender; earlier versions send none
+	fieldServed = 21 // varint: ms since the store has answered the sender without a gap; earlier versions send none
 	fieldLoad   = 20 // bytes: a plain server's name, and the sender's load and measurements of it
 
 	fieldName = 1 // string
