--- a/internal/prompt/quarantine/tracker_test.go
+++ b/internal/prompt/quarantine/tracker_test.go
@@ -64,15 +64,18 @@
 	}
 }
 
-// crash lets an engine crash under prompts, as the tracker sees it.
-func (q *Tracker) crash(engine string, suspect bool, prompts ...segment.List) {
+// crash lets an engine crash under those prompts that are sent, as the tracker sees it, and returns their
+// number.
+func (q *Tracker) crash(engine string, suspect bool, prompts ...segment.List) (sent int) {
 	now := time.Now()
 	for _, list := range prompts {
 		if a := q.watch(list, func() {}); a != nil {
 			a.Crashed(engine, now, suspect)
 			a.End(false)
+			sent++
 		}
 	}
+	return sent
 }
 
 // crashUnder lets an upstream crash under a request that may have begun to run.
@@ -170,11 +173,7 @@
 			crashes := 0
 			for i := range 200 {
 				time.Sleep(passTime)
-				if a := f[i%2].watch(segment.List{deadly, segment.ID(100 + i/repeats)}, func() {}); a != nil {
-					crashes++
-					a.Crashed(fmt.Sprint(i), time.Now(), true)
-					a.End(false)
-				}
+				crashes += f[i%2].crash(fmt.Sprint(i), true, segment.List{deadly, segment.ID(100 + i/repeats)})
 				f.exchange()
 				settle()
 			}
@@ -199,11 +198,7 @@
 		crash := func(i int) {
 			time.Sleep(passTime)
 			list := segment.List{[]segment.ID{deadly, secondDeadly}[i/2%2], shared}
-			if a := f[i%2].watch(list, func() {}); a != nil {
-				crashes++
-				a.Crashed(fmt.Sprint(i), time.Now(), true)
-				a.End(false)
-			}
+			crashes += f[i%2].crash(fmt.Sprint(i), true, list)
 			f.exchange()
 			settle()
 		}
@@ -284,11 +279,7 @@
 		sent := 0
 		for i := range 8 {
 			time.Sleep(interval)
-			if a := f[i%4].watch(segment.List{deadly, shared}, func() {}); a != nil {
-				sent++
-				a.Crashed(fmt.Sprint(i), time.Now(), true)
-				a.End(false)
-			}
+			sent += f[i%4].crash(fmt.Sprint(i), true, segment.List{deadly, shared})
 			f.exchange()
 		}
 		is.True(sent <= 4) // two crashes, and settleDelay after the second one
